core: lay the foundations

Cause: the project starts empty, and several packages are to be written at once against the same interfaces. Ruled out: a package per message kind (one generic HTTP+JSON call layer serves peers, operators and the platform alike); expanding templates on each VM (two versions could expand differently, so a deployment carries its expansion). Conclusion: the interfaces between packages are fixed.

--- /dev/null
+++ b/core/thevent/process.go
@@ -0,0 +1,18 @@
+package thevent
+
+// Events 100 to 199 concern the process.
+const (
+	ProcessStarted  ID = 100
+	ProcessReady    ID = 101
+	ProcessDraining ID = 102
+	ProcessStopped  ID = 103
+	ControllerPanic ID = 104
+)
+
+var processEvents = []Event{
+	{ProcessStarted, Info, "processStarted", "the process has started"},
+	{ProcessReady, Info, "processReady", "the VM takes callers"},
+	{ProcessDraining, Info, "processDraining", "the VM takes no new callers and finishes what is in flight"},
+	{ProcessStopped, Info, "processStopped", "the process has stopped"},
+	{ControllerPanic, Fault, "controllerPanic", "a controller panicked and was restarted"},
+}
--- /dev/null
+++ b/core/thevent/request.go
@@ -0,0 +1,14 @@
+package thevent
+
+// Events 600 to 699 concern requests, claims and quarantine.
+const (
+	RequestQuarantined ID = 600
+	ClaimUnresolved    ID = 601
+	AnswerDiscarded    ID = 602
+)
+
+var requestEvents = []Event{
+	{RequestQuarantined, Warn, "requestQuarantined", "a request that coincided with dying targets is refused"},
+	{ClaimUnresolved, Warn, "claimUnresolved", "a claimed request's outcome could not be recorded"},
+	{AnswerDiscarded, Warn, "answerDiscarded", "an answer that was not whole or not the request's own was discarded"},
+}
--- /dev/null
+++ b/core/threquest/request.go
@@ -0,0 +1,46 @@
+// Package threquest holds a request and its answer as they pass from the
+// caller's side to a target and back.
+package threquest
+
+import (
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thconfig"
+)
+
+// Header is one header field.
+type Header struct{ Name, Value string }
+
+// Request is a caller's request after authentication and routing. It holds
+// copies only, so it may outlive the handler that made it.
+type Request struct {
+	// ID is the correlation ID that a target may echo.
+	ID string
+	// Customer is the zero Customer on open routes.
+	Customer thconfig.Customer
+	Route    thconfig.Route
+	Service  thconfig.Service
+	Method   string
+	// URI is the path and query as the caller sent them.
+	URI string
+	// Headers have the key and hop-by-hop fields taken out.
+	Headers []Header
+	Body    []byte
+	// IdempotencyKey is empty if the caller gave none.
+	IdempotencyKey string
+	// Deadline is the caller's, or the service's timeout from arrival.
+	Deadline thclock.Instant
+}
+
+// RepeatSafe reports whether the request may run more than once.
+func (r *Request) RepeatSafe() bool { return r.Route.RepeatSafe(r.Method) }
+
+// Answer is a target's whole answer.
+type Answer struct {
+	Status  int
+	Headers []Header
+	Body    []byte
+	// Target is the address of the target that answered.
+	Target string
+	// Attempts is how many targets the request was sent to.
+	Attempts int
+}
--- /dev/null
+++ b/io/thwire/server.go
@@ -0,0 +1,179 @@
+// Package thwire carries typed calls between processes over HTTP with JSON:
+// peers, operators and the platform's client all use it.
+package thwire
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thevent"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	headerCredential  = "Tamarack-Credential"
+	headerFrom        = "Tamarack-From"
+	headerIncarnation = "Tamarack-Incarnation"
+
+	// DefaultMaxBytes bounds one message.
+	DefaultMaxBytes = 16 << 20
+
+	idleTimeout = time.Minute
+)
+
+// Sender is who made a call, as it named itself; the credential has been checked.
+type Sender struct {
+	ID          string
+	Incarnation uint64
+	Address     string
+}
+
+// Server takes calls that carry the right credential. Set the fields and add
+// handlers before Serve.
+type Server struct {
+	// Credential is what every call has to carry; a server without one refuses all.
+	Credential string
+	// MaxBytes bounds one message; zero means DefaultMaxBytes.
+	MaxBytes int
+	// Log gets one event for each source whose calls are dropped; nil drops them silently.
+	Log thevent.Logger
+
+	routes  map[string]func(*fasthttp.RequestCtx, Sender)
+	http    *fasthttp.Server
+	dropped sync.Map
+}
+
+// errorBody is a refusal on the wire.
+type errorBody struct {
+	Error ErrorAnswer `json:"error"`
+}
+
+// ErrorAnswer is the JSON form of an error.
+type ErrorAnswer struct {
+	Kind    string          `json:"kind"`
+	Detail  string          `json:"detail,omitempty"`
+	Outcome therror.Outcome `json:"outcome"`
+}
+
+// Handle adds a handler for the calls to a path. The handler must return soon:
+// it runs on the server's goroutine for that connection.
+func Handle[Q, A any](s *Server, path string, f func(Sender, Q) (A, error)) {
+	if s.routes == nil {
+		s.routes = make(map[string]func(*fasthttp.RequestCtx, Sender))
+	}
+	s.routes[path] = func(c *fasthttp.RequestCtx, from Sender) {
+		var q Q
+		if err := json.Unmarshal(c.PostBody(), &q); err != nil {
+			s.drop(c, from, therror.Wrap(therror.MessageMalformed, err, "call to %s", path))
+			return
+		}
+		a, err := f(from, q)
+		if err != nil {
+			WriteError(c, err)
+			return
+		}
+		writeAnswer(c, a)
+	}
+}
+
+// Serve takes calls on the listener until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	s.prepare()
+	return s.http.Serve(l)
+}
+
+// prepare makes the HTTP server before any goroutine can ask for it.
+func (s *Server) prepare() {
+	if s.http != nil {
+		return
+	}
+	size := s.MaxBytes
+	if size == 0 {
+		size = DefaultMaxBytes
+	}
+	s.http = &fasthttp.Server{
+		Handler:               s.serve,
+		MaxRequestBodySize:    size,
+		IdleTimeout:           idleTimeout,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		CloseOnShutdown:       true,
+		Logger:                silent{},
+	}
+}
+
+// Start serves on the listener in the background.
+func (s *Server) Start(l net.Listener) {
+	s.prepare()
+	go func() { _ = s.Serve(l) }()
+}
+
+// Shutdown stops taking calls and waits for those in progress.
+func (s *Server) Shutdown() error {
+	if s.http == nil {
+		return nil
+	}
+	return s.http.Shutdown()
+}
+
+func (s *Server) serve(c *fasthttp.RequestCtx) {
+	from := Sender{
+		ID:      string(c.Request.Header.Peek(headerFrom)),
+		Address: c.RemoteIP().String(),
+	}
+	from.Incarnation, _ = strconv.ParseUint(string(c.Request.Header.Peek(headerIncarnation)), 10, 64)
+	given := c.Request.Header.Peek(headerCredential)
+	if s.Credential == "" || subtle.ConstantTimeCompare(given, []byte(s.Credential)) != 1 {
+		s.drop(c, from, therror.New(therror.CredentialMissing, "the call carries no valid credential"))
+		return
+	}
+	f, ok := s.routes[string(c.Path())]
+	if !ok {
+		WriteError(c, therror.New(therror.NotFound, "no call %s", c.Path()))
+		return
+	}
+	f(c, from)
+}
+
+// drop refuses a call and logs the first one from each source.
+func (s *Server) drop(c *fasthttp.RequestCtx, from Sender, err error) {
+	WriteError(c, err)
+	if s.Log == nil {
+		return
+	}
+	if _, again := s.dropped.LoadOrStore(from.Address, true); !again {
+		s.Log.Log(thevent.PeerMessageDropped, thevent.F("source", from.Address), thevent.F("error", err.Error()))
+	}
+}
+
+// WriteError answers with the error's kind, detail and outcome.
+func WriteError(c *fasthttp.RequestCtx, err error) {
+	k := therror.KindOf(err)
+	a := k.Answer()
+	data, _ := json.Marshal(errorBody{ErrorAnswer{Kind: a.Name, Detail: err.Error(), Outcome: a.Outcome}})
+	c.Response.Reset()
+	c.SetStatusCode(a.Status)
+	c.SetContentType("application/json")
+	c.SetBody(data)
+}
+
+func writeAnswer[A any](c *fasthttp.RequestCtx, a A) {
+	data, err := json.Marshal(a)
+	if err != nil {
+		WriteError(c, therror.Wrap(therror.Internal, err, "answer"))
+		return
+	}
+	c.SetContentType("application/json")
+	c.SetBody(data)
+}
+
+// silent keeps fasthttp's own lines out of the numbered log.
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
