threquest: add the attempt

Cause: balancing and sending are written apart and meet in one value. Ruled out: returning only an error, which hides whether bytes left and whether the connection was a reused one. Change: Attempt. Before and after: no behaviour yet. Conclusion: the seam between thbalance and thtarget is fixed.

--- a/core/threquest/request.go
+++ b/core/threquest/request.go
@@ -44,3 +44,19 @@
 	// Attempts is how many targets the request was sent to.
 	Attempts int
 }
+
+// Attempt is one try against one target.
+type Attempt struct {
+	Target string
+	// Answer is nil if Err is set.
+	Answer *Answer
+	// Err is of a kind of package therror: ConnectFailed promises that no byte
+	// left; AnswerLost, AnswerBroken and AnswerLate do not.
+	Err error
+	// Sent is whether any byte of the request may have left for the target.
+	Sent bool
+	// Reused is whether the connection had served an earlier request.
+	Reused bool
+	// Began and Ended bound the attempt.
+	Began, Ended thclock.Instant
+}
