--- a/core/threquest/request.go
+++ b/core/threquest/request.go
@@ -8,7 +8,10 @@
 )
 
 // Header is one header field.
-type Header struct{ Name, Value string }
+type Header struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
 
 // Request is a caller's request after authentication and routing. It holds
 // copies only, so it may outlive the handler that made it.
--- /dev/null
+++ b/io/thclaims/fake_test.go
@@ -0,0 +1,123 @@
+package thclaims_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thstore"
+)
+
+// fakeStore is a table service that may be down or lose its answers.
+type fakeStore struct {
+	thstore.Platform
+
+	mu      sync.Mutex
+	rows    map[string]thstore.Row
+	objects map[string][]byte
+	random  *rand.Rand
+	down    bool
+	// loseAnswers is the share of writes whose answer is lost after they took
+	// effect, and loseWrites of those lost before.
+	loseAnswers, loseWrites float64
+	commits, writes, reads  int
+	conflicts               int
+	// before is called, without the lock, before each commit.
+	before func()
+}
+
+func newFakeStore(seed uint64) *fakeStore {
+	return &fakeStore{rows: map[string]thstore.Row{}, objects: map[string][]byte{}, random: rand.New(rand.NewPCG(seed, 1))}
+}
+
+func (s *fakeStore) set(f func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func (s *fakeStore) ReadRow(_ context.Context, key string) (thstore.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return thstore.Row{}, therror.New(therror.StoreUnavailable, "down")
+	}
+	s.reads++
+	r := s.rows[key]
+	r.Key = key
+	return r, nil
+}
+
+func (s *fakeStore) ScanRows(_ context.Context, prefix, after string, limit int) ([]thstore.Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, therror.New(therror.StoreUnavailable, "down")
+	}
+	s.reads++
+	var rs []thstore.Row
+	for key, r := range s.rows {
+		if strings.HasPrefix(key, prefix) && key > after && len(rs) < limit {
+			rs = append(rs, r)
+		}
+	}
+	return rs, nil
+}
+
+func (s *fakeStore) Commit(_ context.Context, t thstore.Transaction) error {
+	s.mu.Lock()
+	before := s.before
+	s.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return therror.New(therror.StoreUnavailable, "down")
+	}
+	if s.random.Float64() < s.loseWrites {
+		return therror.New(therror.StoreOutcomeUnknown, "lost before")
+	}
+	s.commits++
+	for _, c := range t.Conditions {
+		if s.rows[c.Key].Version != c.Version {
+			s.conflicts++
+			return therror.New(therror.ChangeConflict, "row %s", c.Key)
+		}
+	}
+	for _, w := range t.Writes {
+		s.writes++
+		if w.Delete {
+			delete(s.rows, w.Key)
+			continue
+		}
+		s.rows[w.Key] = thstore.Row{Key: w.Key, Version: s.rows[w.Key].Version + 1, Value: w.Value}
+	}
+	if s.random.Float64() < s.loseAnswers {
+		return therror.New(therror.StoreOutcomeUnknown, "lost after")
+	}
+	return nil
+}
+
+func (s *fakeStore) PutObject(_ context.Context, name string, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return therror.New(therror.StoreUnavailable, "down")
+	}
+	s.objects[name] = data
+	return nil
+}
+
+func (s *fakeStore) GetObject(_ context.Context, name string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[name]
+	if s.down || !ok {
+		return nil, therror.New(therror.NotFound, "object %s", name)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/io/thclaims/writer.go
@@ -0,0 +1,148 @@
+package thclaims
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thstore"
+)
+
+const (
+	maxBatch      = 64
+	maxBatchBytes = 256 << 10
+	storeTimeout  = 2 * time.Second
+)
+
+// operation is one write of one row that stands at a version.
+type operation struct {
+	key     string
+	version uint64
+	value   []byte
+	// done gets the outcome; lead is closed if the waiter is to commit the
+	// next batch, which begins with its own operation.
+	done chan error
+	lead chan struct{}
+}
+
+// writer gathers independent writes into one transaction each time the store
+// is free. One write that fails its condition does not fail the others.
+//
+// There is no goroutine of its own: a waiter commits for those that wait with
+// it and then hands over to the first that came meanwhile.
+type writer struct {
+	platform thstore.Platform
+	mu       sync.Mutex
+	queue    []*operation
+	busy     bool
+}
+
+// write commits the row, which has to stand at the version. It fails as
+// thstore.Platform.Commit does.
+func (w *writer) write(key string, version uint64, value []byte) error {
+	o := &operation{key: key, version: version, value: value, done: make(chan error, 1), lead: make(chan struct{})}
+	w.mu.Lock()
+	w.queue = append(w.queue, o)
+	if !w.busy {
+		w.busy = true
+		close(o.lead)
+	}
+	w.mu.Unlock()
+	select {
+	case err := <-o.done:
+		return err
+	case <-o.lead:
+	}
+	w.commit(w.nextBatch())
+	w.handOver()
+	return <-o.done
+}
+
+// nextBatch takes operations on different rows off the queue.
+func (w *writer) nextBatch() []*operation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var batch, rest []*operation
+	taken := make(map[string]bool)
+	size := 0
+	for _, o := range w.queue {
+		full := len(batch) == maxBatch || len(batch) > 0 && size+len(o.value) > maxBatchBytes
+		if full || taken[o.key] {
+			rest = append(rest, o)
+			continue
+		}
+		taken[o.key] = true
+		size += len(o.value)
+		batch = append(batch, o)
+	}
+	w.queue = rest
+	return batch
+}
+
+func (w *writer) handOver() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.queue) == 0 {
+		w.busy = false
+		return
+	}
+	close(w.queue[0].lead)
+}
+
+// commit writes a batch and tells each of its operations the outcome.
+func (w *writer) commit(batch []*operation) {
+	for len(batch) > 0 {
+		err := w.transact(batch)
+		if len(batch) > 1 && therror.Is(err, therror.ChangeConflict) {
+			batch = w.split(batch)
+			continue
+		}
+		for _, o := range batch {
+			o.done <- err
+		}
+		return
+	}
+}
+
+func (w *writer) transact(batch []*operation) error {
+	t := thstore.Transaction{
+		Conditions: make([]thstore.Condition, len(batch)),
+		Writes:     make([]thstore.Write, len(batch)),
+	}
+	for i, o := range batch {
+		t.Conditions[i] = thstore.Condition{Key: o.key, Version: o.version}
+		t.Writes[i] = thstore.Write{Key: o.key, Value: o.value}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	return w.platform.Commit(ctx, t)
+}
+
+// split reads the rows of a batch that conflicted, fails the operations whose
+// rows stand elsewhere and returns the others. If it finds none to fail, it
+// commits each alone.
+func (w *writer) split(batch []*operation) []*operation {
+	var good []*operation
+	for _, o := range batch {
+		if w.standsElsewhere(o) {
+			o.done <- therror.New(therror.ChangeConflict, "row %s has changed", o.key)
+			continue
+		}
+		good = append(good, o)
+	}
+	if len(good) < len(batch) {
+		return good
+	}
+	for _, o := range good {
+		o.done <- w.transact([]*operation{o})
+	}
+	return nil
+}
+
+func (w *writer) standsElsewhere(o *operation) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	r, err := w.platform.ReadRow(ctx, o.key)
+	return err == nil && r.Version != o.version
+}
