thlimit, thgrant: admit within rate and burst over all VMs

Cause: nothing counted a customer's requests over more than one VM.

Change: a customer's token bucket is cut into at most three parts in different zones, each kept by one home VM. Spenders ask homes for lots of whole tokens with a deadline and spend one for each request. A lot that is not heard of again counts as spent. A new home begins empty, once the former one's freshness and lots have surely ended.

--- /dev/null
+++ b/io/thgrant/shard.go
@@ -0,0 +1,165 @@
+package thgrant
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thconfig"
+	"tamarackhollow/core/thlimit"
+	"tamarackhollow/core/throster"
+)
+
+// spendShard is the spender's side of some customers.
+type spendShard struct {
+	mu       sync.Mutex
+	spender  thlimit.Spender
+	answered map[string]chan struct{}
+}
+
+// admit decides on a request and, if it has to wait, returns the channel that
+// the next answer closes.
+func (s *spendShard) admit(c thclock.Clock, l *thlimit.Layout, u thconfig.Customer, t *thlimit.Try) (thlimit.Decision, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.spender.Admit(c.Now(), l, u, t)
+	if d.Verdict != thlimit.Asking && d.Verdict != thlimit.Waiting {
+		return d, nil
+	}
+	ch := s.answered[u.Name]
+	if ch == nil {
+		if s.answered == nil {
+			s.answered = make(map[string]chan struct{})
+		}
+		ch = make(chan struct{})
+		s.answered[u.Name] = ch
+	}
+	return d, ch
+}
+
+func (s *spendShard) abandon(customer string, t *thlimit.Try) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spender.Abandon(customer, t)
+}
+
+func (s *spendShard) answer(now thclock.Instant, p thlimit.Part, g thlimit.Grant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spender.Answer(now, p, g)
+	s.wake(p.Customer)
+}
+
+func (s *spendShard) failed(now thclock.Instant, p thlimit.Part, number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spender.Failed(now, p, number)
+	s.wake(p.Customer)
+}
+
+func (s *spendShard) wake(customer string) {
+	if ch, ok := s.answered[customer]; ok {
+		close(ch)
+		delete(s.answered, customer)
+	}
+}
+
+func (s *spendShard) flush(now thclock.Instant) []thlimit.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spender.Flush(now)
+}
+
+func (s *spendShard) close() []thlimit.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spender.Close()
+}
+
+func (s *spendShard) customers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spender.Customers()
+}
+
+// homeShard is the home's side of some customers.
+type homeShard struct {
+	mu   sync.Mutex
+	home *thlimit.Home
+}
+
+func (h *homeShard) ask(now thclock.Instant, from throster.VM, u thconfig.Customer, a thlimit.Ask) thlimit.Grant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.home.Ask(now, from, u, a)
+}
+
+func (h *homeShard) report(now thclock.Instant, from throster.VM, rs []thlimit.Report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.home.Report(now, from, rs)
+}
+
+func (h *homeShard) adopt(now thclock.Instant, l *thlimit.Layout) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.home.Adopt(now, l)
+}
+
+func (h *homeShard) prune(now thclock.Instant) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.home.Prune(now)
+}
+
+func (h *homeShard) parts() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.home.Parts()
+}
+
+// counters count since the start of the process.
+type counters struct {
+	admitted    atomic.Uint64
+	overLimit   atomic.Uint64
+	unavailable atomic.Uint64
+	asks        atomic.Uint64
+	asksFailed  atomic.Uint64
+	grants      atomic.Uint64
+	reports     atomic.Uint64
+}
+
+// Stats are a limiter's counters and sizes.
+type Stats struct {
+	Admitted    uint64 `json:"admitted"`
+	OverLimit   uint64 `json:"overLimit"`
+	Unavailable uint64 `json:"unavailable"`
+	// Asks and AsksFailed count this VM's calls as spender.
+	Asks       uint64 `json:"asks"`
+	AsksFailed uint64 `json:"asksFailed"`
+	// Grants counts the asks that this VM answered as home.
+	Grants uint64 `json:"grants"`
+	// Reports counts the lots that this VM has told homes about on their own.
+	Reports uint64 `json:"reports"`
+	// Customers and Parts are what is remembered as spender and as home.
+	Customers int `json:"customers"`
+	Parts     int `json:"parts"`
+}
+
+// Stats returns the counters and sizes of the present moment.
+func (m *Limiter) Stats() Stats {
+	s := Stats{
+		Admitted:    m.count.admitted.Load(),
+		OverLimit:   m.count.overLimit.Load(),
+		Unavailable: m.count.unavailable.Load(),
+		Asks:        m.count.asks.Load(),
+		AsksFailed:  m.count.asksFailed.Load(),
+		Grants:      m.count.grants.Load(),
+		Reports:     m.count.reports.Load(),
+	}
+	for i := range m.spends {
+		s.Customers += m.spends[i].customers()
+		s.Parts += m.homes[i].parts()
+	}
+	return s
+}
