thagree: let VMs agree on configuration, roster and freshness

Cause: the seam that the other parts build on was missing: a configuration in force, a roster, a freshness check for each keyed request and an Apply.

Ruled out: a roster chain of its own beside the configuration's. Two chains would need two heads and two freshness rules, and a VM could be fresh by a roster that the configuration's majority was not counted by. Roster changes therefore stand in the same chain as operators' changes, and a precondition is held against the last operator's change alone.

--- a/core/thconfig/change.go
+++ b/core/thconfig/change.go
@@ -1,6 +1,7 @@
 package thconfig
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -80,6 +81,7 @@
 	IssueKey       *IssueKey       `json:"issueKey,omitempty"`
 	WithdrawKey    *WithdrawKey    `json:"withdrawKey,omitempty"`
 	SetTarget      *SetTarget      `json:"setTarget,omitempty"`
+	ChangeMembers  *ChangeMembers  `json:"changeMembers,omitempty"`
 }
 
 // MarshalJSON writes the record with its change under the change's name.
@@ -100,6 +102,8 @@
 		w.WithdrawKey = &c
 	case SetTarget:
 		w.SetTarget = &c
+	case ChangeMembers:
+		w.ChangeMembers = &c
 	default:
 		return nil, therror.New(therror.MessageMalformed, "record %d holds no known change", r.Version)
 	}
@@ -124,7 +128,7 @@
 func changesOf(w wireRecord) []Change {
 	return slices.Concat(
 		given(w.PutTemplate), given(w.PutDeployment), given(w.SetCustomer), given(w.RemoveCustomer),
-		given(w.IssueKey), given(w.WithdrawKey), given(w.SetTarget),
+		given(w.IssueKey), given(w.WithdrawKey), given(w.SetTarget), given(w.ChangeMembers),
 	)
 }
 
@@ -155,3 +159,10 @@
 	sum := sha256.Sum256(data)
 	return hex.EncodeToString(sum[:]), nil
 }
+
+// SameChange reports whether two changes say the same.
+func SameChange(a, b Change) bool {
+	x, errX := json.Marshal(Record{Change: a})
+	y, errY := json.Marshal(Record{Change: b})
+	return errX == nil && errY == nil && bytes.Equal(x, y)
+}
--- a/core/thconfig/config.go
+++ b/core/thconfig/config.go
@@ -6,13 +6,16 @@
 	"strings"
 
 	"tamarackhollow/core/therror"
+	"tamarackhollow/core/throster"
 )
 
 // Config is one version of the whole configuration. It is immutable, and the
 // zero Config is the empty configuration before the first change.
 type Config struct {
 	version     uint64
+	changed     uint64
 	digest      string
+	roster      throster.Roster
 	templates   shardedMap[Template]
 	deployments shardedMap[Deployment]
 	customers   shardedMap[Customer]
@@ -103,6 +106,9 @@
 	}
 	n.version = r.Version
 	n.digest = digest
+	if _, members := r.Change.(ChangeMembers); !members {
+		n.changed = r.Version
+	}
 	return n, nil
 }
 
@@ -128,6 +134,8 @@
 		return c.withoutKey(h.ID)
 	case SetTarget:
 		return c.withTarget(h)
+	case ChangeMembers:
+		return c.withMembers(h)
 	}
 	return c, therror.New(therror.ChangeInvalid, "unknown kind of change %T", change)
 }
@@ -255,19 +263,21 @@
 
 // snapshot is a Config in JSON.
 type snapshot struct {
-	Version     uint64       `json:"version"`
-	Digest      string       `json:"digest"`
-	Templates   []Template   `json:"templates"`
-	Deployments []Deployment `json:"deployments"`
-	Customers   []Customer   `json:"customers"`
-	Keys        []Key        `json:"keys"`
-	Withdrawn   []string     `json:"withdrawn"`
+	Version     uint64          `json:"version"`
+	Changed     uint64          `json:"changed"`
+	Digest      string          `json:"digest"`
+	Roster      throster.Roster `json:"roster"`
+	Templates   []Template      `json:"templates"`
+	Deployments []Deployment    `json:"deployments"`
+	Customers   []Customer      `json:"customers"`
+	Keys        []Key           `json:"keys"`
+	Withdrawn   []string        `json:"withdrawn"`
 }
 
 // MarshalJSON writes the whole configuration.
 func (c Config) MarshalJSON() ([]byte, error) {
 	return json.Marshal(snapshot{
-		Version: c.version, Digest: c.digest,
+		Version: c.version, Changed: c.changed, Digest: c.digest, Roster: c.roster,
 		Templates: c.templates.sorted(), Deployments: c.deployments.sorted(),
 		Customers: c.customers.sorted(), Keys: c.keys.sorted(), Withdrawn: c.withdrawn.sortedNames(),
 	})
@@ -288,7 +298,7 @@
 }
 
 func fromSnapshot(s snapshot) (Config, error) {
-	c := Config{version: s.Version, digest: s.Digest}
+	c := Config{version: s.Version, changed: s.Changed, digest: s.Digest, roster: s.Roster}
 	var err error
 	for _, t := range s.Templates {
 		c.templates = c.templates.with(t.Name, t)
--- /dev/null
+++ b/core/throster/accept.go
@@ -0,0 +1,85 @@
+package throster
+
+// Tally says how many of the roster's members have a version.
+type Tally struct {
+	Acknowledged int
+	Of           int
+	// Accepted says that a majority has it in every roster that a VM may
+	// still be using, so that no VM that hears a majority can miss it.
+	Accepted bool
+}
+
+// Tally counts who is known to have the version.
+func (n *Node) Tally(version uint64) Tally {
+	t := Tally{Of: n.Roster().Len(), Acknowledged: n.acknowledged(n.Roster(), version)}
+	t.Accepted = version <= n.accepted || n.majorities(version)
+	return t
+}
+
+// majorities reports whether a majority of each roster up to the version has
+// it. A VM that lags may count by any of these rosters; one that lags further
+// is told of a newer roster by the majority it asks.
+func (n *Node) majorities(version uint64) bool {
+	for i, r := range n.rosters {
+		if i > 0 && r.Version() > version {
+			break
+		}
+		if r.Len() > 0 && n.acknowledged(r, version) < majority(r.Len()) {
+			return false
+		}
+	}
+	return version <= n.version
+}
+
+// acknowledged counts the members of the roster that have the version or are
+// gone for good: those will never tell anybody of an older one.
+func (n *Node) acknowledged(r Roster, version uint64) int {
+	count := 0
+	for _, v := range r.VMs() {
+		now, ok := n.Roster().VM(v.ID)
+		gone := !ok || now.Incarnation > v.Incarnation
+		if gone || n.seats[v.ID].acked >= version {
+			count++
+		}
+	}
+	return count
+}
+
+// Acknowledge records that the member has reached the version. Where the
+// answer came from an incarnation that has been replaced it counts for
+// nothing.
+func (n *Node) Acknowledge(id string, incarnation, version uint64) {
+	s, ok := n.seats[id]
+	if !ok {
+		return
+	}
+	if incarnation > s.incarnation {
+		s = seat{incarnation: incarnation}
+	}
+	if incarnation == s.incarnation && version > s.acked {
+		s.acked = version
+	}
+	n.seats[id] = s
+	n.settle()
+}
+
+// settle drops the rosters that no VM can count by any more.
+func (n *Node) settle() {
+	n.selfAcks()
+	if n.version == n.accepted || !n.majorities(n.version) {
+		return
+	}
+	n.accepted = n.version
+	n.rosters = n.rosters[len(n.rosters)-1:]
+}
+
+// Lacking returns the VMs of the roster not known to have the version.
+func (n *Node) Lacking(version uint64) []VM {
+	var out []VM
+	for _, v := range n.Roster().VMs() {
+		if v.ID != n.self.ID && n.seats[v.ID].acked < version {
+			out = append(out, v)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/thagree/store.go
@@ -0,0 +1,162 @@
+package thagree
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"tamarackhollow/core/thconfig"
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thstore"
+)
+
+// The rows and objects of the configuration.
+const (
+	rowHead       = "config/head"
+	rowSnapshot   = "config/snapshot"
+	prefixChange  = "config/change/"
+	prefixID      = "config/id/"
+	objectPrefix  = "config/snapshot/"
+	recordsAtOnce = 200
+)
+
+// headRow is the last version and its digest.
+type headRow struct {
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+}
+
+// idRow says which version a change id became.
+type idRow struct {
+	Version uint64 `json:"version"`
+}
+
+// snapshotRow names the newest snapshot object.
+type snapshotRow struct {
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+	Object  string `json:"object"`
+}
+
+// chain is the stored chain of changes.
+type chain struct{ platform thstore.Platform }
+
+// head is the stored head with the row's version, which the next append
+// requires.
+type head struct {
+	headRow
+	row uint64
+}
+
+func (c chain) head(ctx context.Context) (head, error) {
+	var h head
+	row, err := readRow(ctx, c.platform, rowHead, &h.headRow)
+	h.row = row
+	return h, err
+}
+
+// versionOf returns the version that the change id became, or 0.
+func (c chain) versionOf(ctx context.Context, changeID string) (uint64, error) {
+	var r idRow
+	_, err := readRow(ctx, c.platform, prefixID+changeID, &r)
+	return r.Version, err
+}
+
+func (c chain) record(ctx context.Context, version uint64) (thconfig.Record, error) {
+	var r thconfig.Record
+	row, err := readRow(ctx, c.platform, changeKey(version), &r)
+	if err == nil && row == 0 {
+		err = therror.New(therror.NotFound, "no stored change %d", version)
+	}
+	return r, err
+}
+
+// records returns some of the changes after the version, in order.
+func (c chain) records(ctx context.Context, after uint64) ([]thconfig.Record, error) {
+	rows, err := c.platform.ScanRows(ctx, prefixChange, changeKey(after), recordsAtOnce)
+	if err != nil {
+		return nil, err
+	}
+	rs := make([]thconfig.Record, len(rows))
+	for i, row := range rows {
+		if err := json.Unmarshal(row.Value, &rs[i]); err != nil {
+			return nil, therror.Wrap(therror.MessageMalformed, err, "row %s", row.Key)
+		}
+	}
+	return rs, nil
+}
+
+// append stores the record right after the head.
+func (c chain) append(ctx context.Context, h head, r thconfig.Record) error {
+	change, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	next, _ := json.Marshal(headRow{Version: r.Version, Digest: r.Digest})
+	id, _ := json.Marshal(idRow{Version: r.Version})
+	return c.platform.Commit(ctx, thstore.Transaction{
+		Conditions: []thstore.Condition{{Key: rowHead, Version: h.row}, {Key: prefixID + r.ChangeID}},
+		Writes: []thstore.Write{
+			{Key: rowHead, Value: next},
+			{Key: changeKey(r.Version), Value: change},
+			{Key: prefixID + r.ChangeID, Value: id},
+		},
+	})
+}
+
+// snapshot returns the newest stored snapshot, or the empty configuration.
+func (c chain) snapshot(ctx context.Context) (thconfig.Config, error) {
+	var s snapshotRow
+	row, err := readRow(ctx, c.platform, rowSnapshot, &s)
+	if err != nil || row == 0 {
+		return thconfig.Config{}, err
+	}
+	data, err := c.platform.GetObject(ctx, s.Object)
+	if err != nil {
+		return thconfig.Config{}, err
+	}
+	var n thconfig.Config
+	if err := json.Unmarshal(data, &n); err != nil {
+		return thconfig.Config{}, err
+	}
+	if n.Version() != s.Version || n.Digest() != s.Digest {
+		return thconfig.Config{}, therror.New(therror.MessageStale, "snapshot %s is of version %d", s.Object, n.Version())
+	}
+	return n, nil
+}
+
+// putSnapshot stores a snapshot unless there is a newer one.
+func (c chain) putSnapshot(ctx context.Context, n thconfig.Config) error {
+	var s snapshotRow
+	row, err := readRow(ctx, c.platform, rowSnapshot, &s)
+	if err != nil || s.Version >= n.Version() {
+		return err
+	}
+	data, err := json.Marshal(n)
+	if err != nil {
+		return err
+	}
+	name := fmt.Sprintf("%s%016d", objectPrefix, n.Version())
+	if err := c.platform.PutObject(ctx, name, data); err != nil {
+		return err
+	}
+	value, _ := json.Marshal(snapshotRow{Version: n.Version(), Digest: n.Digest(), Object: name})
+	return c.platform.Commit(ctx, thstore.Transaction{
+		Conditions: []thstore.Condition{{Key: rowSnapshot, Version: row}},
+		Writes:     []thstore.Write{{Key: rowSnapshot, Value: value}},
+	})
+}
+
+func changeKey(version uint64) string { return fmt.Sprintf("%s%016d", prefixChange, version) }
+
+// readRow reads a row into v and returns the row's version.
+func readRow[V any](ctx context.Context, p thstore.Platform, key string, v *V) (uint64, error) {
+	row, err := p.ReadRow(ctx, key)
+	if err != nil || row.Version == 0 || len(row.Value) == 0 {
+		return row.Version, err
+	}
+	if err := json.Unmarshal(row.Value, v); err != nil {
+		return row.Version, therror.Wrap(therror.MessageMalformed, err, "row %s", key)
+	}
+	return row.Version, nil
+}
