--- /dev/null
+++ b/core/thhealth/tally.go
@@ -0,0 +1,126 @@
+package thhealth
+
+import (
+	"math"
+	"time"
+
+	"tamarackhollow/core/thclock"
+)
+
+// Outcome is what one attempt says of its target.
+type Outcome uint8
+
+// The outcomes. None is no evidence: the target shed the request, the caller
+// went away, or the connection rather than the target is to blame.
+const (
+	None Outcome = iota
+	Good
+	Slow
+	Failed
+	// Silent is an open connection on which no answer came.
+	Silent
+)
+
+const (
+	shortMemory = 2 * time.Second
+	longMemory  = 20 * time.Second
+	// silentRun is how many silent connections in a row, without one good
+	// answer, are blamed on the target.
+	silentRun = 3
+)
+
+// Counts are attempts seen, older ones counting less.
+type Counts struct {
+	Requests, Failed, Slow float64
+}
+
+// Bad returns how many attempts failed or were slow.
+func (c Counts) Bad() float64 { return c.Failed + c.Slow }
+
+// Plus returns the sum of both.
+func (c Counts) Plus(o Counts) Counts {
+	return Counts{Requests: c.Requests + o.Requests, Failed: c.Failed + o.Failed, Slow: c.Slow + o.Slow}
+}
+
+// Minus returns what is left of c without o.
+func (c Counts) Minus(o Counts) Counts {
+	return Counts{
+		Requests: max(0, c.Requests-o.Requests),
+		Failed:   max(0, c.Failed-o.Failed),
+		Slow:     max(0, c.Slow-o.Slow),
+	}
+}
+
+func (c Counts) scaled(f float64) Counts {
+	return Counts{Requests: c.Requests * f, Failed: c.Failed * f, Slow: c.Slow * f}
+}
+
+func (c Counts) with(o Outcome) Counts {
+	switch o {
+	case Good:
+		c.Requests++
+	case Slow:
+		c.Requests++
+		c.Slow++
+	case Failed:
+		c.Requests++
+		c.Failed++
+	}
+	return c
+}
+
+// Tally is what one VM saw of one target. The zero Tally has seen nothing.
+type Tally struct {
+	// Short and Long remember for a few seconds and for some tens.
+	Short, Long Counts
+	// Work is the time that attempts took, remembered as long as Short.
+	Work time.Duration
+	// At is the moment to which the counts have faded.
+	At     thclock.Instant
+	silent uint8
+}
+
+// Faded returns the tally as it stands at a later moment.
+func (t Tally) Faded(now thclock.Instant) Tally {
+	d := now.Sub(t.At)
+	if d <= 0 {
+		return t
+	}
+	t.Short = t.Short.scaled(fade(d, shortMemory))
+	t.Long = t.Long.scaled(fade(d, longMemory))
+	t.Work = time.Duration(float64(t.Work) * fade(d, shortMemory))
+	t.At = now
+	return t
+}
+
+func fade(d, memory time.Duration) float64 { return math.Exp(-float64(d) / float64(memory)) }
+
+// WithOutcome returns the tally with one more attempt.
+func (t Tally) WithOutcome(now thclock.Instant, o Outcome) Tally {
+	switch o {
+	case None:
+		return t
+	case Silent:
+		if t.silent++; t.silent < silentRun {
+			return t
+		}
+		o = Failed
+	case Good, Slow:
+		t.silent = 0
+	}
+	t = t.Faded(now)
+	t.Short = t.Short.with(o)
+	t.Long = t.Long.with(o)
+	return t
+}
+
+// WithWork returns the tally with the time that one more attempt took.
+func (t Tally) WithWork(now thclock.Instant, took time.Duration) Tally {
+	t = t.Faded(now)
+	t.Work += max(took, 0)
+	return t
+}
+
+// Busy returns how many of the VM's requests the target had in flight, on
+// average over the last few seconds.
+func (t Tally) Busy() float64 { return float64(t.Work) / float64(shortMemory) }
--- /dev/null
+++ b/core/throute/queue.go
@@ -0,0 +1,196 @@
+package throute
+
+import (
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/therror"
+)
+
+const (
+	// queueMax bounds the requests that wait for one service.
+	queueMax = 512
+	// quantum is what a customer gets to spend in each round, in requests of
+	// ordinary cost.
+	quantum = 1.0
+	// maxDebt bounds how far back a customer's costly requests put it.
+	maxDebt = 8 * quantum
+)
+
+// Waiting is one request in a queue.
+type Waiting[T any] struct {
+	Item     T
+	Customer string
+	// Cost is relative to an ordinary request; zero counts as one.
+	Cost     float64
+	Deadline thclock.Instant
+}
+
+func (w Waiting[T]) cost() float64 {
+	if w.Cost <= 0 {
+		return 1
+	}
+	return w.Cost
+}
+
+// Queue holds the requests that wait for one service and serves the customers
+// by deficit round robin, so that each gets the same share however much the
+// others send. The zero Queue is empty.
+type Queue[T any] struct {
+	lines map[string]*line[T]
+	// round holds the customers with requests waiting, the next one first.
+	round []*line[T]
+	size  int
+}
+
+type line[T any] struct {
+	customer string
+	waiting  []Waiting[T]
+	credit   float64
+	// fresh is whether the customer's turn has not begun.
+	fresh bool
+	// inRound is whether the customer stands in the round.
+	inRound bool
+}
+
+// Len returns how many requests wait.
+func (q *Queue[T]) Len() int { return q.size }
+
+// Waiting returns how many requests of the customer wait.
+func (q *Queue[T]) Waiting(customer string) int {
+	if l := q.lines[customer]; l != nil {
+		return len(l.waiting)
+	}
+	return 0
+}
+
+// Push adds a request. A full queue makes room by giving up the newest request
+// of the customer with most waiting, which it returns; it fails with QueueFull
+// if that customer is the request's own.
+func (q *Queue[T]) Push(w Waiting[T]) (displaced []Waiting[T], err error) {
+	if q.size >= queueMax {
+		longest := q.longest()
+		if longest.customer == w.Customer || len(longest.waiting) <= q.Waiting(w.Customer)+1 {
+			return nil, therror.New(therror.QueueFull, "%d requests are waiting", q.size)
+		}
+		last := len(longest.waiting) - 1
+		displaced = append(displaced, longest.waiting[last])
+		longest.waiting = longest.waiting[:last]
+		q.size--
+	}
+	l := q.line(w.Customer)
+	if !l.inRound {
+		q.round = append(q.round, l)
+		l.fresh, l.inRound = true, true
+	}
+	l.waiting = append(l.waiting, w)
+	q.size++
+	return displaced, nil
+}
+
+func (q *Queue[T]) line(customer string) *line[T] {
+	l := q.lines[customer]
+	if l == nil {
+		l = &line[T]{customer: customer}
+		if q.lines == nil {
+			q.lines = make(map[string]*line[T])
+		}
+		q.lines[customer] = l
+	}
+	return l
+}
+
+func (q *Queue[T]) longest() *line[T] {
+	var longest *line[T]
+	for _, l := range q.round {
+		if longest == nil || len(l.waiting) > len(longest.waiting) {
+			longest = l
+		}
+	}
+	return longest
+}
+
+// Pop takes out the next request, and with it those found past their deadline.
+func (q *Queue[T]) Pop(now thclock.Instant) (next Waiting[T], expired []Waiting[T], ok bool) {
+	for len(q.round) > 0 {
+		l := q.round[0]
+		for len(l.waiting) > 0 && now.Passed(l.waiting[0].Deadline) {
+			expired = append(expired, q.shift(l))
+		}
+		if len(l.waiting) == 0 {
+			q.retire(l)
+			continue
+		}
+		if l.fresh {
+			l.credit = min(l.credit+quantum, quantum)
+			l.fresh = false
+		}
+		if c := l.waiting[0].cost(); l.credit >= min(c, quantum) {
+			l.credit = max(l.credit-c, -maxDebt)
+			next = q.shift(l)
+			if len(l.waiting) == 0 {
+				q.retire(l)
+			}
+			return next, expired, true
+		}
+		q.round = append(q.round[1:], l)
+		l.fresh = true
+	}
+	return next, expired, false
+}
+
+func (q *Queue[T]) shift(l *line[T]) Waiting[T] {
+	w := l.waiting[0]
+	l.waiting = l.waiting[1:]
+	q.size--
+	return w
+}
+
+// retire takes the customer at the head out of the round. Its debt is kept
+// while others wait, so that leaving the queue is no way out of it.
+func (q *Queue[T]) retire(l *line[T]) {
+	q.round = q.round[1:]
+	l.inRound = false
+	if l.credit >= 0 {
+		delete(q.lines, l.customer)
+	}
+	if len(q.round) == 0 {
+		clear(q.lines)
+	}
+}
+
+// Charge takes from the customer what its request cost beyond what Push knew,
+// so that slow requests count for more than quick ones.
+func (q *Queue[T]) Charge(customer string, cost float64) {
+	if q.size == 0 || !(cost > 0) {
+		return
+	}
+	l := q.line(customer)
+	l.credit = max(l.credit-cost, -maxDebt)
+}
+
+// Remove takes out the first waiting request that matches and reports whether
+// there was one.
+func (q *Queue[T]) Remove(customer string, match func(T) bool) bool {
+	l := q.lines[customer]
+	if l == nil {
+		return false
+	}
+	for i, w := range l.waiting {
+		if match(w.Item) {
+			l.waiting = append(l.waiting[:i:i], l.waiting[i+1:]...)
+			q.size--
+			return true
+		}
+	}
+	return false
+}
+
+// Ahead returns about how many requests are served before a new one of the
+// customer: its own that wait, and as many of each other customer.
+func (q *Queue[T]) Ahead(customer string) int {
+	own := q.Waiting(customer)
+	ahead := 0
+	for _, l := range q.round {
+		ahead += min(len(l.waiting), own+1)
+	}
+	return ahead
+}
