--- a/core/therror/kind.go
+++ b/core/therror/kind.go
@@ -42,6 +42,7 @@
 	MessageTooLarge
 	MessageStale
 	NotFound
+	SettingsInvalid
 	kindCount
 )
 
@@ -103,6 +104,7 @@
 	MessageTooLarge:     {"messageTooLarge", 413, NotRun, false},
 	MessageStale:        {"messageStale", 409, NotRun, false},
 	NotFound:            {"notFound", 404, NotRun, false},
+	SettingsInvalid:     {"settingsInvalid", 422, NotRun, false},
 }
 
 // Answer returns the kind's row in the table. A number outside the list gets
