thoperator, thsettings: give the seams that the whole path needs

Cause: the end-to-end rig reaches VMs through links and makes raw changes. Change: the client takes a wire client, wraps single changes and draws keys; settings know the VM's own IP, the advertised address for peers and the drain's bounds. The settings can be flags of a command through a Reader. Conclusion: serve needs one definition per setting whichever way it is given.

--- a/core/thsettings/definition.go
+++ b/core/thsettings/definition.go
@@ -28,11 +28,13 @@
 func definitions(s *Settings) []setting {
 	return []setting{
 		{"vm.id", "the VM's name, unique in the fleet", &nameValue{&s.VM.ID}, true},
+		{"vm.address", "IP that the VM's own connections leave from", &ipValue{&s.VM.Address}, false},
 		{"vm.zone", "the VM's availability zone", &nameValue{&s.VM.Zone}, true},
 		{"vm.region", "the VM's region", &nameValue{&s.VM.Region}, false},
 		{"vm.incarnation", "the VM's incarnation; 0 takes the time of the start", &wholeValue[uint64]{&s.VM.Incarnation, 0, math.MaxInt64}, false},
 		{"listen.callers", "address for callers", &addressValue{&s.Listen.Callers}, true},
 		{"listen.peers", "address for the other VMs", &addressValue{&s.Listen.Peers}, true},
+		{"listen.peersAdvertised", "where the other VMs reach listen.peers, if elsewhere", &addressValue{&s.Listen.PeersAdvertised}, false},
 		{"listen.operators", "address for operators", &addressValue{&s.Listen.Operators}, true},
 		{"listen.metrics", "address for metrics; none are served without it", &addressValue{&s.Listen.Metrics}, false},
 		{"platform.address", "address of the platform's service", &addressValue{&s.Platform.Address}, true},
@@ -42,8 +44,8 @@
 		{"operators.credential", "credential of operators", &credentialValue{&s.Operators.Credential}, true},
 		{"requests.maxBodyBytes", "largest request body in bytes", &wholeValue[int]{&s.Requests.MaxBodyBytes, 1, maxBodyBytesLimit}, false},
 		{"requests.maxConnections", "most connections of callers", &wholeValue[int]{&s.Requests.MaxConnections, 1, maxConnections}, false},
-		{"drain.timeoutMillis", "longest wait for requests in flight, in milliseconds", &wholeValue[int]{&s.Drain.TimeoutMillis, 1, maxMillis}, false},
-		{"drain.noticeMillis", "time that a balancer gets to notice the stop, in milliseconds", &wholeValue[int]{&s.Drain.NoticeMillis, 0, maxMillis}, false},
+		{"drain.limitMillis", "longest wait for requests in flight, in milliseconds", &wholeValue[int]{&s.Drain.LimitMillis, 1, maxMillis}, false},
+		{"drain.noticeMillis", "time that a balancer gets to notice the stop, in milliseconds", &wholeValue[int]{&s.Drain.NoticeMillis, 1, maxMillis}, false},
 		{"workers.count", "most controllers that run at once", &wholeValue[int]{&s.Workers.Count, 1, maxWorkers}, false},
 	}
 }
--- a/core/thsettings/parse.go
+++ b/core/thsettings/parse.go
@@ -26,41 +26,26 @@
 // flag --settings names. It fails with SettingsInvalid, saying where the
 // offending setting stands, its name, its value and what is allowed.
 func Parse(args []string) (Settings, error) {
-	p := newParser()
-	err := ff.Parse(p.flags, args,
-		ff.WithEnvVarPrefix(EnvironmentPrefix),
-		ff.WithConfigFileFlag(flagFile),
-		ff.WithConfigFileParser(p.parseFile))
-	if err != nil {
-		return Settings{}, p.explain(err)
+	r := NewReader()
+	r.flags.SetOutput(io.Discard)
+	if err := ff.Parse(r.flags, args, r.Options()...); err != nil {
+		return Settings{}, r.explain(err)
 	}
-	if rest := p.flags.Args(); len(rest) > 0 {
+	if rest := r.flags.Args(); len(rest) > 0 {
 		return Settings{}, invalid("command line: %q is no setting; settings are given as --name value", rest[0])
 	}
-	if err := p.checkRequired(); err != nil {
-		return Settings{}, err
-	}
-	if err := checkDistinct(p.settings.Listen); err != nil {
-		return Settings{}, invalid("%s: %v", p.place(), err)
-	}
-	return p.settings, nil
+	return r.Settings()
 }
 
-// CheckFile reads the settings from a file alone, without the environment.
+// CheckFile checks the settings in a file alone, without the environment.
 func CheckFile(path string, source io.Reader) error {
-	p := newParser()
-	p.file = path
-	err := p.parseFile(source, p.flags.Set)
-	if err != nil {
-		return p.explain(err)
-	}
-	if err := p.checkRequired(); err != nil {
+	r := NewReader()
+	r.file = path
+	if err := r.parseFile(source, r.flags.Set); err != nil {
 		return err
 	}
-	if err := checkDistinct(p.settings.Listen); err != nil {
-		return invalid("%s: %v", path, err)
-	}
-	return nil
+	_, err := r.Settings()
+	return err
 }
 
 // IsSettings reports whether a TOML document looks like settings of a process.
@@ -73,32 +58,56 @@
 	return therror.New(therror.SettingsInvalid, format, args...)
 }
 
-type parser struct {
+// Reader defines the settings as flags of a command. Make one with NewReader.
+type Reader struct {
 	settings    Settings
 	definitions []setting
 	flags       *flag.FlagSet
 	file        string
 	// problem is the refusal that ended the reading; the libraries between
 	// pass on its text only.
-	problem error
-	inFile  bool
+	problem *refusal
+}
+
+// NewReader returns a reader that has read nothing yet.
+func NewReader() *Reader {
+	r := &Reader{flags: flag.NewFlagSet("tamarackhollow serve", flag.ContinueOnError)}
+	r.flags.StringVar(&r.file, flagFile, "", "TOML file with the settings")
+	r.definitions = definitions(&r.settings)
+	for _, d := range r.definitions {
+		r.flags.Var(&checkedValue{value: d.value, r: r, d: d}, d.name, d.usage+": "+d.value.allowed())
+	}
+	return r
+}
+
+// FlagSet returns the flags, one for each setting and one for the file.
+func (r *Reader) FlagSet() *flag.FlagSet { return r.flags }
+
+// Options returns what makes package ff read the environment and the file too.
+func (r *Reader) Options() []ff.Option {
+	return []ff.Option{
+		ff.WithEnvVarPrefix(EnvironmentPrefix),
+		ff.WithConfigFileFlag(flagFile),
+		ff.WithConfigFileParser(r.parseFile),
+	}
 }
 
-func newParser() *parser {
-	p := &parser{flags: flag.NewFlagSet("serve", flag.ContinueOnError)}
-	p.flags.SetOutput(io.Discard)
-	p.flags.StringVar(&p.file, flagFile, "", "TOML file with the settings")
-	p.definitions = definitions(&p.settings)
-	for _, d := range p.definitions {
-		p.flags.Var(&checkedValue{value: d.value, p: p, d: d}, d.name, d.usage+": "+d.value.allowed())
+// Settings returns what was read. It fails with SettingsInvalid if settings
+// are missing or clash.
+func (r *Reader) Settings() (Settings, error) {
+	if err := r.checkRequired(); err != nil {
+		return Settings{}, err
 	}
-	return p
+	if err := checkDistinct(r.settings.Listen); err != nil {
+		return Settings{}, invalid("%s: %v", r.place(), err)
+	}
+	return r.settings, nil
 }
 
 // checkedValue keeps the refusal of a value with its place.
 type checkedValue struct {
 	value
-	p *parser
+	r *Reader
 	d setting
 }
 
@@ -112,8 +121,8 @@
 
 func (v *checkedValue) Set(s string) error {
 	if err := v.value.Set(s); err != nil {
-		v.p.problem = &refusal{setting: v.d, given: s}
-		return err
+		v.r.problem = &refusal{setting: v.d, given: s}
+		return v.r.problem
 	}
 	return nil
 }
@@ -127,46 +136,37 @@
 	return fmt.Sprintf("%s = %s: allowed is %s", r.setting.name, r.setting.shown(r.given), r.setting.value.allowed())
 }
 
-func (p *parser) place() string {
-	if p.file == "" {
+func (r *Reader) place() string {
+	if r.file == "" {
 		return "settings"
 	}
-	return p.file
+	return r.file
 }
 
 // explain turns an error of the libraries into one that names the place.
-func (p *parser) explain(err error) error {
-	if errors.Is(err, flag.ErrHelp) {
-		return err
-	}
-	place := "command line"
+func (r *Reader) explain(err error) error {
 	switch {
-	case p.inFile:
-		place = p.place()
+	case errors.Is(err, flag.ErrHelp), therror.Is(err, therror.SettingsInvalid):
+		return err
+	case r.problem == nil:
+		return invalid("command line: %v", err)
 	case strings.HasPrefix(err.Error(), "error parsing environment"):
-		place = "environment"
-	}
-	var r *refusal
-	if errors.As(p.problem, &r) {
-		if place == "environment" {
-			place = "environment variable " + environmentName(r.setting.name)
-		}
-		return invalid("%s: %v", place, r)
+		return invalid("environment variable %s: %v", environmentName(r.problem.setting.name), r.problem)
 	}
-	return invalid("%s: %v", place, err)
+	return invalid("command line: %v", r.problem)
 }
 
 func environmentName(name string) string {
 	return EnvironmentPrefix + "_" + strings.ToUpper(strings.ReplaceAll(name, ".", "_"))
 }
 
-func (p *parser) checkRequired() error {
+func (r *Reader) checkRequired() error {
 	given := make(map[string]bool)
-	p.flags.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for _, d := range p.definitions {
+	r.flags.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for _, d := range r.definitions {
 		if d.required && !given[d.name] {
 			return invalid("%s: %s is missing: allowed is %s (flag --%s, variable %s)",
-				p.place(), d.name, d.value.allowed(), d.name, environmentName(d.name))
+				r.place(), d.name, d.value.allowed(), d.name, environmentName(d.name))
 		}
 	}
 	return nil
@@ -192,24 +192,29 @@
 }
 
 // parseFile gives each value of a TOML file to set.
-func (p *parser) parseFile(r io.Reader, set func(name, value string) error) error {
-	p.inFile = true
+func (r *Reader) parseFile(source io.Reader, set func(name, value string) error) error {
 	var document map[string]any
-	if err := toml.NewDecoder(r).Decode(&document); err != nil {
-		return tomlError(err)
+	if err := toml.NewDecoder(source).Decode(&document); err != nil {
+		return invalid("%s: %v", r.place(), tomlError(err))
 	}
 	for _, kv := range flatten("", document) {
-		if kv.name == flagFile || p.flags.Lookup(kv.name) == nil {
-			return errors.Newf("%s is no setting; settings are %s", kv.name, p.names())
+		if kv.name == flagFile || r.flags.Lookup(kv.name) == nil {
+			return invalid("%s: %s is no setting; settings are %s", r.place(), kv.name, r.names())
 		}
 		if err := set(kv.name, kv.value); err != nil {
-			return err
+			return r.explainFile(err)
 		}
 	}
-	p.inFile = false
 	return nil
 }
 
+func (r *Reader) explainFile(err error) error {
+	if r.problem != nil {
+		err = r.problem
+	}
+	return invalid("%s: %v", r.place(), err)
+}
+
 func tomlError(err error) error {
 	var d *toml.DecodeError
 	if !errors.As(err, &d) {
@@ -219,9 +224,9 @@
 	return errors.Newf("line %d, column %d: %v", row, column, err)
 }
 
-func (p *parser) names() string {
-	names := make([]string, 0, len(p.definitions))
-	for _, d := range p.definitions {
+func (r *Reader) names() string {
+	names := make([]string, 0, len(r.definitions))
+	for _, d := range r.definitions {
 		names = append(names, d.name)
 	}
 	return strings.Join(names, ", ")
--- a/core/thsettings/settings.go
+++ b/core/thsettings/settings.go
@@ -5,6 +5,7 @@
 package thsettings
 
 import (
+	"net"
 	"time"
 
 	"tamarackhollow/core/throster"
@@ -12,18 +13,23 @@
 
 // VM says which VM the process runs on.
 type VM struct {
-	ID     string
-	Zone   string
-	Region string
+	ID string
+	// Address is the IP that the VM's own connections leave from; empty takes
+	// that of its listener for peers.
+	Address string
+	Zone    string
+	Region  string
 	// Incarnation is 0 if the time of the start is to be taken.
 	Incarnation uint64
 }
 
 // Listen holds the addresses that the process listens on, each "IP:port".
 type Listen struct {
-	Callers   string
-	Peers     string
-	Operators string
+	Callers string
+	Peers   string
+	// PeersAdvertised is where the other VMs reach Peers; empty means the same.
+	PeersAdvertised string
+	Operators       string
 	// Metrics is empty if metrics are not served.
 	Metrics string
 }
@@ -57,11 +63,11 @@
 
 // Drain bounds a planned stop.
 type Drain struct {
-	// TimeoutMillis bounds how long requests in flight are waited for, in
+	// LimitMillis bounds how long requests in flight are waited for, in
 	// milliseconds; 0 means the default.
-	TimeoutMillis int
+	LimitMillis int
 	// NoticeMillis is how long the VM still takes requests after it has stopped
-	// being ready, so that a balancer notices, in milliseconds.
+	// being ready, so that a balancer notices, in milliseconds; 0 means the default.
 	NoticeMillis int
 }
 
@@ -86,7 +92,8 @@
 const (
 	defaultMaxBodyBytes   = 8 << 20
 	defaultMaxConnections = 20_000
-	defaultDrainTimeout   = 30 * time.Second
+	defaultDrainLimit     = 60 * time.Second
+	defaultDrainNotice    = 2 * time.Second
 	defaultWorkers        = 32
 )
 
@@ -96,13 +103,15 @@
 // Connections returns MaxConnections or its default.
 func (r Requests) Connections() int { return orDefault(r.MaxConnections, defaultMaxConnections) }
 
-// Timeout returns TimeoutMillis as a time span, or its default.
-func (d Drain) Timeout() time.Duration {
-	return orDefault(time.Duration(d.TimeoutMillis)*time.Millisecond, defaultDrainTimeout)
+// Limit returns LimitMillis as a time span, or its default.
+func (d Drain) Limit() time.Duration {
+	return orDefault(time.Duration(d.LimitMillis)*time.Millisecond, defaultDrainLimit)
 }
 
-// Notice returns NoticeMillis as a time span.
-func (d Drain) Notice() time.Duration { return time.Duration(d.NoticeMillis) * time.Millisecond }
+// Notice returns NoticeMillis as a time span, or its default.
+func (d Drain) Notice() time.Duration {
+	return orDefault(time.Duration(d.NoticeMillis)*time.Millisecond, defaultDrainNotice)
+}
 
 // Size returns Count or its default.
 func (w Workers) Size() int { return orDefault(w.Count, defaultWorkers) }
@@ -120,11 +129,24 @@
 	if s.VM.Incarnation != 0 {
 		incarnation = s.VM.Incarnation
 	}
+	advertised := s.Listen.PeersAdvertised
+	if advertised == "" {
+		advertised = s.Listen.Peers
+	}
 	return throster.VM{
 		ID:          s.VM.ID,
-		PeerAddress: s.Listen.Peers,
+		PeerAddress: advertised,
 		Zone:        s.VM.Zone,
 		Region:      s.VM.Region,
 		Incarnation: incarnation,
 	}
 }
+
+// LocalIP returns the IP that the VM's own connections leave from.
+func (s Settings) LocalIP() string {
+	if s.VM.Address != "" {
+		return s.VM.Address
+	}
+	host, _, _ := net.SplitHostPort(s.Listen.Peers)
+	return host
+}
--- a/core/thsettings/settings_test.go
+++ b/core/thsettings/settings_test.go
@@ -29,7 +29,7 @@
 [operators]
 credential = "operators-secret"
 [drain]
-timeoutMillis = 2500
+limitMillis = 2500
 `
 
 func file(t *testing.T, source string) string {
@@ -47,8 +47,10 @@
 	assert.Equal(t, s.VM.ID, "from-flag")
 	assert.Equal(t, s.VM.Zone, "kigali-b")
 	assert.DeepEqual(t, s.Peers.Seeds, []string{"127.0.0.1:8181", "127.0.0.1:8281"})
-	assert.Equal(t, s.Drain.Timeout().Milliseconds(), int64(2500))
+	assert.Equal(t, s.Drain.Limit().Milliseconds(), int64(2500))
 	assert.Equal(t, s.Self(7).Incarnation, uint64(7))
+	assert.Equal(t, s.Self(7).PeerAddress, "127.0.0.1:8081")
+	assert.Equal(t, s.LocalIP(), "127.0.0.1")
 }
 
 func TestParseRefuses(t *testing.T) {
@@ -58,10 +60,11 @@
 	}{
 		{"bad address", `"127.0.0.1:8080"`, `"localhost:8080"`, []string{"vm.toml", "listen.callers", `"localhost:8080"`, "IP:port"}},
 		{"port 0", `"127.0.0.1:8080"`, `"127.0.0.1:0"`, []string{"listen.callers", "above 0"}},
-		{"bad number", "2500", `"soon"`, []string{"vm.toml", "drain.timeoutMillis", `"soon"`, "whole number from 1"}},
-		{"fraction", "2500", "2.5", []string{"drain.timeoutMillis", `"2.5"`}},
+		{"bad number", "2500", `"soon"`, []string{"vm.toml", "drain.limitMillis", `"soon"`, "whole number from 1"}},
+		{"bad IP", "[vm]", "[vm]\naddress = \"here\"", []string{"vm.address", `"here"`, "an IP address"}},
+		{"fraction", "2500", "2.5", []string{"drain.limitMillis", `"2.5"`}},
 		{"unknown key", "[drain]", "[drain]\npatience = 3", []string{"vm.toml", "drain.patience", "is no setting"}},
-		{"unknown table", "[drain]", "[drains]", []string{"vm.toml", "drains.timeoutMillis"}},
+		{"unknown table", "[drain]", "[drains]", []string{"vm.toml", "drains.limitMillis"}},
 		{"settings in the file", "[drain]", "settings = \"x\"\n[drain]", []string{"vm.toml"}},
 		{"missing", `zone = "kigali-a"`, "", []string{"vm.toml", "vm.zone is missing", "TAMARACKHOLLOW_VM_ZONE"}},
 		{"syntax", "[drain]", "[drain", []string{"vm.toml", "line 17"}},
--- a/core/thsettings/value.go
+++ b/core/thsettings/value.go
@@ -60,6 +60,21 @@
 	return nil
 }
 
+// ipValue takes an IP address.
+type ipValue struct{ p *string }
+
+func (v *ipValue) String() string  { return text(v.p) }
+func (v *ipValue) secret() bool    { return false }
+func (v *ipValue) allowed() string { return "an IP address, such as 10.0.0.7" }
+
+func (v *ipValue) Set(s string) error {
+	if _, err := netip.ParseAddr(s); err != nil {
+		return errNotAllowed
+	}
+	*v.p = s
+	return nil
+}
+
 // addressesValue takes addresses one by one or separated by commas.
 type addressesValue struct{ p *[]string }
 
--- a/core/thtemplate/prepare.go
+++ b/core/thtemplate/prepare.go
@@ -6,15 +6,18 @@
 	"tamarackhollow/core/thconfig"
 )
 
-// Prepare completes a change as an operator sends it: templates and
-// deployments are expanded, and a target that is marked as leaving keeps its
-// zone. Other changes stay as they are.
+// Prepare completes a change as an operator sends it: templates, and
+// deployments that name one, are expanded, and a target that is marked as
+// leaving keeps its zone. Other changes stay as they are.
 func Prepare(c thconfig.Config, change thconfig.Change) (thconfig.Change, error) {
 	switch h := change.(type) {
 	case thconfig.PutTemplate:
 		return TemplateChange(c, h.Template.Source)
 	case thconfig.PutDeployment:
 		d := h.Deployment
+		if d.Template == "" {
+			return h, nil
+		}
 		return Request{Deployment: d.Name, Template: d.Template, Parameters: d.Parameters}.Change(c)
 	case thconfig.SetTarget:
 		return withZone(c, h)
--- a/io/thoperator/client.go
+++ b/io/thoperator/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/hex"
 	"io"
 	"time"
@@ -22,22 +23,25 @@
 	secretBytes   = 24
 )
 
-// Client makes operators' calls. The addresses are of VMs' listeners for
-// operators; a call that fails at one is made at the next. Make one with
-// NewClient.
+// Client makes operators' calls. A call that fails at one VM is made at the
+// next. Make one with NewClient.
 type Client struct {
 	wire      *thwire.Client
 	addresses []string
 	random    io.Reader
 }
 
-// NewClient returns a client. Change IDs and keys are drawn from random.
-func NewClient(addresses []string, credential string, random io.Reader) *Client {
-	return &Client{
-		wire:      thwire.NewClient(thwire.Identity{Credential: credential, From: "operator"}),
-		addresses: addresses,
-		random:    random,
-	}
+// NewClient returns a client of the VMs whose listeners for operators have the
+// addresses. Change IDs and keys are drawn from the system's randomness.
+func NewClient(wire *thwire.Client, addresses ...string) *Client {
+	return &Client{wire: wire, addresses: addresses, random: rand.Reader}
+}
+
+// WithRandom returns a client that draws change IDs and keys from r.
+func (c *Client) WithRandom(r io.Reader) *Client {
+	n := *c
+	n.random = r
+	return &n
 }
 
 // NewChangeID returns a fresh name for a change.
@@ -70,25 +74,67 @@
 
 // DryRun returns what a change would do.
 func (c *Client) DryRun(ctx context.Context, change thconfig.Change) (ChangeAnswer, error) {
-	q := ChangeRequest{DryRun: true, Record: thconfig.Record{Change: change}}
-	return call[ChangeRequest, ChangeAnswer](ctx, c, pathChange, q)
-}
-
-// Change makes a change and sends it again under the same ID as long as its
-// answer is lost or only says stored, until the context ends. What is returned
-// then is the last answer.
-func (c *Client) Change(ctx context.Context, id string, precondition uint64, change thconfig.Change) (ChangeAnswer, error) {
-	q := ChangeRequest{Precondition: precondition, Record: thconfig.Record{ChangeID: id, Change: change}}
-	a, err := call[ChangeRequest, ChangeAnswer](ctx, c, pathChange, q)
-	for err == nil && a.State != Accepted && sleep(ctx, acceptedPause) {
-		n, again := call[ChangeRequest, ChangeAnswer](ctx, c, pathChange, q)
-		if again == nil {
+	q := changeRequest{DryRun: true, Record: thconfig.Record{Change: change}}
+	return call[changeRequest, ChangeAnswer](ctx, c, pathChange, q)
+}
+
+// Apply makes a change. Sending the same request again is safe.
+func (c *Client) Apply(ctx context.Context, q ApplyRequest) (ApplyResult, error) {
+	a, err := call[changeRequest, ChangeAnswer](ctx, c, pathChange, changeRequest{
+		Precondition: q.Precondition,
+		Record:       thconfig.Record{ChangeID: q.ChangeID, Change: q.Change},
+	})
+	return a.ApplyResult, err
+}
+
+// ApplyUntilAccepted makes a change and sends it again under the same ID while
+// it is only stored, until the context ends. It returns the last answer.
+func (c *Client) ApplyUntilAccepted(ctx context.Context, q ApplyRequest) (ApplyResult, error) {
+	a, err := c.Apply(ctx, q)
+	for err == nil && a.State != StateAccepted && sleep(ctx, acceptedPause) {
+		if n, again := c.Apply(ctx, q); again == nil {
 			a = n
 		}
 	}
 	return a, err
 }
 
+// SetCustomer adds a customer or replaces its parameters.
+func (c *Client) SetCustomer(ctx context.Context, u thconfig.Customer) (ApplyResult, error) {
+	return c.applyNew(ctx, thconfig.SetCustomer{Customer: u})
+}
+
+// IssueKey gives a customer a new key.
+func (c *Client) IssueKey(ctx context.Context, customer string) (Issued, error) {
+	text, k, err := c.NewKey(customer)
+	if err != nil {
+		return Issued{}, err
+	}
+	r, err := c.applyNew(ctx, thconfig.IssueKey{Key: k})
+	if err != nil {
+		return Issued{}, err
+	}
+	return Issued{Key: text, ID: k.ID, ApplyResult: r}, nil
+}
+
+// WithdrawKey ends a key for good.
+func (c *Client) WithdrawKey(ctx context.Context, id string) (ApplyResult, error) {
+	return c.applyNew(ctx, thconfig.WithdrawKey{ID: id})
+}
+
+// DrainTarget marks a target as leaving, so that it gets no new work.
+func (c *Client) DrainTarget(ctx context.Context, service, address string) (ApplyResult, error) {
+	return c.applyNew(ctx, thconfig.SetTarget{Service: service, Target: thconfig.Target{Address: address, Leaving: true}})
+}
+
+func (c *Client) applyNew(ctx context.Context, change thconfig.Change) (ApplyResult, error) {
+	id, err := c.NewChangeID()
+	if err != nil {
+		return ApplyResult{}, err
+	}
+	return c.Apply(ctx, ApplyRequest{ChangeID: id, Change: change})
+}
+
 // Get returns a part of the configuration.
 func (c *Client) Get(ctx context.Context, item Item, name string) (GetAnswer, error) {
 	return call[GetRequest, GetAnswer](ctx, c, pathGet, GetRequest{Item: item, Name: name})
--- a/io/thoperator/message.go
+++ b/io/thoperator/message.go
@@ -20,12 +20,12 @@
 // State is how far a change has come.
 type State string
 
-// The states. Accepted promises that the change is stored and holds everywhere
-// within seconds, for good.
+// The states. StateAccepted promises that the change is stored and holds
+// everywhere within seconds, for good.
 const (
-	Checked  State = "checked"
-	Stored   State = "stored"
-	Accepted State = "accepted"
+	StateChecked  State = "checked"
+	StateStored   State = "stored"
+	StateAccepted State = "accepted"
 )
 
 // ApplyResult is what became of a change.
@@ -37,9 +37,25 @@
 	Of           int `json:"of"`
 }
 
-// ChangeRequest asks for a change, or only for what it would do.
-type ChangeRequest struct {
+// ApplyRequest is a change to make.
+type ApplyRequest struct {
+	// ChangeID names the change; the same ID twice is one change.
+	ChangeID string
 	// Precondition is the version that the change was decided on; 0 for any.
+	Precondition uint64
+	Change       thconfig.Change
+}
+
+// Issued is a new key.
+type Issued struct {
+	// Key is the clear text. It is kept nowhere else.
+	Key string
+	ID  string
+	ApplyResult
+}
+
+// changeRequest asks for a change, or only for what it would do.
+type changeRequest struct {
 	Precondition uint64 `json:"precondition,omitempty"`
 	// DryRun asks for the differences only.
 	DryRun bool `json:"dryRun,omitempty"`
--- a/io/thoperator/operator_test.go
+++ b/io/thoperator/operator_test.go
@@ -76,20 +76,21 @@
 func (f *fakeVM) result(version uint64) thoperator.ApplyResult {
 	if f.spreading > 0 {
 		f.spreading--
-		return thoperator.ApplyResult{Version: version, State: thoperator.Stored, Acknowledged: 1, Of: 3}
+		return thoperator.ApplyResult{Version: version, State: thoperator.StateStored, Acknowledged: 1, Of: 3}
 	}
-	return thoperator.ApplyResult{Version: version, State: thoperator.Accepted, Acknowledged: 3, Of: 3}
+	return thoperator.ApplyResult{Version: version, State: thoperator.StateAccepted, Acknowledged: 3, Of: 3}
 }
 
 const credential = "operators-secret"
 
 // serve starts the operators' side of a VM and returns its two addresses.
-func serve(t *testing.T, vm thoperator.VM) (operators, peers string) {
+func serve(t *testing.T, vm thoperator.Fleet) (operators, peers string) {
 	t.Helper()
 	so := &thwire.Server{Credential: credential}
 	sp := &thwire.Server{Credential: "peers-secret"}
-	s := &thoperator.Server{VM: vm, Peers: thwire.NewClient(thwire.Identity{Credential: "peers-secret", From: "vm"})}
-	s.Register(so, sp)
+	s := &thoperator.Server{Fleet: vm, Peers: thwire.NewClient(thwire.Identity{Credential: "peers-secret", From: "vm"})}
+	s.Register(so)
+	s.RegisterPeers(sp)
 	return listen(t, so), listen(t, sp)
 }
 
@@ -103,7 +104,8 @@
 }
 
 func client(addresses ...string) *thoperator.Client {
-	return thoperator.NewClient(addresses, credential, rand.NewChaCha8([32]byte{1}))
+	wire := thwire.NewClient(thwire.Identity{Credential: credential, From: "operator"})
+	return thoperator.NewClient(wire, addresses...).WithRandom(rand.NewChaCha8([32]byte{1}))
 }
 
 func within(t *testing.T) context.Context {
@@ -123,9 +125,9 @@
 func TestLostAnswerIsOneChangeAndEndsAccepted(t *testing.T) {
 	vm := &fakeVM{lose: 1, spreading: 2}
 	address, _ := serve(t, vm)
-	a, err := client(address).Change(within(t), "once", 0, template(t, "teifi"))
+	a, err := client(address).ApplyUntilAccepted(within(t), thoperator.ApplyRequest{ChangeID: "once", Change: template(t, "teifi")})
 	assert.NilError(t, err)
-	assert.Equal(t, a.State, thoperator.Accepted)
+	assert.Equal(t, a.State, thoperator.StateAccepted)
 	assert.Equal(t, vm.applied, 1)
 	assert.Equal(t, vm.Config().Version(), uint64(1))
 }
@@ -137,7 +139,7 @@
 	assert.NilError(t, err)
 	gone := l.Addr().String()
 	assert.NilError(t, l.Close())
-	_, err = client(gone, address).Change(within(t), "x", 0, template(t, "teifi"))
+	_, err = client(gone, address).Apply(within(t), thoperator.ApplyRequest{ChangeID: "x", Change: template(t, "teifi")})
 	assert.NilError(t, err)
 	assert.Equal(t, vm.applied, 1)
 }
@@ -146,21 +148,21 @@
 	vm := &fakeVM{}
 	address, _ := serve(t, vm)
 	c := client(address)
-	_, err := c.Change(within(t), "a", 0, template(t, "teifi"))
+	_, err := c.Apply(within(t), thoperator.ApplyRequest{ChangeID: "a", Change: template(t, "teifi")})
 	assert.NilError(t, err)
 	a, err := c.DryRun(within(t), template(t, "nyabugogo"))
 	assert.NilError(t, err)
 	assert.Equal(t, len(a.Differences), 1)
 	assert.Equal(t, a.Differences[0].Name, "nyabugogo")
 	assert.Equal(t, vm.applied, 1)
-	_, err = c.Change(within(t), "b", 7, template(t, "nyabugogo"))
+	_, err = c.Apply(within(t), thoperator.ApplyRequest{ChangeID: "b", Precondition: 7, Change: template(t, "nyabugogo")})
 	assert.Assert(t, therror.Is(err, therror.ChangeConflict), "%v", err)
 	assert.ErrorContains(t, err, "version 1 won")
 }
 
 func TestWrongCredentialIsRefused(t *testing.T) {
 	address, _ := serve(t, &fakeVM{})
-	c := thoperator.NewClient([]string{address}, "another-secret", rand.NewChaCha8([32]byte{}))
+	c := thoperator.NewClient(thwire.NewClient(thwire.Identity{Credential: "another-secret"}), address)
 	_, err := c.Status(within(t))
 	assert.Assert(t, therror.Is(err, therror.CredentialMissing), "%v", err)
 }
@@ -190,3 +192,23 @@
 	assert.Equal(t, text, again)
 	assert.Assert(t, k.Hash != "" && k.Customer == "colleges")
 }
+
+func TestIssuedKeyWorksUntilWithdrawn(t *testing.T) {
+	vm := &fakeVM{}
+	address, _ := serve(t, vm)
+	c := client(address)
+	_, err := c.Apply(within(t), thoperator.ApplyRequest{ChangeID: "d", Change: thconfig.PutDeployment{
+		Deployment: thconfig.Deployment{Name: "teifi"},
+	}})
+	assert.NilError(t, err)
+	_, err = c.SetCustomer(within(t), thconfig.Customer{Name: "colleges", Rate: 1, Burst: 1, Deployment: "teifi"})
+	assert.NilError(t, err)
+	issued, err := c.IssueKey(within(t), "colleges")
+	assert.NilError(t, err)
+	u, ok := vm.Config().Authenticate(issued.Key)
+	assert.Assert(t, ok && u.Name == "colleges")
+	_, err = c.WithdrawKey(within(t), issued.ID)
+	assert.NilError(t, err)
+	_, ok = vm.Config().Authenticate(issued.Key)
+	assert.Assert(t, !ok)
+}
--- a/io/thoperator/server.go
+++ b/io/thoperator/server.go
@@ -14,8 +14,8 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// VM is what the operators' side needs of the VM that it stands on.
-type VM interface {
+// Fleet is the fleet as the VM that the operators' side stands on sees it.
+type Fleet interface {
 	Config() thconfig.Config
 	Roster() throster.Roster
 	// Apply makes the change once per change ID. It fails with ChangeConflict
@@ -30,37 +30,47 @@
 	fleetParallel = 32
 )
 
-// Server answers operators' calls. VM must be set.
+// Server answers operators' calls. Fleet must be set.
 type Server struct {
-	VM VM
+	Fleet Fleet
 	// Peers asks the other VMs for their status; without it a VM only knows its own.
 	Peers *thwire.Client
 }
 
-// Register adds the operators' calls to one server and the peers' to another.
-func (s *Server) Register(operators, peers *thwire.Server) {
+// Register adds the operators' calls to a server.
+func Register(operators *thwire.Server, f Fleet) {
+	s := &Server{Fleet: f}
+	s.Register(operators)
+}
+
+// Register adds the operators' calls to a server.
+func (s *Server) Register(operators *thwire.Server) {
 	thwire.Handle(operators, pathChange, s.change)
 	thwire.Handle(operators, pathGet, s.get)
 	thwire.Handle(operators, pathStatus, s.status)
 	thwire.Handle(operators, pathFleet, s.fleet)
+}
+
+// RegisterPeers adds the calls by which VMs ask each other for their status.
+func (s *Server) RegisterPeers(peers *thwire.Server) {
 	thwire.Handle(peers, pathPeer, s.status)
 }
 
-func (s *Server) change(_ thwire.Sender, q ChangeRequest) (ChangeAnswer, error) {
+func (s *Server) change(_ thwire.Sender, q changeRequest) (ChangeAnswer, error) {
 	if q.DryRun {
-		return dryRun(s.VM.Config(), q)
+		return dryRun(s.Fleet.Config(), q)
 	}
 	if q.Record.ChangeID == "" {
 		return ChangeAnswer{}, therror.New(therror.ChangeInvalid, "a change needs a changeId")
 	}
-	c := s.VM.Config()
+	c := s.Fleet.Config()
 	change, err := thtemplate.Prepare(c, q.Record.Change)
 	if err != nil {
 		return ChangeAnswer{}, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), applyTimeout)
 	defer cancel()
-	r, err := s.VM.Apply(ctx, q.Record.ChangeID, q.Precondition, change)
+	r, err := s.Fleet.Apply(ctx, q.Record.ChangeID, q.Precondition, change)
 	if err != nil {
 		return ChangeAnswer{}, err
 	}
@@ -68,7 +78,7 @@
 }
 
 // dryRun says what the change would do to c.
-func dryRun(c thconfig.Config, q ChangeRequest) (ChangeAnswer, error) {
+func dryRun(c thconfig.Config, q changeRequest) (ChangeAnswer, error) {
 	if q.Precondition != 0 && q.Precondition != c.Version() {
 		return ChangeAnswer{}, therror.New(therror.ChangeConflict, "the configuration stands at version %d, not %d", c.Version(), q.Precondition)
 	}
@@ -85,14 +95,14 @@
 		return ChangeAnswer{}, err
 	}
 	return ChangeAnswer{
-		ApplyResult: ApplyResult{Version: n.Version(), State: Checked},
+		ApplyResult: ApplyResult{Version: n.Version(), State: StateChecked},
 		Base:        c.Version(),
 		Differences: thdiff.Between(c, n),
 	}, nil
 }
 
 func (s *Server) get(_ thwire.Sender, q GetRequest) (GetAnswer, error) {
-	c := s.VM.Config()
+	c := s.Fleet.Config()
 	a := GetAnswer{Version: c.Version()}
 	var found int
 	switch q.Item {
@@ -136,13 +146,13 @@
 	return found
 }
 
-func (s *Server) status(thwire.Sender, StatusRequest) (Status, error) { return s.VM.Status(), nil }
+func (s *Server) status(thwire.Sender, StatusRequest) (Status, error) { return s.Fleet.Status(), nil }
 
 // fleet asks every VM of the roster. One that cannot be asked is listed with
 // the reason.
 func (s *Server) fleet(thwire.Sender, StatusRequest) (FleetAnswer, error) {
-	own := s.VM.Status()
-	vms := s.VM.Roster().VMs()
+	own := s.Fleet.Status()
+	vms := s.Fleet.Roster().VMs()
 	if s.Peers == nil || len(vms) == 0 {
 		return FleetAnswer{VMs: []Status{own}}, nil
 	}
