thcommand: add the operators' subcommands

Cause: operators need to see what a change does, make it once, and know how it ended. Ruled out: applying without a precondition. A change that another operator made between the differences and the confirmation would be overwritten unseen. Change: check, apply, get, customer, key, drain and status, as tables or JSON, each error with what to do and an exit code of its own. A change is made on the version whose differences were shown; a repeated change ID is not compared again.

--- a/core/thtemplate/parameter.go
+++ b/core/thtemplate/parameter.go
@@ -229,3 +229,12 @@
 	}
 	return thconfig.Parameter{Name: name, Value: string(data)}, nil
 }
+
+// ParseValue returns the parameter for a value as it is typed on a command
+// line: JSON, or else a text.
+func ParseValue(name, text string) (thconfig.Parameter, error) {
+	if json.Valid([]byte(text)) {
+		return thconfig.Parameter{Name: name, Value: text}, nil
+	}
+	return Value(name, text)
+}
--- /dev/null
+++ b/io/thcommand/check.go
@@ -0,0 +1,156 @@
+package thcommand
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thsettings"
+	"tamarackhollow/core/thtemplate"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Check checks files without running or changing anything.
+func Check(s Streams) *ffcli.Command {
+	fs := flag.NewFlagSet("tamarackhollow check", flag.ContinueOnError)
+	fs.SetOutput(s.Err)
+	return &ffcli.Command{
+		Name:       "check",
+		ShortUsage: "tamarackhollow check FILE…",
+		ShortHelp:  "check settings, templates and deployments without running anything",
+		LongHelp:   "A deployment is expanded if its template is among the files.",
+		FlagSet:    fs,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return usage("usage: tamarackhollow check FILE…")
+			}
+			return checkFiles(s, args)
+		},
+	}
+}
+
+func checkFiles(s Streams, paths []string) error {
+	files, err := readFiles(paths)
+	if err != nil {
+		return err
+	}
+	templates := map[string]thtemplate.Template{}
+	for _, f := range files {
+		if f.kind == fileTemplate {
+			if t, err := thtemplate.Parse(string(f.data)); err == nil {
+				templates[t.Name()] = t
+			}
+		}
+	}
+	var failed error
+	for _, f := range files {
+		verdict, err := f.check(templates)
+		if err != nil {
+			_, _ = fmt.Fprintln(s.Err, "tamarackhollow:", err)
+			failed = err
+			continue
+		}
+		_, _ = fmt.Fprintf(s.Out, "%s: %s\n", f.path, verdict)
+	}
+	if failed != nil {
+		return therror.New(therror.ChangeInvalid, "not every file checks")
+	}
+	return nil
+}
+
+type fileKind int
+
+const (
+	fileSettings fileKind = iota
+	fileTemplate
+	fileDeployment
+)
+
+type file struct {
+	path string
+	kind fileKind
+	data []byte
+}
+
+// readFiles reads files and tells their kinds by their keys.
+func readFiles(paths []string) ([]file, error) {
+	files := make([]file, 0, len(paths))
+	for _, p := range paths {
+		data, err := os.ReadFile(p)
+		if err != nil {
+			return nil, usage("%v", err)
+		}
+		files = append(files, file{path: p, kind: kindOf(data), data: data})
+	}
+	return files, nil
+}
+
+func kindOf(data []byte) fileKind {
+	var document map[string]any
+	if toml.Unmarshal(data, &document) != nil {
+		return guessKind(data)
+	}
+	if _, ok := document["deployment"]; ok {
+		return fileDeployment
+	}
+	if _, ok := document["template"]; ok {
+		return fileTemplate
+	}
+	return fileSettings
+}
+
+// guessKind tells the kind of a file that is not TOML, so that the error comes
+// from the reader of that kind.
+func guessKind(data []byte) fileKind {
+	if bytes.HasPrefix(data, []byte("deployment")) || bytes.Contains(data, []byte("\ndeployment")) {
+		return fileDeployment
+	}
+	if bytes.HasPrefix(data, []byte("template")) || bytes.Contains(data, []byte("\ntemplate")) {
+		return fileTemplate
+	}
+	return fileSettings
+}
+
+// check returns in words what the file is.
+func (f file) check(templates map[string]thtemplate.Template) (string, error) {
+	switch f.kind {
+	case fileTemplate:
+		t, err := thtemplate.Parse(string(f.data))
+		if err != nil {
+			return "", f.wrap(err)
+		}
+		return fmt.Sprintf("template %s with %d parameters", t.Name(), len(t.Parameters())), nil
+	case fileDeployment:
+		return f.checkDeployment(templates)
+	}
+	if err := thsettings.CheckFile(f.path, bytes.NewReader(f.data)); err != nil {
+		return "", err
+	}
+	return "settings", nil
+}
+
+func (f file) checkDeployment(templates map[string]thtemplate.Template) (string, error) {
+	q, err := thtemplate.ParseRequest(string(f.data))
+	if err != nil {
+		return "", f.wrap(err)
+	}
+	t, ok := templates[q.Template]
+	if !ok {
+		return fmt.Sprintf("deployment %s, not expanded: name the file of the template %s too", q.Deployment, q.Template), nil
+	}
+	e, err := t.Expand(q.Deployment, q.Parameters)
+	if err != nil {
+		return "", f.wrap(err)
+	}
+	d := e.Deployment
+	return fmt.Sprintf("deployment %s with %d services, %d routes and %d customers", d.Name, len(d.Services), len(d.Routes), len(e.Customers)), nil
+}
+
+func (f file) wrap(err error) error {
+	return therror.Wrap(therror.KindOf(err), err, "%s", f.path)
+}
--- /dev/null
+++ b/io/thcommand/command.go
@@ -0,0 +1,120 @@
+// Package thcommand holds the operators' subcommands of tamarackhollow. Each
+// prints a table for people, or JSON for programs, and ends with a documented
+// exit code.
+package thcommand
+
+import (
+	"context"
+	"crypto/rand"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"tamarackhollow/core/thsettings"
+	"tamarackhollow/io/thoperator"
+	"tamarackhollow/io/thwire"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Streams are what the commands read and write.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+	// Random is where keys and change IDs are drawn from.
+	Random io.Reader
+}
+
+// System returns the process's own streams and the system's randomness.
+func System() Streams {
+	return Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Random: rand.Reader}
+}
+
+// All returns the operators' subcommands.
+func All(s Streams) []*ffcli.Command {
+	return []*ffcli.Command{
+		Check(s), Apply(s), Get(s), Customer(s), Key(s), Drain(s), Status(s),
+	}
+}
+
+const defaultWaitMillis = 10_000
+
+// remote holds the flags of the commands that talk to a VM.
+type remote struct {
+	streams    Streams
+	operators  string
+	credential string
+	json       bool
+	waitMillis int
+}
+
+// flagSet returns a flag set with the flags of a command that talks to a VM.
+func (r *remote) flagSet(name string) *flag.FlagSet {
+	fs := flag.NewFlagSet("tamarackhollow "+name, flag.ContinueOnError)
+	fs.SetOutput(r.streams.Err)
+	fs.StringVar(&r.operators, "operators", "", "VMs' listeners for operators, IP:port separated by commas")
+	fs.StringVar(&r.credential, "credential", "", "credential of operators; better given as "+thsettings.EnvironmentPrefix+"_CREDENTIAL")
+	fs.BoolVar(&r.json, "json", false, "print JSON for programs")
+	fs.IntVar(&r.waitMillis, "waitMillis", defaultWaitMillis, "longest wait for a change to be accepted, in milliseconds")
+	return fs
+}
+
+// options read the flags from the environment too.
+func options() []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix(thsettings.EnvironmentPrefix)}
+}
+
+func (r *remote) client() (*thoperator.Client, error) {
+	if r.operators == "" {
+		return nil, usage("no VM is named: give --operators IP:port or set %s_OPERATORS", thsettings.EnvironmentPrefix)
+	}
+	if r.credential == "" {
+		return nil, usage("no credential: set %s_CREDENTIAL", thsettings.EnvironmentPrefix)
+	}
+	wire := thwire.NewClient(thwire.Identity{Credential: r.credential, From: "operator"})
+	return thoperator.NewClient(wire, strings.Split(r.operators, ",")...).WithRandom(r.streams.Random), nil
+}
+
+// bounded returns a context that ends after the longest wait.
+func (r *remote) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, time.Duration(r.waitMillis)*time.Millisecond)
+}
+
+// group returns a command that only has subcommands.
+func group(name, help string, streams Streams, subcommands ...*ffcli.Command) *ffcli.Command {
+	fs := flag.NewFlagSet("tamarackhollow "+name, flag.ContinueOnError)
+	fs.SetOutput(streams.Err)
+	return &ffcli.Command{
+		Name:        name,
+		ShortUsage:  "tamarackhollow " + name + " <subcommand> [flags]",
+		ShortHelp:   help,
+		FlagSet:     fs,
+		Subcommands: subcommands,
+		Exec: func(context.Context, []string) error {
+			names := make([]string, 0, len(subcommands))
+			for _, c := range subcommands {
+				names = append(names, c.Name)
+			}
+			return usage("%s needs one of %s", name, strings.Join(names, ", "))
+		},
+	}
+}
+
+// arguments refuses a wrong number of arguments.
+func arguments(args []string, low, high int, shape string) error {
+	if len(args) >= low && len(args) <= high {
+		return nil
+	}
+	return usage("usage: tamarackhollow %s", shape)
+}
+
+func usage(format string, a ...any) error { return &usageError{fmt.Sprintf(format, a...)} }
+
+type usageError struct{ text string }
+
+func (e *usageError) Error() string { return e.text }
--- /dev/null
+++ b/io/thcommand/run.go
@@ -0,0 +1,30 @@
+package thcommand
+
+import (
+	"context"
+	"flag"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// Run runs tamarackhollow with the operators' subcommands and the given
+// further ones, and returns the exit code.
+func Run(ctx context.Context, s Streams, args []string, further ...*ffcli.Command) int {
+	fs := flag.NewFlagSet("tamarackhollow", flag.ContinueOnError)
+	fs.SetOutput(s.Err)
+	root := &ffcli.Command{
+		ShortUsage:  "tamarackhollow <subcommand> [flags]",
+		FlagSet:     fs,
+		Subcommands: append(further, All(s)...),
+	}
+	root.Exec = func(_ context.Context, rest []string) error {
+		if len(rest) > 0 {
+			return usage("there is no subcommand %q", rest[0])
+		}
+		fs.Usage()
+		return flag.ErrHelp
+	}
+	err := root.ParseAndRun(ctx, args)
+	Explain(s.Err, err)
+	return Code(err)
+}
