throute: put a VM's decisions about a service into one pure balancer

Cause: picking, queueing, repeats and verdicts were decided in io, where they could only be measured with real time.

--- /dev/null
+++ b/core/throute/judgement.go
@@ -0,0 +1,133 @@
+package throute
+
+import (
+	"slices"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thhealth"
+)
+
+// Evidence is a copy of what the balancer knows of its targets, to be judged
+// without holding up requests.
+type Evidence struct {
+	policy  thhealth.Policy
+	targets []*target
+	samples []thhealth.Sample
+}
+
+// Verdicts are the outcome of judging an Evidence.
+type Verdicts struct {
+	Evidence
+	verdicts []thhealth.Verdict
+}
+
+// Evidence returns what is known at the present moment.
+func (b *Balancer[W]) Evidence(now thclock.Instant) Evidence {
+	e := Evidence{policy: b.policy, targets: b.targets, samples: make([]thhealth.Sample, len(b.targets))}
+	for i, g := range b.targets {
+		e.samples[i] = g.row.Sample(now)
+	}
+	return e
+}
+
+// Judge compares the targets. It reads nothing that the balancer changes.
+func (e Evidence) Judge() Verdicts {
+	return Verdicts{Evidence: e, verdicts: thhealth.Judge(e.policy, e.samples)}
+}
+
+// Apply moves the targets to the states that follow from the verdicts.
+func (b *Balancer[W]) Apply(now thclock.Instant, vs Verdicts) {
+	for i, g := range vs.targets {
+		b.turn(now, g, vs.verdicts[i], vs.samples[i])
+	}
+	b.rebuild(now)
+}
+
+func (b *Balancer[W]) turn(now thclock.Instant, g *target, v thhealth.Verdict, evidence thhealth.Sample) {
+	g.peersBusy = evidence.PeersBusy()
+	before := g.state
+	g.state = before.Next(now, b.policy, v, evidence.Recent())
+	if g.state.Phase == before.Phase {
+		return
+	}
+	fields := []thevent.Field{
+		thevent.F("target", g.address),
+		thevent.F("requests", v.Seen.Requests), thevent.F("failed", v.Seen.Failed), thevent.F("slow", v.Seen.Slow),
+	}
+	switch g.state.Phase {
+	case thhealth.Ejected:
+		g.row.Reset()
+		b.notify(thevent.TargetEjected, append(fields, thevent.F("local", v.Local), thevent.F("strikes", g.state.Strikes))...)
+	case thhealth.Warming:
+		b.notify(thevent.TargetReadmitted, fields...)
+	}
+}
+
+// Offers returns the rows that may be told to other VMs.
+func (b *Balancer[W]) Offers(now thclock.Instant, entries []thhealth.Entry) []thhealth.Entry {
+	for _, g := range b.targets {
+		entries = append(entries, thhealth.Entry{Row: &g.row, Key: g.key, Leaving: now.Before(g.leavingUntil)})
+	}
+	return entries
+}
+
+// Receive takes in another VM's tally, and returns false if it concerns none
+// of the targets.
+func (b *Balancer[W]) Receive(now thclock.Instant, c thhealth.Cell) bool {
+	for _, g := range b.targets {
+		if g.key == c.Target {
+			g.row.Receive(now, c)
+			return true
+		}
+	}
+	return false
+}
+
+// TargetStatus is what a VM believes of one target, and why.
+type TargetStatus struct {
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// State is healthy, ejected, trial, warming or leaving.
+	State string `json:"state"`
+	// Open is whether ordinary work goes to the target; a sick one may be kept
+	// open by the floor.
+	Open     bool    `json:"open"`
+	Strikes  int     `json:"strikes,omitempty"`
+	InFlight int     `json:"inFlight"`
+	Requests float64 `json:"requests"`
+	Failed   float64 `json:"failed"`
+	Slow     float64 `json:"slow"`
+	// Severity and Local tell of the verdict that last ejected the target.
+	Severity float64 `json:"severity,omitempty"`
+	Local    bool    `json:"local,omitempty"`
+	// PeersBusy is the work in flight from other VMs by their latest reports.
+	PeersBusy float64 `json:"peersBusy"`
+}
+
+// Status returns the state of every target in use.
+func (b *Balancer[W]) Status(now thclock.Instant) []TargetStatus {
+	rows := make([]TargetStatus, len(b.targets))
+	for i, g := range b.targets {
+		sample := g.row.Sample(now)
+		seen := sample.Own.Long
+		for _, r := range sample.Peers {
+			seen = seen.Plus(r.Tally.Long)
+		}
+		rows[i] = TargetStatus{
+			Service: b.spec.Name, Address: g.address, Zone: g.spec.Zone,
+			State: g.state.Phase.String(), Open: slices.Contains(b.set.Open(), i),
+			Strikes: g.state.Strikes, InFlight: g.inFlight,
+			Requests: seen.Requests, Failed: seen.Failed, Slow: seen.Slow,
+			PeersBusy: g.peersBusy,
+		}
+		if g.state.Phase != thhealth.Healthy {
+			rows[i].Severity, rows[i].Local = g.state.Verdict.Severity, g.state.Verdict.Local
+		}
+		if g.leaving(now) {
+			rows[i].State = StateLeaving
+		}
+	}
+	return rows
+}
--- a/io/thbalance/control.go
+++ b/io/thbalance/control.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"tamarackhollow/core/thclock"
-	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thhealth"
+	"tamarackhollow/core/throute"
 	"tamarackhollow/io/thpool"
 	"tamarackhollow/io/thwire"
 )
@@ -44,60 +45,23 @@
 // judge takes in the configuration and decides each target's state.
 func (f *Forwarder) judge() {
 	now := f.Clock.Now()
-	c := f.Config()
+	c, p := f.Config(), f.place()
 	changed := f.version.Swap(c.Version()) != c.Version()
+	changed = f.vms.Swap(int64(p.VMs)) != int64(p.VMs) || changed
 	f.each(func(s *service) {
-		if spec, ok := c.Service(s.name()); ok && changed {
-			s.mu.Lock()
-			s.configure(now, spec, true)
-			s.mu.Unlock()
+		if spec, ok := c.Service(s.name); ok && changed {
+			s.with(func(b *throute.Balancer[*waiter]) { b.Configure(now, spec, p) })
 		}
 		s.judge(now)
 	})
 }
 
-func (s *service) name() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.spec.Name
-}
-
+// judge computes on a copy, so that requests are not held up.
 func (s *service) judge(now thclock.Instant) {
-	s.mu.Lock()
-	targets, policy := s.targets, s.policy
-	samples := make([]thhealth.Sample, len(targets))
-	for i, g := range targets {
-		samples[i] = g.row.Sample(now)
-	}
-	s.mu.Unlock()
-	verdicts := thhealth.Judge(policy, samples)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i, g := range targets {
-		s.turn(now, g, verdicts[i], samples[i])
-	}
-	s.rebuild(now)
-}
-
-// turn moves a target to its next state.
-func (s *service) turn(now thclock.Instant, g *target, v thhealth.Verdict, evidence thhealth.Sample) {
-	g.peersBusy = evidence.PeersBusy()
-	before := g.state
-	g.state = before.Next(now, s.policy, v, evidence.Recent())
-	if g.state.Phase == before.Phase {
-		return
-	}
-	fields := []thevent.Field{
-		thevent.F("service", s.spec.Name), thevent.F("target", g.address),
-		thevent.F("requests", v.Seen.Requests), thevent.F("failed", v.Seen.Failed), thevent.F("slow", v.Seen.Slow),
-	}
-	switch g.state.Phase {
-	case thhealth.Ejected:
-		g.row.Reset()
-		s.f.Log.Log(thevent.TargetEjected, append(fields, thevent.F("local", v.Local), thevent.F("strikes", g.state.Strikes))...)
-	case thhealth.Warming:
-		s.f.Log.Log(thevent.TargetReadmitted, fields...)
-	}
+	var e throute.Evidence
+	s.with(func(b *throute.Balancer[*waiter]) { e = b.Evidence(now) })
+	vs := e.Judge()
+	s.with(func(b *throute.Balancer[*waiter]) { b.Apply(now, vs) })
 }
 
 // exchange swaps observations with one peer drawn at random.
@@ -126,13 +90,9 @@
 	now := f.Clock.Now()
 	var cells []thhealth.Cell
 	f.each(func(s *service) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		entries := make([]thhealth.Entry, len(s.targets))
-		for i, g := range s.targets {
-			entries[i] = thhealth.Entry{Row: &g.row, Key: g.key, Leaving: g.leaving(now)}
-		}
-		cells = append(cells, thhealth.Collect(now, f.origin, entries, cellsPerMessage-len(cells))...)
+		s.with(func(b *throute.Balancer[*waiter]) {
+			cells = append(cells, thhealth.Collect(now, f.origin, b.Offers(now, nil), cellsPerMessage-len(cells))...)
+		})
 	})
 	return exchange{Cells: thhealth.EncodeCells(cells)}
 }
@@ -144,21 +104,11 @@
 		return err
 	}
 	now := f.Clock.Now()
-	f.each(func(s *service) { s.receive(now, f.origin, cells) })
+	cells = slices.DeleteFunc(cells, func(c thhealth.Cell) bool { return c.Origin == f.origin })
+	f.each(func(s *service) {
+		s.with(func(b *throute.Balancer[*waiter]) {
+			cells = slices.DeleteFunc(cells, func(c thhealth.Cell) bool { return b.Receive(now, c) })
+		})
+	})
 	return nil
 }
-
-func (s *service) receive(now thclock.Instant, self uint32, cells []thhealth.Cell) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, c := range cells {
-		if c.Origin == self {
-			continue
-		}
-		for _, g := range s.targets {
-			if g.key == c.Target {
-				g.row.Receive(now, c)
-			}
-		}
-	}
-}
--- a/io/thbalance/forwarder.go
+++ b/io/thbalance/forwarder.go
@@ -65,6 +65,7 @@
 	seedMu   sync.Mutex
 	seed     *rand.Rand
 	version  atomic.Uint64
+	vms      atomic.Int64
 }
 
 const defaultHealthPath = "/health"
@@ -105,40 +106,38 @@
 
 // attempts sends the request until it is answered or given up.
 func (f *Forwarder) attempts(ctx context.Context, s *service, q *threquest.Request) (*threquest.Answer, error) {
-	t := try{request: q}
+	t := throute.Try{Request: q}
 	for {
 		d, answer := f.attempt(ctx, s, &t)
 		switch d := d.(type) {
 		case throute.Deliver:
-			answer.Attempts = t.count
+			answer.Attempts = t.Attempts()
 			return answer, nil
 		case throute.Refuse:
-			return nil, t.refusal(d.Err)
+			return nil, t.Refusal(d.Err)
 		case throute.Repeat:
-			if err := f.pause(ctx, q, d.Pause); err != nil {
-				return nil, t.refusal(err)
+			if err := f.pause(ctx, s, q, d); err != nil {
+				return nil, t.Refusal(err)
 			}
 		}
 	}
 }
 
 // attempt makes one attempt and decides what follows it.
-func (f *Forwarder) attempt(ctx context.Context, s *service, t *try) (throute.Decision, *threquest.Answer) {
-	q := t.request
+func (f *Forwarder) attempt(ctx context.Context, s *service, t *throute.Try) (throute.Decision, *threquest.Answer) {
 	now := f.Clock.Now()
-	if now.Passed(q.Deadline) {
+	if now.Passed(t.Request.Deadline) {
 		return throute.Refuse{Err: therror.New(therror.QueueTimeout, "no time was left to send the request")}, nil
 	}
-	g, ok := s.pick(now, t)
-	if !ok {
-		return throute.Refuse{Err: therror.New(therror.NoTarget, "service %s has no target that takes work", q.Service.Name)}, nil
+	address, patience, err := s.pick(now, t)
+	if err != nil {
+		return throute.Refuse{Err: err}, nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, s.patience(now, q, t.count))
-	a := f.Sender.Send(bounded, g.address, q)
+	bounded, cancel := context.WithTimeout(ctx, patience)
+	a := f.Sender.Send(bounded, address, t.Request)
 	cancel()
-	t.note(a)
 	a = f.complete(ctx, a, now)
-	return s.settle(t, g, a, f.blamed(q, a)), a.Answer
+	return s.settle(t, a, f.blamed(t.Request, a)), a.Answer
 }
 
 // complete fills in what a sender may leave out.
@@ -150,7 +149,7 @@
 		a.Err = therror.New(therror.AnswerBroken, "target %s gave no answer", a.Target)
 	}
 	if a.Err != nil && ctx.Err() == context.Canceled && !therror.Is(a.Err, therror.CallerGone) {
-		a.Err = therror.Wrap(therror.CallerGone, a.Err, "")
+		a.Err = therror.Wrap(therror.CallerGone, a.Err, "target %s was cancelled", a.Target)
 	}
 	return a
 }
@@ -159,24 +158,31 @@
 	return f.Blame != nil && therror.Is(a.Err, therror.AnswerLost) && a.Sent && !a.Reused && f.Blame.Died(q, a.Target)
 }
 
-func (f *Forwarder) pause(ctx context.Context, q *threquest.Request, d time.Duration) error {
-	if d <= 0 {
+// pause waits until the request may be sent again: for the pause, if there is
+// one, and then for the budget.
+func (f *Forwarder) pause(ctx context.Context, s *service, q *threquest.Request, r throute.Repeat) error {
+	if r.Pause <= 0 {
 		return nil
 	}
-	if f.Clock.Now().Add(d).Passed(q.Deadline) {
-		return therror.New(therror.QueueTimeout, "no time was left to send the request again")
-	}
-	t := time.NewTimer(d)
+	t := time.NewTimer(r.Pause)
 	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ended(ctx)
+	for {
+		if f.Clock.Now().Add(r.Pause).Passed(q.Deadline) {
+			return therror.New(therror.Shed, "no target took the request before its deadline")
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ended(ctx)
+		}
+		if s.again(r) {
+			return nil
+		}
+		t.Reset(r.Pause)
 	}
 }
 
-// ended is the refusal of a request that was never sent.
+// ended is the refusal of a request that is not sent any more.
 func ended(ctx context.Context) error {
 	if ctx.Err() == context.Canceled {
 		return therror.Wrap(therror.CallerGone, ctx.Err(), "while the request was waiting")
@@ -194,11 +200,18 @@
 	if v, ok := f.services.Load(spec.Name); ok {
 		return v.(*service)
 	}
-	s := newService(f, spec, rand.New(rand.NewPCG(f.seed.Uint64(), xxhash.Sum64String(spec.Name))))
+	rng := rand.New(rand.NewPCG(f.seed.Uint64(), xxhash.Sum64String(spec.Name)))
+	s := &service{f: f, name: spec.Name}
+	s.balancer = throute.NewBalancer[*waiter](f.Clock.Now(), spec, f.place(), rng)
 	f.services.Store(spec.Name, s)
 	return s
 }
 
+// place is this VM's place among all VMs.
+func (f *Forwarder) place() throute.Place {
+	return throute.Place{ID: f.Self.ID, VMs: f.Roster().Len()}
+}
+
 // each calls the function with every service that has state.
 func (f *Forwarder) each(visit func(*service)) {
 	f.services.Range(func(_, v any) bool {
--- a/io/thbalance/forwarder_test.go
+++ b/io/thbalance/forwarder_test.go
@@ -16,6 +16,7 @@
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/threquest"
 	"tamarackhollow/core/throster"
+	"tamarackhollow/core/throute"
 	"tamarackhollow/io/thbalance"
 	"tamarackhollow/io/thpool"
 )
@@ -190,7 +191,7 @@
 			if time.Since(f0) > time.Second {
 				late++
 			}
-			a.Answer.Headers = []threquest.Header{{Name: thbalance.HeaderState, Value: thbalance.StateLeaving}}
+			a.Answer.Headers = []threquest.Header{{Name: throute.HeaderState, Value: throute.StateLeaving}}
 		}
 		return a
 	}
@@ -203,7 +204,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		assert.Equal(t, late, 0)
-		assert.Equal(t, f.Status()[2].State, thbalance.StateLeaving)
+		assert.Equal(t, f.Status()[2].State, throute.StateLeaving)
 	})
 }
 
