thvm: run the thin whole path

Cause: the parts stood alone; no request went from a caller to a target. Change: callers' side, client of the platform, stand-ins for platform, targets and links, the VM's assembly, serve and demo, and tests over separate processes that are killed, frozen and cut. A precondition now counts operators' changes only. Conclusion: the path is whole.

--- /dev/null
+++ b/cmd/tamarackhollow/demo.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"time"
+
+	"tamarackhollow/core/thevent"
+	"tamarackhollow/io/thdemo"
+	"tamarackhollow/io/thlog"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+const demoDefault = 10 * time.Second
+
+func demoCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("tamarackhollow demo", flag.ContinueOnError)
+	span := fs.Duration("for", demoDefault, "how long the callers call")
+	verbose := fs.Bool("verbose", false, "print the numbered events to standard error")
+	return &ffcli.Command{
+		Name:       "demo",
+		ShortUsage: "tamarackhollow demo [--for 10s] [--verbose]",
+		ShortHelp:  "run a small fleet with sick targets on loopback and print what happened",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			var log thevent.Logger = thevent.Discard{}
+			if *verbose {
+				log = thlog.New(os.Stderr, "demo")
+			}
+			return thdemo.Run(ctx, thdemo.Options{Until: time.Now().Add(*span), Output: os.Stdout, Log: log})
+		},
+	}
+}
--- /dev/null
+++ b/cmd/tamarackhollow/main.go
@@ -0,0 +1,19 @@
+// Command tamarackhollow runs and operates a proxy fleet for targets with gray
+// failures.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"tamarackhollow/io/thcommand"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := thcommand.Run(ctx, thcommand.System(), os.Args[1:], serveCommand(), demoCommand())
+	stop()
+	os.Exit(code)
+}
--- a/core/thconfig/config.go
+++ b/core/thconfig/config.go
@@ -112,6 +112,20 @@
 	return n, nil
 }
 
+// CheckPrecondition fails with ChangeConflict if an operator's change has come
+// after the version that an operator decided on; 0 asks for nothing. Members'
+// comings and goings count versions too, but decide nothing of an operator's.
+func (c Config) CheckPrecondition(version uint64) error {
+	switch {
+	case version == 0:
+	case c.Changed() > version:
+		return therror.New(therror.ChangeConflict, "version %d has been applied since version %d", c.Changed(), version)
+	case version > c.Version():
+		return therror.New(therror.ChangeConflict, "the configuration stands at version %d, not yet at %d", c.Version(), version)
+	}
+	return nil
+}
+
 // Check reports with ChangeInvalid why the change cannot be made, or nil.
 func (c Config) Check(change Change) error {
 	_, err := c.withChange(change)
--- a/core/thconfig/config_test.go
+++ b/core/thconfig/config_test.go
@@ -8,6 +8,7 @@
 
 	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
+	"tamarackhollow/core/throster"
 )
 
 func deployment() thconfig.Deployment {
@@ -91,3 +92,16 @@
 		assert.Equal(t, ok, found, path)
 	}
 }
+
+// A VM that joins between an operator's reading and its change is no conflict.
+func TestPreconditionCountsOperatorsChangesOnly(t *testing.T) {
+	c, _ := filled(t)
+	read := c.Version()
+	c = apply(t, c, thconfig.ChangeMembers{Join: []throster.VM{{ID: "vm1", PeerAddress: "127.0.0.1:9", Zone: "a", Incarnation: 1}}})
+	assert.NilError(t, c.CheckPrecondition(read))
+	assert.NilError(t, c.CheckPrecondition(c.Version()))
+	assert.NilError(t, c.CheckPrecondition(0))
+	assert.Assert(t, therror.Is(c.CheckPrecondition(c.Version()+1), therror.ChangeConflict))
+	c = apply(t, c, thconfig.WithdrawKey{ID: "k1"})
+	assert.Assert(t, therror.Is(c.CheckPrecondition(read), therror.ChangeConflict))
+}
--- /dev/null
+++ b/e2e/rig_test.go
@@ -0,0 +1,342 @@
+// Package e2e_test drives separate serve processes from outside: it starts,
+// kills, freezes and cuts them, and checks what callers and targets saw.
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"tamarackhollow/core/thconfig"
+	"tamarackhollow/io/thoperator"
+	"tamarackhollow/io/thstand"
+	"tamarackhollow/io/thwire"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	platformCredential = "platform-credential"
+	peerCredential     = "peer-credential"
+	operatorCredential = "operator-credential"
+
+	// patience bounds every wait; it is far above what any promise allows, so
+	// that a slow machine fails no test that a fast one passes.
+	patience = 60 * time.Second
+	step     = 20 * time.Millisecond
+)
+
+// command is the built program.
+var command string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "tamarackhollow-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	command = filepath.Join(dir, "tamarackhollow")
+	build := exec.Command("go", "build", "-race", "-o", command, "../cmd/tamarackhollow")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// rig is a small fleet of processes with its stand-ins.
+type rig struct {
+	t *testing.T
+	// number gives the rig IP addresses of its own.
+	number   int64
+	dir      string
+	platform *thstand.Platform
+	address  string
+	targets  []*thstand.Target
+	vms      []*vm
+}
+
+// vm is one serve process. Its peers reach it through a link.
+type vm struct {
+	id       string
+	ip       string
+	process  *exec.Cmd
+	settings string
+	// link is where its peers reach it, store how it reaches the platform.
+	link     *thstand.Link
+	store    *thstand.Link
+	callers  string
+	operator string
+	log      *syncBuffer
+	stopped  bool
+}
+
+// syncBuffer keeps a process's log.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// rigs counts the rigs of this run.
+var rigs atomic.Int64
+
+// newRig starts the platform, the targets and the VMs, and waits until the
+// VMs know each other.
+func newRig(t *testing.T, vms, targets int) *rig {
+	t.Helper()
+	t.Parallel()
+	r := &rig{t: t, number: rigs.Add(1), dir: t.TempDir(), platform: &thstand.Platform{}}
+	l := listen(t, "127.0.0.1")
+	r.address = l.Addr().String()
+	r.platform.Start(l, platformCredential)
+	t.Cleanup(r.platform.Close)
+	for i := range targets {
+		target := thstand.StartTarget(listen(t, "127.0.0.1"), thstand.TargetBehaviour{}, uint64(i+1))
+		r.targets = append(r.targets, target)
+		t.Cleanup(target.Close)
+	}
+	for i := range vms {
+		r.addVM(i)
+	}
+	for _, v := range r.vms {
+		r.startVM(v)
+	}
+	t.Cleanup(r.close)
+	return r
+}
+
+func listen(t *testing.T, ip string) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	assert.NilError(t, err)
+	return l
+}
+
+// reserve returns an address that was free a moment ago.
+func reserve(t *testing.T, ip string) string {
+	t.Helper()
+	l := listen(t, ip)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// addVM prepares a VM with an IP address of its own, so that links can tell
+// their sources apart.
+func (r *rig) addVM(i int) *vm {
+	r.t.Helper()
+	v := &vm{id: fmt.Sprintf("vm%d", i+1), ip: fmt.Sprintf("127.0.%d.%d", r.number, i+1), log: &syncBuffer{}}
+	v.callers = reserve(r.t, v.ip)
+	v.operator = reserve(r.t, v.ip)
+	inner := reserve(r.t, v.ip)
+	v.link = thstand.NewLink(listen(r.t, "127.0.0.1"), inner)
+	r.t.Cleanup(v.link.Close)
+	v.store = thstand.NewLink(listen(r.t, "127.0.0.1"), r.address)
+	r.t.Cleanup(v.store.Close)
+	var seeds []string
+	for _, o := range r.vms {
+		seeds = append(seeds, o.link.Address())
+	}
+	v.settings = filepath.Join(r.dir, v.id+".toml")
+	text := fmt.Sprintf(settingsFormat, v.id, v.ip, string(rune('a'+i%3)), v.callers, inner, v.link.Address(), v.operator,
+		v.store.Address(), platformCredential, peerCredential, quoted(seeds), operatorCredential)
+	assert.NilError(r.t, os.WriteFile(v.settings, []byte(text), 0o600))
+	r.vms = append(r.vms, v)
+	return v
+}
+
+func quoted(seeds []string) string {
+	if len(seeds) == 0 {
+		return ""
+	}
+	return `"` + strings.Join(seeds, `", "`) + `"`
+}
+
+func (r *rig) startVM(v *vm) {
+	r.t.Helper()
+	v.process = exec.Command(command, "serve", "--settings", v.settings)
+	v.process.Stderr = v.log
+	v.process.Stdout = v.log
+	v.stopped = false
+	assert.NilError(r.t, v.process.Start())
+}
+
+func (r *rig) close() {
+	for _, v := range r.vms {
+		if v.process != nil && !v.stopped {
+			_ = v.process.Process.Signal(syscall.SIGCONT)
+			_ = v.process.Process.Kill()
+			_ = v.process.Wait()
+		}
+		assert.Check(r.t, !strings.Contains(v.log.String(), "DATA RACE"), "data race in %s", v.id)
+		if r.t.Failed() {
+			r.t.Logf("log of %s:\n%s", v.id, v.log.String())
+		}
+	}
+}
+
+// kill ends a VM at once.
+func (r *rig) kill(v *vm) {
+	assert.NilError(r.t, v.process.Process.Kill())
+	_ = v.process.Wait()
+	v.stopped = true
+}
+
+// terminate asks a VM to stop and waits until it has.
+func (r *rig) terminate(v *vm) error {
+	assert.NilError(r.t, v.process.Process.Signal(syscall.SIGTERM))
+	v.stopped = true
+	return v.process.Wait()
+}
+
+func (r *rig) freeze(v *vm) { assert.NilError(r.t, v.process.Process.Signal(syscall.SIGSTOP)) }
+
+func (r *rig) thaw(v *vm) { assert.NilError(r.t, v.process.Process.Signal(syscall.SIGCONT)) }
+
+// isolate cuts everything that the VM could hear: the store's answers, its
+// peers' answers and its peers' questions.
+func (r *rig) isolate(v *vm) {
+	v.store.Cut(thstand.Cuts{Backward: true})
+	v.link.Cut(thstand.Cuts{Forward: true})
+	for _, o := range r.vms {
+		if o != v {
+			o.link.Cut(thstand.Cuts{Backward: true, Sources: []string{v.ip}})
+		}
+	}
+}
+
+// heal lets everything through again.
+func (r *rig) heal() {
+	for _, v := range r.vms {
+		v.store.Cut(thstand.Cuts{})
+		v.link.Cut(thstand.Cuts{})
+	}
+}
+
+// operator returns a client of a VM's operator side.
+func (r *rig) operator(v *vm) *thoperator.Client {
+	return thoperator.NewClient(thwire.NewClient(thwire.Identity{Credential: operatorCredential, From: "e2e"}), v.operator)
+}
+
+// eventually waits until the condition holds.
+func (r *rig) eventually(what string, f func() bool) {
+	r.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !f() {
+		if time.Now().After(deadline) {
+			r.t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(step)
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	kind    string
+	outcome string
+	body    string
+	err     error
+}
+
+// request is what a caller sends.
+type request struct {
+	method, path, key, order, body string
+}
+
+// call sends one request to a VM on a connection of the client's choice.
+func call(c *http.Client, v *vm, q request) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if q.method == "" {
+		q.method = http.MethodGet
+	}
+	h, err := http.NewRequestWithContext(ctx, q.method, "http://"+v.callers+q.path, strings.NewReader(q.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	if q.key != "" {
+		h.Header.Set("Authorization", "Bearer "+q.key)
+	}
+	if q.order != "" {
+		h.Header.Set("Idempotency-Key", q.order)
+	}
+	a, err := c.Do(h)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = a.Body.Close() }()
+	data, err := io.ReadAll(a.Body)
+	return answer{
+		status: a.StatusCode, kind: a.Header.Get("Tamarack-Error"), outcome: a.Header.Get("Tamarack-Outcome"),
+		body: string(data), err: err,
+	}
+}
+
+// deployment is one service on all the rig's targets, with an open route.
+func (r *rig) deployment() thconfig.Deployment {
+	s := thconfig.Service{Name: "inventory", Slots: 16, Connections: 300, Floor: 0.5, TimeoutMillis: 3000}
+	for i, t := range r.targets {
+		s.Targets = append(s.Targets, thconfig.Target{Address: t.Address(), Zone: string(rune('a' + i%3))})
+	}
+	return thconfig.Deployment{
+		Name:     "cordial",
+		Services: []thconfig.Service{s},
+		Routes: []thconfig.Route{
+			{Name: "stock", Prefix: "/stock", Service: "inventory"},
+			{Name: "prices", Prefix: "/prices", Service: "inventory", Open: true},
+		},
+	}
+}
+
+const settingsFormat = `
+[vm]
+id = %q
+address = %q
+zone = %q
+
+[listen]
+callers = %q
+peers = %q
+peersAdvertised = %q
+operators = %q
+
+[platform]
+address = %q
+credential = %q
+
+[peers]
+credential = %q
+seeds = [%s]
+
+[operators]
+credential = %q
+
+[drain]
+noticeMillis = 300
+`
--- a/io/thagree/apply.go
+++ b/io/thagree/apply.go
@@ -42,8 +42,8 @@
 }
 
 // Apply stores an operator's change and spreads it. The same change id applied
-// twice is one change. With a precondition, the last operator's change must be
-// of that version, or Apply fails with ChangeConflict naming the one that won.
+// twice is one change. With a precondition, no operator's change may have come
+// after that version, or Apply fails with ChangeConflict naming the one that won.
 func (a *Agreement) Apply(ctx context.Context, changeID string, precondition uint64, change thconfig.Change) (ApplyResult, error) {
 	if changeID == "" {
 		return ApplyResult{}, therror.New(therror.ChangeInvalid, "a change id is needed")
@@ -111,8 +111,8 @@
 	if v > 0 {
 		return v, false, a.sameChange(ctx, v, changeID, w)
 	}
-	if precondition != 0 && c.Changed() != precondition {
-		return 0, false, therror.New(therror.ChangeConflict, "version %d has been applied since version %d", c.Changed(), precondition)
+	if err := c.CheckPrecondition(precondition); err != nil {
+		return 0, false, err
 	}
 	change, wanted := w(c)
 	if !wanted {
--- /dev/null
+++ b/io/thdemo/load.go
@@ -0,0 +1,246 @@
+package thdemo
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"tamarackhollow/core/thconfig"
+	"tamarackhollow/core/therror"
+	"tamarackhollow/io/thagree"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	keyIDBytes     = 6
+	keySecretBytes = 24
+
+	callerTimeout   = 5 * time.Second
+	callersPerGroup = 4
+	// overdrive is how many times its rate the last customer sends.
+	overdrive = 4
+	// underdrive is the share of their rate that the others send.
+	underdrive = 0.5
+
+	maxLatencyMicros = int64(time.Minute / time.Microsecond)
+	latencyDigits    = 3
+)
+
+// configure loads the deployment and issues a key to each customer.
+func (d *demo) configure(ctx context.Context) error {
+	change := thconfig.PutDeployment{Deployment: d.deployment(), Customers: customers}
+	if err := d.apply(ctx, "demo-deployment", change); err != nil {
+		return err
+	}
+	for _, u := range customers {
+		id, secret := make([]byte, keyIDBytes), make([]byte, keySecretBytes)
+		_, _ = rand.Read(id)
+		_, _ = rand.Read(secret)
+		text, key := thconfig.NewKey(u.Name, hex.EncodeToString(id), secret)
+		if err := d.apply(ctx, "demo-key-"+u.Name, thconfig.IssueKey{Key: key}); err != nil {
+			return err
+		}
+		d.keys = append(d.keys, customerKey{u.Name, text})
+	}
+	return d.await(ctx)
+}
+
+// apply repeats a change under the same ID until the fleet has accepted it.
+func (d *demo) apply(ctx context.Context, id string, change thconfig.Change) error {
+	deadline := time.Now().Add(joinLimit)
+	for {
+		a, err := d.vms[0].Agreement().Apply(ctx, id, 0, change)
+		if err == nil && a.State == thagree.Accepted {
+			return nil
+		}
+		if therror.Is(err, therror.ChangeInvalid) || time.Now().After(deadline) {
+			return therror.Wrap(therror.NotReady, err, "change %s was not accepted: %+v", id, a)
+		}
+		if err := sleep(ctx, joinStep); err != nil {
+			return err
+		}
+	}
+}
+
+// await waits until every VM holds the newest configuration.
+func (d *demo) await(ctx context.Context) error {
+	version := d.vms[0].Agreement().Config().Version()
+	deadline := time.Now().Add(joinLimit)
+	for _, v := range d.vms {
+		for v.Agreement().Config().Version() < version {
+			if time.Now().After(deadline) {
+				return therror.New(therror.NotReady, "a VM does not hold version %d", version)
+			}
+			if err := sleep(ctx, joinStep); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// load has every customer call all VMs in turn until the demo's end.
+func (d *demo) load(ctx context.Context, t *tally) {
+	ctx, cancel := context.WithDeadline(ctx, d.o.Until)
+	defer cancel()
+	var all sync.WaitGroup
+	for i, k := range d.keys {
+		rate := customers[i].Rate * underdrive
+		if i == len(d.keys)-1 {
+			rate = customers[i].Rate * overdrive
+		}
+		for j := range callersPerGroup {
+			all.Go(func() { d.caller(ctx, t, k, j, rate/callersPerGroup) })
+		}
+	}
+	all.Wait()
+}
+
+// caller sends at an even pace over one connection to each VM.
+func (d *demo) caller(ctx context.Context, t *tally, k customerKey, j int, rate float64) {
+	c := &http.Client{Timeout: callerTimeout, Transport: &http.Transport{}}
+	defer c.CloseIdleConnections()
+	pace := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	defer pace.Stop()
+	for n := j; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-pace.C:
+		}
+		v := d.vms[n%len(d.vms)]
+		s := services[n%len(services)]
+		t.add(k.customer, send(c, v.CallerAddress(), s, k.key, n))
+	}
+}
+
+// outcome is what one call came to.
+type outcome struct {
+	kind    string
+	latency time.Duration
+	target  string
+}
+
+func send(c *http.Client, address string, s serviceShape, key string, n int) outcome {
+	method, body := http.MethodGet, ""
+	if s.name == "dispatch" {
+		method, body = http.MethodPost, `{"pallets":1}`
+	}
+	q, err := http.NewRequest(method, fmt.Sprintf("http://%s%s/%d", address, s.path, n), strings.NewReader(body))
+	if err != nil {
+		return outcome{kind: "broken"}
+	}
+	q.Header.Set("Authorization", "Bearer "+key)
+	began := time.Now()
+	a, err := c.Do(q)
+	if err != nil {
+		return outcome{kind: "broken", latency: time.Since(began)}
+	}
+	defer func() { _ = a.Body.Close() }()
+	_, err = io.Copy(io.Discard, a.Body)
+	o := outcome{kind: a.Header.Get("Tamarack-Error"), latency: time.Since(began), target: a.Header.Get("Ran-At")}
+	switch {
+	case err != nil:
+		o.kind = "broken"
+	case o.kind == "" && a.StatusCode != http.StatusOK:
+		o.kind = fmt.Sprintf("target%d", a.StatusCode)
+	}
+	return o
+}
+
+// tally counts what the callers saw.
+type tally struct {
+	mu   sync.Mutex
+	rows map[string]*tallyRow
+}
+
+type tallyRow struct {
+	served  int64
+	refused map[string]int64
+	latency *hdrhistogram.Histogram
+}
+
+func newTally() *tally { return &tally{rows: make(map[string]*tallyRow)} }
+
+func (t *tally) add(customer string, o outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[customer]
+	if r == nil {
+		r = &tallyRow{refused: make(map[string]int64), latency: hdrhistogram.New(1, maxLatencyMicros, latencyDigits)}
+		t.rows[customer] = r
+	}
+	if o.kind != "" {
+		r.refused[o.kind]++
+		return
+	}
+	r.served++
+	_ = r.latency.RecordValue(o.latency.Microseconds())
+}
+
+func (t *tally) print(w io.Writer, d *demo) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "CUSTOMER\tRATE\tSERVED\tP50\tP99\tNOT SERVED")
+	for _, u := range customers {
+		r := t.rows[u.Name]
+		if r == nil {
+			continue
+		}
+		p50 := time.Duration(r.latency.ValueAtQuantile(50)) * time.Microsecond
+		p99 := time.Duration(r.latency.ValueAtQuantile(99)) * time.Microsecond
+		_, _ = fmt.Fprintf(tw, "%s\t%g/s\t%d\t%v\t%v\t%s\n", u.Name, u.Rate, r.served, p50, p99, kinds(r.refused))
+	}
+	_ = tw.Flush()
+	_, _ = fmt.Fprintln(w)
+	tw = tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "SERVICE\tTARGET\tBEHAVIOUR\tRAN")
+	for _, s := range services {
+		for i, target := range d.targets[s.name] {
+			_, _ = fmt.Fprintf(tw, "%s\t%s\t%s\t%d\n", s.name, target.Address(), describe(i), len(target.Runs()))
+		}
+	}
+	_ = tw.Flush()
+}
+
+func describe(i int) string {
+	switch i {
+	case 1:
+		return "slow"
+	case 2:
+		return "fails half, says it is well"
+	}
+	return "well"
+}
+
+func kinds(refused map[string]int64) string {
+	names := make([]string, 0, len(refused))
+	for name := range refused {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	parts := make([]string, 0, len(names))
+	for _, name := range names {
+		parts = append(parts, fmt.Sprintf("%s %d", name, refused[name]))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/io/thoperator/server.go
+++ b/io/thoperator/server.go
@@ -79,8 +79,8 @@
 
 // dryRun says what the change would do to c.
 func dryRun(c thconfig.Config, q changeRequest) (ChangeAnswer, error) {
-	if q.Precondition != 0 && q.Precondition != c.Version() {
-		return ChangeAnswer{}, therror.New(therror.ChangeConflict, "the configuration stands at version %d, not %d", c.Version(), q.Precondition)
+	if err := c.CheckPrecondition(q.Precondition); err != nil {
+		return ChangeAnswer{}, err
 	}
 	change, err := thtemplate.Prepare(c, q.Record.Change)
 	if err != nil {
--- /dev/null
+++ b/io/thstand/platform.go
@@ -0,0 +1,202 @@
+// Package thstand holds small stand-ins for what the fleet works with: the
+// platform, targets, and a network link that can be cut. The demo and the
+// tests use them.
+package thstand
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thstore"
+	"tamarackhollow/io/thplatform"
+	"tamarackhollow/io/thwire"
+)
+
+// Platform is a stand-in for the platform: tables, objects and the VM list in
+// memory. The zero Platform is empty and without faults.
+type Platform struct {
+	mu      sync.Mutex
+	rows    map[string]thstore.Row
+	objects map[string][]byte
+	vms     []thstore.VM
+	faults  PlatformFaults
+	reads   int
+	writes  int
+	server  thwire.Server
+}
+
+// PlatformFaults are the faults that a platform shows.
+type PlatformFaults struct {
+	// Down refuses every call.
+	Down bool
+	// LoseWriteAnswers does the write and then does not say so.
+	LoseWriteAnswers bool
+	// DelayMillis is added to every call, in milliseconds.
+	DelayMillis int
+	// FailEvery refuses every n-th call; 0 refuses none.
+	FailEvery int
+}
+
+// Start serves on the listener with the credential until Close.
+func (p *Platform) Start(l net.Listener, credential string) {
+	p.server.Credential = credential
+	thwire.Handle(&p.server, thplatform.PathReadRow, p.readRow)
+	thwire.Handle(&p.server, thplatform.PathScanRows, p.scanRows)
+	thwire.Handle(&p.server, thplatform.PathCommit, p.commit)
+	thwire.Handle(&p.server, thplatform.PathPutObject, p.putObject)
+	thwire.Handle(&p.server, thplatform.PathGetObject, p.getObject)
+	thwire.Handle(&p.server, thplatform.PathListVMs, p.listVMs)
+	p.server.Start(l)
+}
+
+// Close stops serving.
+func (p *Platform) Close() { _ = p.server.Shutdown() }
+
+// SetFaults sets the faults from now on.
+func (p *Platform) SetFaults(f PlatformFaults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// SetVMs sets the VM list.
+func (p *Platform) SetVMs(vms []thstore.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = slices.Clone(vms)
+}
+
+// Operations returns how many reads and writes were served.
+func (p *Platform) Operations() (reads, writes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads, p.writes
+}
+
+// begin applies the faults that come before a call.
+func (p *Platform) begin(write bool) error {
+	p.mu.Lock()
+	f := p.faults
+	if write {
+		p.writes++
+	} else {
+		p.reads++
+	}
+	n := p.reads + p.writes
+	p.mu.Unlock()
+	time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
+	if f.Down || f.FailEvery > 0 && n%f.FailEvery == 0 {
+		return therror.New(therror.StoreUnavailable, "the stand-in is down")
+	}
+	return nil
+}
+
+// end applies the faults that come after a write.
+func (p *Platform) end() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.LoseWriteAnswers {
+		return therror.New(therror.StoreOutcomeUnknown, "the stand-in lost its answer")
+	}
+	return nil
+}
+
+func (p *Platform) readRow(_ thwire.Sender, q thplatform.ReadRow) (thstore.Row, error) {
+	if err := p.begin(false); err != nil {
+		return thstore.Row{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.rows[q.Key]
+	r.Key = q.Key
+	return r, nil
+}
+
+func (p *Platform) scanRows(_ thwire.Sender, q thplatform.ScanRows) (thplatform.Rows, error) {
+	if err := p.begin(false); err != nil {
+		return thplatform.Rows{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var found []thstore.Row
+	for key, r := range p.rows {
+		if strings.HasPrefix(key, q.Prefix) && key > q.After {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b thstore.Row) int { return strings.Compare(a.Key, b.Key) })
+	if q.Limit > 0 && len(found) > q.Limit {
+		found = found[:q.Limit]
+	}
+	return thplatform.Rows{Rows: found}, nil
+}
+
+func (p *Platform) commit(_ thwire.Sender, t thstore.Transaction) (thplatform.Empty, error) {
+	if err := p.begin(true); err != nil {
+		return thplatform.Empty{}, err
+	}
+	if err := p.apply(t); err != nil {
+		return thplatform.Empty{}, err
+	}
+	return thplatform.Empty{}, p.end()
+}
+
+func (p *Platform) apply(t thstore.Transaction) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range t.Conditions {
+		if v := p.rows[c.Key].Version; v != c.Version {
+			return therror.New(therror.ChangeConflict, "row %s stands at version %d, not %d", c.Key, v, c.Version)
+		}
+	}
+	if p.rows == nil {
+		p.rows = make(map[string]thstore.Row)
+	}
+	for _, w := range t.Writes {
+		if w.Delete {
+			delete(p.rows, w.Key)
+			continue
+		}
+		p.rows[w.Key] = thstore.Row{Key: w.Key, Version: p.rows[w.Key].Version + 1, Value: w.Value}
+	}
+	return nil
+}
+
+func (p *Platform) putObject(_ thwire.Sender, o thplatform.Object) (thplatform.Empty, error) {
+	if err := p.begin(true); err != nil {
+		return thplatform.Empty{}, err
+	}
+	p.mu.Lock()
+	if p.objects == nil {
+		p.objects = make(map[string][]byte)
+	}
+	p.objects[o.Name] = o.Data
+	p.mu.Unlock()
+	return thplatform.Empty{}, p.end()
+}
+
+func (p *Platform) getObject(_ thwire.Sender, o thplatform.Object) (thplatform.Object, error) {
+	if err := p.begin(false); err != nil {
+		return thplatform.Object{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	data, ok := p.objects[o.Name]
+	if !ok {
+		return thplatform.Object{}, therror.New(therror.NotFound, "no object %s", o.Name)
+	}
+	return thplatform.Object{Name: o.Name, Data: data}, nil
+}
+
+func (p *Platform) listVMs(thwire.Sender, thplatform.Empty) (thplatform.VMs, error) {
+	if err := p.begin(false); err != nil {
+		return thplatform.VMs{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return thplatform.VMs{VMs: slices.Clone(p.vms)}, nil
+}
--- /dev/null
+++ b/io/thvm/vm.go
@@ -0,0 +1,187 @@
+// Package thvm puts one VM's process together: listeners, controllers and the
+// parts that decide, and takes them down again without cutting a request.
+package thvm
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/threquest"
+	"tamarackhollow/core/throster"
+	"tamarackhollow/core/thsettings"
+	"tamarackhollow/io/thagree"
+	"tamarackhollow/io/thbalance"
+	"tamarackhollow/io/thcaller"
+	"tamarackhollow/io/thclaims"
+	"tamarackhollow/io/thgrant"
+	"tamarackhollow/io/thoperator"
+	"tamarackhollow/io/thplatform"
+	"tamarackhollow/io/thpool"
+	"tamarackhollow/io/thtarget"
+	"tamarackhollow/io/thwire"
+)
+
+// Options are what a VM is made of.
+type Options struct {
+	Settings thsettings.Settings
+	// Incarnation is taken unless the settings name one.
+	Incarnation uint64
+}
+
+// VM is one running VM. Make one with Start.
+type VM struct {
+	settings  thsettings.Settings
+	self      throster.VM
+	log       thevent.Logger
+	clock     thclock.Clock
+	pool      *thpool.Pool
+	platform  *thplatform.Client
+	agreement *thagree.Agreement
+	limiter   *thgrant.Limiter
+	balance   *thbalance.Forwarder
+	sender    *thtarget.Client
+	claims    *thclaims.Claims
+	callers   *thcaller.Server
+	peers     *thwire.Server
+	operators *thwire.Server
+	listeners listeners
+	stopping  atomic.Bool
+}
+
+type listeners struct{ callers, peers, operators net.Listener }
+
+// Start makes a VM of the settings and has it join. It takes callers as soon
+// as it has a configuration.
+func Start(o Options, log thevent.Logger) (*VM, error) {
+	v := &VM{settings: o.Settings, self: o.Settings.Self(o.Incarnation), log: log, clock: thclock.System{}}
+	if err := v.listen(); err != nil {
+		return nil, err
+	}
+	pool, err := thpool.New(o.Settings.Workers.Size(), log)
+	if err != nil {
+		return nil, therror.Wrap(therror.Internal, err, "worker pool")
+	}
+	v.pool = pool
+	v.assemble()
+	v.serve()
+	log.Log(thevent.ProcessStarted, thevent.F("callers", v.CallerAddress()), thevent.F("zone", v.self.Zone))
+	return v, nil
+}
+
+func (v *VM) listen() error {
+	l := v.settings.Listen
+	var err error
+	if v.listeners.callers, err = net.Listen("tcp", l.Callers); err != nil {
+		return therror.Wrap(therror.Internal, err, "listener for callers")
+	}
+	if v.listeners.peers, err = net.Listen("tcp", l.Peers); err != nil {
+		return therror.Wrap(therror.Internal, err, "listener for peers")
+	}
+	if v.listeners.operators, err = net.Listen("tcp", l.Operators); err != nil {
+		return therror.Wrap(therror.Internal, err, "listener for operators")
+	}
+	return nil
+}
+
+// CallerAddress is where the VM takes callers.
+func (v *VM) CallerAddress() string { return v.listeners.callers.Addr().String() }
+
+// OperatorAddress is where the VM takes operators.
+func (v *VM) OperatorAddress() string { return v.listeners.operators.Addr().String() }
+
+// Agreement is the VM's part in what the VMs agree on.
+func (v *VM) Agreement() *thagree.Agreement { return v.agreement }
+
+func (v *VM) assemble() {
+	t := v.settings
+	identity := thwire.Identity{From: v.self.ID, Incarnation: v.self.Incarnation, LocalIP: t.LocalIP()}
+	identity.Credential = t.Platform.Credential
+	v.platform = thplatform.New(thwire.NewClient(identity), t.Platform.Address, v.log)
+	identity.Credential = t.Peers.Credential
+	wire := thwire.NewClient(identity)
+
+	v.agreement = thagree.New(thagree.Options{
+		Self: v.self, Platform: v.platform, Client: wire, Clock: v.clock, Log: v.log, Seeds: t.Peers.Seeds,
+	})
+	v.limiter = thgrant.New(thgrant.Options{
+		Self: v.self, Roster: v.agreement.Roster, CheckFresh: v.agreement.CheckFresh, Config: v.agreement.Config,
+		Client: wire, Clock: v.clock, Log: v.log,
+	})
+	v.sender = thtarget.New(thtarget.Options{LocalIP: t.LocalIP(), Clock: v.clock, Log: v.log, VMs: func() int { return v.agreement.Roster().Len() }})
+	v.balance = thbalance.New(thbalance.Options{
+		Self: v.self, Roster: v.agreement.Roster, Config: v.agreement.Config, Sender: v.sender,
+		Client: wire, Clock: v.clock, Log: v.log,
+	})
+	v.claims = thclaims.New(thclaims.Options{Platform: v.platform, Clock: v.clock, Log: v.log, Self: v.self})
+	v.callers = thcaller.New(thcaller.Options{
+		Config: v.agreement.Config, CheckFresh: v.agreement.CheckFresh, Limiter: v.limiter, Runner: v,
+		Clock: v.clock, Ready: v.agreement.Ready, MaxBodyBytes: t.Requests.MaxBody(),
+		IDPrefix: v.self.ID + "-" + strconv.FormatUint(v.self.Incarnation, 36),
+	})
+	v.registerPeers(wire)
+}
+
+func (v *VM) registerPeers(wire *thwire.Client) {
+	v.peers = &thwire.Server{Credential: v.settings.Peers.Credential, Log: v.log}
+	v.agreement.Register(v.peers)
+	v.limiter.Register(v.peers)
+	v.balance.Register(v.peers)
+	v.operators = &thwire.Server{Credential: v.settings.Operators.Credential, Log: v.log}
+	o := &thoperator.Server{Fleet: fleet{v}, Peers: wire}
+	o.Register(v.operators)
+	o.RegisterPeers(v.peers)
+}
+
+// Run claims the request where that is needed and forwards it.
+func (v *VM) Run(ctx context.Context, q *threquest.Request) (*threquest.Answer, error) {
+	return v.claims.Run(ctx, q, v.balance.Forward)
+}
+
+func (v *VM) serve() {
+	v.peers.Start(v.listeners.peers)
+	v.operators.Start(v.listeners.operators)
+	v.agreement.Start(v.pool)
+	v.limiter.Start(v.pool)
+	v.balance.Start(v.pool)
+	v.claims.Start(v.pool)
+	v.sender.Start(v.pool)
+	go func() { _ = v.callers.Serve(v.listeners.callers) }()
+}
+
+// Stop drains the VM: readiness goes first, requests in flight are finished,
+// what it holds is handed over, and then it leaves the roster.
+func (v *VM) Stop(ctx context.Context) error {
+	if v.stopping.Swap(true) {
+		return nil
+	}
+	v.log.Log(thevent.ProcessDraining)
+	v.callers.Drain()
+	v.pause(ctx)
+	limit, cancel := context.WithTimeout(ctx, v.settings.Drain.Limit())
+	defer cancel()
+	err := v.callers.Shutdown(limit)
+	_ = v.claims.Leave(limit)
+	_ = v.limiter.Leave(limit)
+	_ = v.agreement.Leave(limit)
+	_ = v.operators.Shutdown()
+	_ = v.peers.Shutdown()
+	v.pool.Close()
+	v.sender.Close()
+	v.log.Log(thevent.ProcessStopped)
+	return err
+}
+
+func (v *VM) pause(ctx context.Context) {
+	t := time.NewTimer(v.settings.Drain.Notice())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
