thclaim: decide claims in a pure machine

Cause: the order of write, read back and send stood in the talking code, where lost, delayed and repeated writes could not be driven through it. Change: thclaim.Machine and thclaim.Held decide; thclaims does what they say. Context deadlines give answerLate, and a context that ends on a silent connection closes the idle ones.

--- a/io/thclaims/claims.go
+++ b/io/thclaims/claims.go
@@ -21,10 +21,6 @@
 )
 
 const (
-	// claimWait bounds the time spent on getting a claim written.
-	claimWait = 2 * time.Second
-	// claimShare is the part of the request's time that claiming may take.
-	claimShare = 2
 	// storePause is the time between two tries at a store that fails.
 	storePause = 50 * time.Millisecond
 	// releaseWait is how long a refusal is held back until its claim is released.
@@ -63,10 +59,11 @@
 	return c
 }
 
-// Start adds the controller that finishes claims which the store did not take
-// at once.
+// Start adds the controllers that finish claims which the store did not take
+// at once, and delete those that have expired.
 func (c *Claims) Start(p *thpool.Pool) {
 	p.Every(finishInterval, nil, func(context.Context) { c.finisher.retry() })
+	p.Every(sweepInterval, nil, c.sweep)
 }
 
 // Leave records what is pending. It fails if the context ends first.
@@ -89,29 +86,23 @@
 	if q.IdempotencyKey == "" || q.RepeatSafe() {
 		return next(ctx, q)
 	}
-	h := held{key: thclaim.Key(q.Customer.Name, q.IdempotencyKey), claim: c.newClaim(q)}
-	answer, err := c.claim(ctx, q, &h)
-	if answer != nil || err != nil {
-		return answer, err
-	}
-	return c.run(ctx, q, h, next)
-}
-
-// held is a claim that this VM holds at a version of its row.
-type held struct {
-	key     string
-	claim   thclaim.Claim
-	version uint64
-}
-
-func (c *Claims) newClaim(q *threquest.Request) thclaim.Claim {
-	return thclaim.Claim{
-		Digest:    thclaim.Digest(q),
-		Token:     newToken(),
-		Owner:     c.options.Self.ID,
-		State:     thclaim.Claimed,
-		SendUntil: q.Deadline.Wall,
-		Expires:   q.Deadline.Wall + thclaim.Retention,
+	m, action := thclaim.Begin(q, c.options.Self.ID, newToken(), c.options.Clock.Now())
+	for {
+		switch a := action.(type) {
+		case thclaim.Write:
+			err := c.writer.write(m.Key(), a.Version, a.Claim.Encode())
+			m, action = m.Wrote(c.options.Clock.Now(), err)
+		case thclaim.Read:
+			r, err := c.read(ctx, m.Key(), a.Pause)
+			m, action = m.Found(c.options.Clock.Now(), r, err)
+		case thclaim.Send:
+			return c.run(ctx, q, a, next)
+		case thclaim.Reply:
+			return c.recorded(ctx, a.Answer)
+		case thclaim.Refuse:
+			c.undo(a.Undo)
+			return nil, a.Err
+		}
 	}
 }
 
@@ -121,79 +112,42 @@
 	return hex.EncodeToString(b[:])
 }
 
-// claim writes the claim and sets the version that it stands at, or returns
-// the recorded answer or the refusal.
-func (c *Claims) claim(ctx context.Context, q *threquest.Request, h *held) (*threquest.Answer, error) {
-	value := h.claim.Encode()
-	began := c.options.Clock.Now()
-	until := began.Add(min(claimWait, q.Deadline.Sub(began)/claimShare))
-	doubtful := false
-	for version := uint64(0); ; {
-		err := c.writer.write(h.key, version, value)
-		if err == nil {
-			h.version = version + 1
-			return nil, nil
-		}
-		doubtful = doubtful || therror.Is(err, therror.StoreOutcomeUnknown)
-		verdict, err := c.look(ctx, h)
-		if err == nil {
-			switch v := verdict.(type) {
-			case thclaim.Own:
-				h.version = v.Version
-				return nil, nil
-			case thclaim.Answered:
-				return c.recorded(ctx, v.Answer)
-			case thclaim.Refused:
-				return nil, v.Err
-			case thclaim.Free:
-				version = v.Version
-			}
-		}
-		if c.options.Clock.Now().Passed(until) || !sleep(ctx, storePause) {
-			if doubtful {
-				c.finisher.add(*h, thclaim.Released)
-			}
-			return nil, therror.New(therror.ClaimUnavailable, "the store did not take the claim")
-		}
+// read reads a claim's row, after a pause if the store has just failed.
+func (c *Claims) read(ctx context.Context, key string, pause bool) (thstore.Row, error) {
+	if pause {
+		sleep(ctx, storePause)
 	}
-}
-
-// look reads the row and judges it.
-func (c *Claims) look(ctx context.Context, h *held) (thclaim.Verdict, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
 	defer cancel()
-	r, err := c.options.Platform.ReadRow(ctx, h.key)
-	if err != nil {
-		return nil, err
-	}
-	found, err := thclaim.Decode(r)
-	if err != nil {
-		return nil, err
-	}
-	return thclaim.Judge(h.claim, found, r.Version, c.options.Clock.Now()), nil
+	return c.options.Platform.ReadRow(ctx, key)
 }
 
 // run sends the claimed request. It goes on when the caller goes away, so that
 // the answer can be recorded for the resend that is to be expected.
-func (c *Claims) run(ctx context.Context, q *threquest.Request, h held, next Next) (*threquest.Answer, error) {
-	now := c.options.Clock.Now()
-	if now.Passed(q.Deadline) {
-		c.finish(h, thclaim.Released, nil)
-		return nil, therror.New(therror.QueueTimeout, "no time is left to send the request")
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), q.Deadline.Sub(now))
+func (c *Claims) run(ctx context.Context, q *threquest.Request, s thclaim.Send, next Next) (*threquest.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Until.Sub(c.options.Clock.Now()))
 	defer cancel()
 	answer, err := next(ctx, q)
-	c.finish(h, thclaim.Outcome(err), answer)
+	c.finish(s.Held.Ended(c.record(s.Held, answer), err))
 	return answer, err
 }
 
+// undo releases a claim that will not be used.
+func (c *Claims) undo(h *thclaim.Held) {
+	switch {
+	case h == nil:
+	case h.Version == 0:
+		c.finisher.keep(*h)
+	default:
+		c.finish(*h)
+	}
+}
+
 // finish records what became of the request. Only a release is waited for,
 // so that a resend after the refusal finds the key free.
-func (c *Claims) finish(h held, s thclaim.State, answer *threquest.Answer) {
-	h.claim = h.claim.WithState(s, c.record(h, answer))
+func (c *Claims) finish(h thclaim.Held) {
 	done := c.finisher.start(h)
-	if s != thclaim.Released {
+	if h.Claim.State != thclaim.Released {
 		return
 	}
 	t := time.NewTimer(releaseWait)
@@ -204,7 +158,7 @@
 	}
 }
 
-func (c *Claims) record(h held, a *threquest.Answer) *thclaim.Answer {
+func (c *Claims) record(h thclaim.Held, a *threquest.Answer) *thclaim.Answer {
 	if a == nil {
 		return nil
 	}
@@ -213,7 +167,7 @@
 	case len(a.Body) <= maxRowBody:
 		r.Body = a.Body
 	case len(a.Body) <= maxObjectBody:
-		r.Object = objectPrefix + h.key + "/" + h.claim.Token
+		r.Object = objectPrefix + h.Key + "/" + h.Claim.Token
 		r.Body = a.Body
 	default:
 		r.Dropped = true
--- a/io/thclaims/finisher.go
+++ b/io/thclaims/finisher.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"tamarackhollow/core/thclaim"
-	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thstore"
 )
 
 const (
@@ -23,12 +23,12 @@
 	claims  *Claims
 	mu      sync.Mutex
 	running int
-	waiting []held
+	waiting []thclaim.Held
 }
 
 // start writes the claim's end in the background and returns a channel that is
 // closed after the first try.
-func (f *finisher) start(h held) <-chan struct{} {
+func (f *finisher) start(h thclaim.Held) <-chan struct{} {
 	done := make(chan struct{})
 	f.mu.Lock()
 	f.running++
@@ -46,21 +46,15 @@
 	return done
 }
 
-// add keeps a claim that may or may not have been written, to give it the state.
-func (f *finisher) add(h held, s thclaim.State) {
-	h.version = 0
-	h.claim = h.claim.WithState(s, nil)
-	f.keep(h)
-}
-
-func (f *finisher) keep(h held) {
+// keep keeps a claim to write its end later.
+func (f *finisher) keep(h thclaim.Held) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.waiting) < maxPending {
 		f.waiting = append(f.waiting, h)
 		return
 	}
-	f.claims.options.Log.Log(thevent.ClaimUnresolved, thevent.F("claim", h.key))
+	f.claims.options.Log.Log(thevent.ClaimUnresolved, thevent.F("claim", h.Key))
 }
 
 func (f *finisher) pending() int {
@@ -88,41 +82,32 @@
 }
 
 // write reports whether nothing is left to be written.
-func (f *finisher) write(h held) bool {
-	if h.version == 0 && !f.find(&h) {
-		return false
-	}
-	if h.version == 0 {
-		return true
+func (f *finisher) write(h thclaim.Held) bool {
+	if h.Version == 0 {
+		r, err := f.read(h.Key)
+		if err != nil {
+			return false
+		}
+		var left bool
+		if h, left = h.Found(r); !left {
+			return true
+		}
 	}
 	if !f.putObject(&h) {
 		return false
 	}
-	err := f.claims.writer.write(h.key, h.version, h.claim.Encode())
-	// Nobody but the owner writes over a claim, so a conflict means that an
-	// earlier try, whose answer was lost, took effect.
-	return err == nil || therror.Is(err, therror.ChangeConflict)
+	return h.Recorded(f.claims.writer.write(h.Key, h.Version, h.Claim.Encode()))
 }
 
-// find looks for a claim that may have been written. It reports false if the
-// store could not be asked.
-func (f *finisher) find(h *held) bool {
+func (f *finisher) read(key string) (thstore.Row, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	r, err := f.claims.options.Platform.ReadRow(ctx, h.key)
-	if err != nil {
-		return false
-	}
-	found, err := thclaim.Decode(r)
-	if err == nil && found.Token == h.claim.Token && found.State == thclaim.Claimed {
-		h.version = r.Version
-	}
-	return true
+	return f.claims.options.Platform.ReadRow(ctx, key)
 }
 
 // putObject stores a body that is too large for the row.
-func (f *finisher) putObject(h *held) bool {
-	a := h.claim.Answer
+func (f *finisher) putObject(h *thclaim.Held) bool {
+	a := h.Claim.Answer
 	if a == nil || a.Object == "" {
 		return true
 	}
@@ -133,6 +118,6 @@
 	}
 	inRow := *a
 	inRow.Body = nil
-	h.claim = h.claim.WithState(h.claim.State, &inRow)
+	h.Claim = h.Claim.WithState(h.Claim.State, &inRow)
 	return true
 }
--- a/io/thtarget/break_test.go
+++ b/io/thtarget/break_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -219,4 +218,14 @@
 	assert.Assert(t, len(wrong) > 0)
 }
 
-var _ net.Conn = (*peer)(nil)
+func TestContextDeadlineIsAnswerLate(t *testing.T) {
+	s := newScripted(t, func(_ *scripted, p *peer) {
+		_, _ = p.request()
+		p.untilClosed()
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), shortWait)
+	defer cancel()
+	a := newClient().Send(ctx, s.address(), newRequest("r1", "POST", patience))
+	assert.Equal(t, therror.KindOf(a.Err), therror.AnswerLate)
+	assert.Assert(t, a.Sent)
+}
--- a/io/thtarget/client.go
+++ b/io/thtarget/client.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -164,7 +165,7 @@
 		return newConnection(nc), nil
 	}
 	p.forget()
-	if ctx.Err() != nil {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return nil, therror.Wrap(therror.QueueTimeout, err, "the request was given up before it was sent")
 	}
 	return nil, therror.Wrap(therror.ConnectFailed, err, "no connection to the target")
--- a/io/thtarget/exchange.go
+++ b/io/thtarget/exchange.go
@@ -70,7 +70,7 @@
 // reused and took no byte.
 func (c *Client) exchange(ctx context.Context, p *pool, n *connection, a *threquest.Attempt, q *threquest.Request) bool {
 	now := c.options.Clock.Now()
-	left := rest(now, q.Deadline)
+	left := timeLeft(ctx, rest(now, q.Deadline))
 	if left <= 0 {
 		p.discard(n)
 		a.Err = therror.New(therror.QueueTimeout, "no time is left to send the request")
@@ -95,6 +95,9 @@
 	if !a.Sent && a.Reused && ctx.Err() == nil {
 		return true
 	}
+	if a.Reused && n.got == 0 && timedOut(ctx, n, err) {
+		p.suspect()
+	}
 	a.Err = c.failure(ctx, n, a, q, err)
 	return false
 }
@@ -119,12 +122,9 @@
 	}
 	silent := a.Reused && q.RepeatSafe() && !early
 	if silent {
-		wait := min(p.silence(), left/silenceShare)
+		wait := min(p.silence(), left, rest(c.options.Clock.Now(), q.Deadline)/silenceShare)
 		_ = n.SetReadDeadline(time.Now().Add(wait))
-		if _, err := b.reader.Peek(1); err != nil && n.got == 0 {
-			if isTimeout(err) {
-				p.suspect()
-			}
+		if _, err := b.reader.Peek(1); err != nil {
 			return nil, false, err
 		}
 		_ = n.SetReadDeadline(time.Now().Add(left))
@@ -132,9 +132,6 @@
 	r := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(r)
 	if err := readAnswer(b.reader, r, q, c.options.MaxAnswerBytes); err != nil {
-		if n.got == 0 && a.Reused && isTimeout(n.readErr) {
-			p.suspect()
-		}
 		return nil, false, err
 	}
 	answer := &threquest.Answer{Status: r.StatusCode(), Body: takeBody(r), Target: a.Target, Attempts: 1}
@@ -227,6 +224,20 @@
 	return r.SwapBody(nil)
 }
 
+// timeLeft bounds the time left by the context's deadline.
+func timeLeft(ctx context.Context, left time.Duration) time.Duration {
+	if d, ok := ctx.Deadline(); ok {
+		return min(left, time.Until(d))
+	}
+	return left
+}
+
+// timedOut reports whether time ended the exchange, by the connection's
+// deadline or by the context's.
+func timedOut(ctx context.Context, n *connection, err error) bool {
+	return isTimeout(err) || isTimeout(n.readErr) || errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
 func isTimeout(err error) bool {
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout() || errors.Is(err, fasthttp.ErrTimeout)
@@ -239,11 +250,11 @@
 		return therror.Wrap(therror.QueueTimeout, err, "the request was given up before it was sent")
 	case !a.Sent:
 		return therror.Wrap(therror.ConnectFailed, err, "the connection took no byte")
-	case ctx.Err() != nil && c.options.Clock.Now().Before(q.Deadline):
+	case errors.Is(ctx.Err(), context.Canceled):
 		return therror.Wrap(therror.CallerGone, err, "the request was cancelled after it was sent")
-	case n.got == 0 && isTimeout(n.readErr) && a.Reused && c.options.Clock.Now().Before(q.Deadline):
+	case n.got == 0 && a.Reused && isTimeout(n.readErr) && timeLeft(ctx, rest(c.options.Clock.Now(), q.Deadline)) > 0:
 		return therror.Wrap(therror.AnswerLost, err, "a reused connection gave nothing")
-	case isTimeout(err) || isTimeout(n.readErr) || ctx.Err() != nil:
+	case timedOut(ctx, n, err):
 		return therror.Wrap(therror.AnswerLate, err, "the answer did not come in time")
 	case n.got == 0:
 		return therror.Wrap(therror.AnswerLost, err, "the connection ended before the answer")
