thquarantine, thquarantines: stop requests that kill their targets

Cause: a request that crashes each target that runs it is sent again by its caller and takes one target after another. Change: deaths are merged over all VMs; three that the target's refusal of connections confirms, or cuts at six targets, hold a request back; any whole answer clears it. A silent connection is answerLate, so that answerLost always means a connection that ended.

--- /dev/null
+++ b/core/thquarantine/key.go
@@ -0,0 +1,33 @@
+// Package thquarantine decides which requests crash the targets that run them,
+// and are therefore refused. What one VM saw is merged with what others saw;
+// the merge gives the same result in any order.
+package thquarantine
+
+import (
+	"encoding/binary"
+
+	"tamarackhollow/core/threquest"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key is the digest by which a request is known again. The hash is no secret
+// and may collide, but never across customers.
+type Key struct {
+	Customer string `json:"customer"`
+	Hash     uint64 `json:"hash"`
+}
+
+// KeyOf returns the key of a request's method, URI and body.
+func KeyOf(q *threquest.Request) Key {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range [...]string{q.Service.Name, q.Method, q.URI} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(s)))
+		_, _ = d.Write(size[:])
+		_, _ = d.WriteString(s)
+	}
+	_, _ = d.Write(q.Body)
+	return Key{Customer: q.Customer.Name, Hash: d.Sum64()}
+}
--- /dev/null
+++ b/core/thquarantine/suspect.go
@@ -0,0 +1,135 @@
+package thquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// sameDeath is the time within which two deaths of a target are one.
+	sameDeath = 2 * time.Second
+	// confirmWithin is how soon after a cut a target has to refuse connections
+	// for the cut to have been its death.
+	confirmWithin = 3 * time.Second
+	// hold is how long the first quarantine lasts after the last death; it
+	// doubles with each further death up to maxHold.
+	hold    = 10 * time.Minute
+	maxHold = 4 * time.Hour
+	// memory is how long a death is remembered.
+	memory    = 24 * time.Hour
+	maxDeaths = 8
+
+	// A cut connection alone may be the network's doing, so it counts less
+	// than a death that the target's refusal of connections confirms.
+	weightCut   = 1
+	weightDeath = 2
+	enough      = 6
+)
+
+// Death is one end of a target while it ran a request.
+type Death struct {
+	Target string `json:"target"`
+	// At is the wall reading.
+	At time.Duration `json:"atWall"`
+	// Confirmed is set if the target refused connections right after.
+	Confirmed bool `json:"confirmed,omitempty"`
+}
+
+// Suspect is what is known of one request that coincided with deaths. It is
+// immutable. The zero Suspect is of no deaths.
+type Suspect struct {
+	Key Key `json:"key"`
+	// Deaths are ordered by time.
+	Deaths []Death `json:"deaths"`
+	// ClearedAt is when a target last answered the request whole.
+	ClearedAt time.Duration `json:"clearedAtWall,omitempty"`
+}
+
+// WithDeath returns the suspect with the death added, or joined to the same
+// death as another saw it.
+func (s Suspect) WithDeath(d Death) Suspect {
+	ds := slices.Clone(s.Deaths)
+	for i, o := range ds {
+		if o.Target == d.Target && (o.At-d.At).Abs() < sameDeath {
+			ds[i].At = min(o.At, d.At)
+			ds[i].Confirmed = o.Confirmed || d.Confirmed
+			s.Deaths = ds
+			return s
+		}
+	}
+	ds = append(ds, d)
+	slices.SortFunc(ds, func(a, b Death) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Target, b.Target)) })
+	s.Deaths = ds[max(0, len(ds)-maxDeaths):]
+	return s
+}
+
+// WithAnswer returns the suspect cleared of the deaths until then.
+func (s Suspect) WithAnswer(at time.Duration) Suspect {
+	s.ClearedAt = max(s.ClearedAt, at)
+	return s
+}
+
+// WithRefusal returns the suspect after the target refused a connection.
+func (s Suspect) WithRefusal(target string, at time.Duration) Suspect {
+	for i, d := range s.Deaths {
+		if d.Target == target && !d.Confirmed && at >= d.At && at-d.At < confirmWithin {
+			s.Deaths = slices.Clone(s.Deaths)
+			s.Deaths[i].Confirmed = true
+		}
+	}
+	return s
+}
+
+// WithSuspect returns the suspect merged with what another VM knows.
+func (s Suspect) WithSuspect(o Suspect) Suspect {
+	for _, d := range o.Deaths {
+		s = s.WithDeath(d)
+	}
+	return s.WithAnswer(o.ClearedAt)
+}
+
+// counted returns the deaths that still count.
+func (s Suspect) counted() []Death {
+	i := slices.IndexFunc(s.Deaths, func(d Death) bool { return d.At > s.ClearedAt })
+	if i < 0 {
+		return nil
+	}
+	return s.Deaths[i:]
+}
+
+// weight sums up the deaths that count. Unconfirmed cuts at the same target
+// are one.
+func (s Suspect) weight() int {
+	sum := 0
+	var cut []string
+	for _, d := range s.counted() {
+		switch {
+		case d.Confirmed:
+			sum += weightDeath
+		case !slices.Contains(cut, d.Target):
+			sum += weightCut
+			cut = append(cut, d.Target)
+		}
+	}
+	return sum
+}
+
+// HeldUntil returns when the request may be tried again, by the wall clock;
+// zero if it is not quarantined.
+func (s Suspect) HeldUntil() time.Duration {
+	over := s.weight() - enough
+	if over < 0 {
+		return 0
+	}
+	last := s.Deaths[len(s.Deaths)-1].At
+	return last + min(maxHold, hold<<(over/weightDeath))
+}
+
+// Expires returns when the suspect can be forgotten.
+func (s Suspect) Expires() time.Duration {
+	if len(s.counted()) == 0 {
+		return 0
+	}
+	return max(s.HeldUntil(), s.Deaths[len(s.Deaths)-1].At+memory)
+}
--- /dev/null
+++ b/core/thquarantine/table.go
@@ -0,0 +1,173 @@
+package thquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tamarackhollow/core/thclock"
+)
+
+const (
+	// maxSuspects bounds the table, and maxOfCustomer one customer's part of it.
+	maxSuspects   = 512
+	maxOfCustomer = 64
+	// clearedMemory is how long an answer is remembered, so that it clears the
+	// request at the other VMs as well.
+	clearedMemory = time.Minute
+)
+
+// Table holds the suspects. The zero Table is empty. It is not safe for
+// concurrent use.
+type Table struct {
+	suspects map[Key]Suspect
+}
+
+// Len returns the number of suspects.
+func (t *Table) Len() int { return len(t.suspects) }
+
+// Cut takes in that the connection to the target ended while it ran the request.
+func (t *Table) Cut(now thclock.Instant, k Key, target string) {
+	t.set(now, t.get(k).WithDeath(Death{Target: target, At: now.Wall}))
+}
+
+// Refused takes in that the target refuses connections, and reports whether
+// that confirmed a death.
+func (t *Table) Refused(now thclock.Instant, target string) bool {
+	confirmed := false
+	for _, s := range t.suspects {
+		n := s.WithRefusal(target, now.Wall)
+		if n.weight() != s.weight() {
+			confirmed = true
+			t.suspects[n.Key] = n
+		}
+	}
+	return confirmed
+}
+
+// Answered takes in that a target answered the request whole, and reports
+// whether it was suspected.
+func (t *Table) Answered(now thclock.Instant, k Key) bool {
+	s, ok := t.suspects[k]
+	if !ok {
+		return false
+	}
+	t.suspects[k] = s.WithAnswer(now.Wall)
+	return true
+}
+
+// Merge takes in what another VM knows. Its clock does not count for more than
+// this VM's: nothing that it saw lies in the future.
+func (t *Table) Merge(now thclock.Instant, others []Suspect) {
+	for _, o := range others {
+		o.ClearedAt = min(o.ClearedAt, now.Wall)
+		o.Deaths = slices.Clone(o.Deaths)
+		for i := range o.Deaths {
+			o.Deaths[i].At = min(o.Deaths[i].At, now.Wall)
+		}
+		t.set(now, t.get(o.Key).WithSuspect(o))
+	}
+}
+
+// Held reports whether the request is quarantined.
+func (t *Table) Held(now thclock.Instant, k Key) bool {
+	s, ok := t.suspects[k]
+	return ok && now.Wall < s.HeldUntil()
+}
+
+// Blamed reports whether a death of the target just now is put down to a
+// request, this one or another, and so does not count against the target.
+func (t *Table) Blamed(now thclock.Instant, target string) bool {
+	for _, s := range t.suspects {
+		if s.weight() <= weightDeath {
+			continue
+		}
+		if slices.ContainsFunc(s.counted(), func(d Death) bool {
+			return d.Target == target && (now.Wall-d.At).Abs() < confirmWithin
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
+// Suspects returns the suspects ordered by key.
+func (t *Table) Suspects() []Suspect {
+	ss := make([]Suspect, 0, len(t.suspects))
+	for _, s := range t.suspects {
+		ss = append(ss, s)
+	}
+	slices.SortFunc(ss, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(a.Key.Customer, b.Key.Customer), cmp.Compare(a.Key.Hash, b.Key.Hash))
+	})
+	return ss
+}
+
+// Sweep forgets what has expired.
+func (t *Table) Sweep(now thclock.Instant) {
+	for k, s := range t.suspects {
+		if t.expired(now, s) {
+			delete(t.suspects, k)
+		}
+	}
+}
+
+func (t *Table) expired(now thclock.Instant, s Suspect) bool {
+	return now.Wall >= s.Expires() && now.Wall >= s.ClearedAt+clearedMemory
+}
+
+func (t *Table) get(k Key) Suspect {
+	s, ok := t.suspects[k]
+	if !ok {
+		s.Key = k
+	}
+	return s
+}
+
+func (t *Table) set(now thclock.Instant, s Suspect) {
+	if t.expired(now, s) {
+		return
+	}
+	if t.suspects == nil {
+		t.suspects = make(map[Key]Suspect)
+	}
+	if _, known := t.suspects[s.Key]; !known {
+		t.makeRoom(s.Key.Customer)
+	}
+	t.suspects[s.Key] = s
+}
+
+// makeRoom drops the suspect that matters least, of the customer if it has its
+// full part.
+func (t *Table) makeRoom(customer string) {
+	mine := 0
+	for k := range t.suspects {
+		if k.Customer == customer {
+			mine++
+		}
+	}
+	if mine < maxOfCustomer && len(t.suspects) < maxSuspects {
+		return
+	}
+	var least Suspect
+	found := false
+	for _, s := range t.suspects {
+		if mine >= maxOfCustomer && s.Key.Customer != customer {
+			continue
+		}
+		if !found || compare(s, least) < 0 {
+			least, found = s, true
+		}
+	}
+	delete(t.suspects, least.Key)
+}
+
+// compare orders suspects by how much they matter.
+func compare(a, b Suspect) int {
+	return cmp.Or(
+		cmp.Compare(a.weight(), b.weight()),
+		cmp.Compare(a.Expires(), b.Expires()),
+		cmp.Compare(a.Key.Customer, b.Key.Customer),
+		cmp.Compare(a.Key.Hash, b.Key.Hash),
+	)
+}
--- /dev/null
+++ b/core/thquarantine/table_test.go
@@ -0,0 +1,121 @@
+package thquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thconfig"
+	"tamarackhollow/core/thquarantine"
+	"tamarackhollow/core/threquest"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func key(customer string, n int) thquarantine.Key {
+	return thquarantine.KeyOf(&threquest.Request{
+		Customer: thconfig.Customer{Name: customer}, Method: "POST", URI: "/proofs", Body: fmt.Append(nil, n),
+	})
+}
+
+func at(d time.Duration) thclock.Instant { return thclock.At(1000*time.Hour + d) }
+
+// die has the target die of the request.
+func die(t *thquarantine.Table, when time.Duration, k thquarantine.Key, target string) {
+	t.Cut(at(when), k, target)
+	t.Refused(at(when+100*time.Millisecond), target)
+}
+
+func TestThreeDeathsAreEnough(t *testing.T) {
+	var b thquarantine.Table
+	k := key("guild", 1)
+	die(&b, 0, k, "a")
+	assert.Assert(t, !b.Held(at(time.Second), k))
+	assert.Assert(t, !b.Blamed(at(time.Second), "a"))
+	die(&b, 3*time.Second, k, "b")
+	assert.Assert(t, !b.Held(at(4*time.Second), k))
+	assert.Assert(t, b.Blamed(at(4*time.Second), "b"))
+	die(&b, 5*time.Second, k, "c")
+	assert.Assert(t, b.Held(at(6*time.Second), k))
+	assert.Assert(t, !b.Held(at(6*time.Second), key("guild", 2)))
+	assert.Assert(t, !b.Held(at(6*time.Second), key("other", 1)))
+	assert.Assert(t, b.Held(at(5*time.Second+10*time.Minute-1), k))
+	assert.Assert(t, !b.Held(at(5*time.Second+10*time.Minute), k))
+	die(&b, 11*time.Minute, k, "a")
+	assert.Assert(t, b.Held(at(30*time.Minute), k), "the hold does not grow")
+}
+
+func TestOneDeathSeenTwiceIsOne(t *testing.T) {
+	var b thquarantine.Table
+	k := key("guild", 1)
+	die(&b, 0, k, "a")
+	die(&b, time.Second, k, "a")
+	assert.Assert(t, !b.Held(at(2*time.Second), k))
+}
+
+func TestCutsAloneNeedSeveralTargets(t *testing.T) {
+	var b thquarantine.Table
+	k := key("guild", 1)
+	for i := range 6 {
+		b.Cut(at(time.Duration(i)*10*time.Second), k, "a")
+	}
+	assert.Assert(t, !b.Held(at(time.Minute), k))
+	for _, target := range []string{"b", "c", "d", "e", "f"} {
+		b.Cut(at(time.Minute), k, target)
+	}
+	assert.Assert(t, b.Held(at(time.Minute), k))
+}
+
+func TestAnAnswerClears(t *testing.T) {
+	var b thquarantine.Table
+	k := key("guild", 1)
+	die(&b, 0, k, "a")
+	assert.Assert(t, b.Answered(at(time.Second), k))
+	die(&b, 2*time.Second, k, "b")
+	die(&b, 5*time.Second, k, "c")
+	assert.Assert(t, !b.Held(at(6*time.Second), k))
+	assert.Assert(t, !b.Answered(at(0), key("guild", 2)))
+}
+
+func TestTableIsBounded(t *testing.T) {
+	var b thquarantine.Table
+	first := key("guild", -1)
+	die(&b, 0, first, "a")
+	die(&b, 3*time.Second, first, "b")
+	die(&b, 5*time.Second, first, "c")
+	for i := range 1500 {
+		b.Cut(at(6*time.Second), key(fmt.Sprint("customer", i%40), i), "a")
+	}
+	assert.Equal(t, b.Len(), 512)
+	assert.Assert(t, b.Held(at(6*time.Second), first), "one that weighs more was dropped")
+	b.Sweep(at(48 * time.Hour))
+	assert.Equal(t, b.Len(), 0)
+}
+
+func TestMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := key("guild", 1)
+		var tables [3]thquarantine.Table
+		for i := range rapid.IntRange(1, 6).Draw(t, "events") {
+			b := &tables[rapid.IntRange(0, 2).Draw(t, "vm")]
+			target := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "target")
+			when := time.Duration(i) * 5 * time.Second
+			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
+				b.Answered(at(when), k)
+				continue
+			}
+			die(b, when, k, target)
+		}
+		var forth, back thquarantine.Table
+		end := at(time.Minute)
+		for i := range tables {
+			forth.Merge(end, tables[i].Suspects())
+			back.Merge(end, tables[len(tables)-1-i].Suspects())
+			forth.Merge(end, tables[i].Suspects())
+		}
+		assert.DeepEqual(t, forth.Suspects(), back.Suspects())
+		assert.Equal(t, forth.Held(end, k), back.Held(end, k))
+	})
+}
--- a/io/thtarget/exchange.go
+++ b/io/thtarget/exchange.go
@@ -252,8 +252,6 @@
 		return therror.Wrap(therror.ConnectFailed, err, "the connection took no byte")
 	case errors.Is(ctx.Err(), context.Canceled):
 		return therror.Wrap(therror.CallerGone, err, "the request was cancelled after it was sent")
-	case n.got == 0 && a.Reused && isTimeout(n.readErr) && timeLeft(ctx, rest(c.options.Clock.Now(), q.Deadline)) > 0:
-		return therror.Wrap(therror.AnswerLost, err, "a reused connection gave nothing")
 	case timedOut(ctx, n, err):
 		return therror.Wrap(therror.AnswerLate, err, "the answer did not come in time")
 	case n.got == 0:
