--- a/core/throster/accept.go
+++ b/core/throster/accept.go
@@ -63,14 +63,28 @@
 	n.settle()
 }
 
-// settle drops the rosters that no VM can count by any more.
+// settle looks whether the version in force is accepted by now.
 func (n *Node) settle() {
 	n.selfAcks()
-	if n.version == n.accepted || !n.majorities(n.version) {
+	if n.version > n.accepted && n.majorities(n.version) {
+		n.acceptedUpTo(n.version)
+	}
+}
+
+// acceptedUpTo drops the rosters that no VM can count by any more: those
+// before the last one that came no later than an accepted version.
+func (n *Node) acceptedUpTo(version uint64) {
+	if version <= n.accepted {
 		return
 	}
-	n.accepted = n.version
-	n.rosters = n.rosters[len(n.rosters)-1:]
+	n.accepted = version
+	last := 0
+	for i, r := range n.rosters {
+		if r.Version() <= version {
+			last = i
+		}
+	}
+	n.rosters = n.rosters[last:]
 }
 
 // Lacking returns the VMs of the roster not known to have the version.
--- a/core/throster/exchange.go
+++ b/core/throster/exchange.go
@@ -105,16 +105,18 @@
 	}
 	n.heardFrom(sent, a)
 	n.mergeSeats(sent, a)
+	n.acceptedUpTo(a.Accepted)
 	n.settle()
 	n.countMajority()
 	return true
 }
 
 // HeadRead takes in a read of the store's head that was sent at the given
-// moment. It reports false if the records up to the head have to come first,
-// or if the store offers an older version, which proves nothing.
-func (n *Node) HeadRead(sent thclock.Instant, head uint64) bool {
-	if head != n.version {
+// moment, when the node was at the given version. It reports false if the
+// records up to the head have to come first, or if the store offers an older
+// version than the node had, which proves nothing.
+func (n *Node) HeadRead(sent thclock.Instant, had, head uint64) bool {
+	if head < had || head > n.version {
 		return false
 	}
 	n.know(sent)
--- a/io/thagree/apply.go
+++ b/io/thagree/apply.go
@@ -104,26 +104,17 @@
 	if c.Version() != h.Version {
 		return 0, c.Version() < h.Version, therror.New(therror.StoreUnavailable, "the store offers version %d, this VM is at %d", h.Version, c.Version())
 	}
-	v, err := a.chain.versionOf(ctx, changeID)
+	earlier, err := a.chain.recordOf(ctx, changeID)
 	if err != nil {
 		return 0, false, err
 	}
-	if v > 0 {
-		return v, false, a.sameChange(ctx, v, changeID, w)
-	}
-	if precondition != 0 && c.Changed() != precondition {
-		return 0, false, therror.New(therror.ChangeConflict, "version %d has been applied since version %d", c.Changed(), precondition)
-	}
 	change, wanted := w(c)
 	if !wanted {
 		return 0, false, nil
 	}
-	if err := c.Check(change); err != nil {
-		return 0, false, err
-	}
-	r, err := thconfig.NextRecord(c, changeID, change)
-	if err != nil {
-		return 0, false, err
+	r, isNew, err := thconfig.Proposal{ID: changeID, Precondition: precondition, Change: change}.Next(c, earlier)
+	if err != nil || !isNew {
+		return r.Version, false, err
 	}
 	if err := a.chain.append(ctx, h, r); err != nil {
 		return 0, therror.Is(err, therror.ChangeConflict) || therror.Is(err, therror.StoreOutcomeUnknown), err
@@ -133,20 +124,6 @@
 	return r.Version, false, a.takeRecords([]thconfig.Record{r})
 }
 
-// sameChange fails with ChangeConflict if the change id was used for another
-// change.
-func (a *Agreement) sameChange(ctx context.Context, version uint64, changeID string, w wish) error {
-	r, err := a.chain.record(ctx, version)
-	if err != nil {
-		return err
-	}
-	change, wanted := w(a.Config())
-	if wanted && !thconfig.SameChange(r.Change, change) {
-		return therror.New(therror.ChangeConflict, "change id %s was used for another change, version %d", changeID, version)
-	}
-	return nil
-}
-
 // spread brings the changes up to the version to all VMs and waits until a
 // majority has them, or the time is out.
 func (a *Agreement) spread(ctx context.Context, version uint64) error {
--- a/io/thagree/follow.go
+++ b/io/thagree/follow.go
@@ -30,7 +30,7 @@
 func (a *Agreement) follow(ctx context.Context) (head, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	sent := a.clock.Now()
+	sent, had := a.clock.Now(), a.Config().Version()
 	h, err := a.chain.head(ctx)
 	if err != nil {
 		return h, err
@@ -40,7 +40,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.node.HeadRead(sent, h.Version) {
+	if !a.node.HeadRead(sent, had, h.Version) {
 		a.log.Log(thevent.ConfigOlderIgnored, thevent.F("version", a.records.Version()), thevent.F("offered", h.Version))
 		return h, nil
 	}
--- a/io/thagree/store.go
+++ b/io/thagree/store.go
@@ -55,20 +55,19 @@
 	return h, err
 }
 
-// versionOf returns the version that the change id became, or 0.
-func (c chain) versionOf(ctx context.Context, changeID string) (uint64, error) {
-	var r idRow
-	_, err := readRow(ctx, c.platform, prefixID+changeID, &r)
-	return r.Version, err
-}
-
-func (c chain) record(ctx context.Context, version uint64) (thconfig.Record, error) {
+// recordOf returns the record that the change id became, or nil.
+func (c chain) recordOf(ctx context.Context, changeID string) (*thconfig.Record, error) {
+	var id idRow
+	row, err := readRow(ctx, c.platform, prefixID+changeID, &id)
+	if err != nil || row == 0 {
+		return nil, err
+	}
 	var r thconfig.Record
-	row, err := readRow(ctx, c.platform, changeKey(version), &r)
+	row, err = readRow(ctx, c.platform, changeKey(id.Version), &r)
 	if err == nil && row == 0 {
-		err = therror.New(therror.NotFound, "no stored change %d", version)
+		err = therror.New(therror.StoreUnavailable, "the store lacks change %d", id.Version)
 	}
-	return r, err
+	return &r, err
 }
 
 // records returns some of the changes after the version, in order.
