--- a/e2e/rig_test.go
+++ b/e2e/rig_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -48,7 +49,7 @@
 		os.Exit(1)
 	}
 	command = filepath.Join(dir, "tamarackhollow")
-	build := exec.Command("go", "build", "-race", "-o", command, "../cmd/tamarackhollow")
+	build := exec.Command("go", buildArguments()...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
 		os.Exit(1)
@@ -58,16 +59,28 @@
 	os.Exit(code)
 }
 
+// buildArguments builds with the race detector, but for benchmarks.
+func buildArguments() []string {
+	flag.Parse()
+	arguments := []string{"build", "-o", command}
+	if flag.Lookup("test.bench").Value.String() == "" {
+		arguments = append(arguments, "-race")
+	}
+	return append(arguments, "../cmd/tamarackhollow")
+}
+
 // rig is a small fleet of processes with its stand-ins.
 type rig struct {
-	t *testing.T
+	t testing.TB
 	// number gives the rig IP addresses of its own.
 	number   int64
 	dir      string
 	platform *thstand.Platform
 	address  string
 	targets  []*thstand.Target
-	vms      []*vm
+	// targetLinks lead to the targets in a linked rig.
+	targetLinks []*thstand.Link
+	vms         []*vm
 }
 
 // vm is one serve process. Its peers reach it through a link.
@@ -108,9 +121,11 @@
 
 // newRig starts the platform, the targets and the VMs, and waits until the
 // VMs know each other.
-func newRig(t *testing.T, vms, targets int) *rig {
+func newRig(t testing.TB, vms, targets int) *rig {
 	t.Helper()
-	t.Parallel()
+	if p, ok := t.(*testing.T); ok {
+		p.Parallel()
+	}
 	r := &rig{t: t, number: rigs.Add(1), dir: t.TempDir(), platform: &thstand.Platform{}}
 	l := listen(t, "127.0.0.1")
 	r.address = l.Addr().String()
@@ -131,7 +146,27 @@
 	return r
 }
 
-func listen(t *testing.T, ip string) net.Listener {
+// newLinkedRig is newRig with a link in front of each target.
+func newLinkedRig(t testing.TB, vms, targets int) *rig {
+	t.Helper()
+	r := newRig(t, vms, targets)
+	for _, target := range r.targets {
+		l := thstand.NewLink(listen(t, "127.0.0.1"), target.Address())
+		r.targetLinks = append(r.targetLinks, l)
+		t.Cleanup(l.Close)
+	}
+	return r
+}
+
+// targetAddress is where the VMs reach a target.
+func (r *rig) targetAddress(i int) string {
+	if i < len(r.targetLinks) {
+		return r.targetLinks[i].Address()
+	}
+	return r.targets[i].Address()
+}
+
+func listen(t testing.TB, ip string) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", ip+":0")
 	assert.NilError(t, err)
@@ -139,7 +174,7 @@
 }
 
 // reserve returns an address that was free a moment ago.
-func reserve(t *testing.T, ip string) string {
+func reserve(t testing.TB, ip string) string {
 	t.Helper()
 	l := listen(t, ip)
 	defer func() { _ = l.Close() }()
@@ -301,8 +336,8 @@
 // deployment is one service on all the rig's targets, with an open route.
 func (r *rig) deployment() thconfig.Deployment {
 	s := thconfig.Service{Name: "inventory", Slots: 16, Connections: 300, Floor: 0.5, TimeoutMillis: 3000}
-	for i, t := range r.targets {
-		s.Targets = append(s.Targets, thconfig.Target{Address: t.Address(), Zone: string(rune('a' + i%3))})
+	for i := range r.targets {
+		s.Targets = append(s.Targets, thconfig.Target{Address: r.targetAddress(i), Zone: string(rune('a' + i%3))})
 	}
 	return thconfig.Deployment{
 		Name:     "cordial",
--- a/io/thvm/vm.go
+++ b/io/thvm/vm.go
@@ -23,6 +23,7 @@
 	"tamarackhollow/io/thoperator"
 	"tamarackhollow/io/thplatform"
 	"tamarackhollow/io/thpool"
+	"tamarackhollow/io/thquarantines"
 	"tamarackhollow/io/thtarget"
 	"tamarackhollow/io/thwire"
 )
@@ -46,6 +47,7 @@
 	limiter   *thgrant.Limiter
 	balance   *thbalance.Forwarder
 	sender    *thtarget.Client
+	guard     *thquarantines.Guard
 	claims    *thclaims.Claims
 	callers   *thcaller.Server
 	peers     *thwire.Server
@@ -114,8 +116,11 @@
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
 	v.sender = thtarget.New(thtarget.Options{LocalIP: t.LocalIP(), Clock: v.clock, Log: v.log, VMs: func() int { return v.agreement.Roster().Len() }})
+	v.guard = thquarantines.New(thquarantines.Options{
+		Sender: v.sender, Clock: v.clock, Log: v.log, Self: v.self, Client: wire, Roster: v.agreement.Roster,
+	})
 	v.balance = thbalance.New(thbalance.Options{
-		Self: v.self, Roster: v.agreement.Roster, Config: v.agreement.Config, Sender: v.sender,
+		Self: v.self, Roster: v.agreement.Roster, Config: v.agreement.Config, Sender: v.guard, Blame: v.guard,
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
 	v.claims = thclaims.New(thclaims.Options{Platform: v.platform, Clock: v.clock, Log: v.log, Self: v.self})
@@ -132,6 +137,7 @@
 	v.agreement.Register(v.peers)
 	v.limiter.Register(v.peers)
 	v.balance.Register(v.peers)
+	v.guard.Register(v.peers)
 	v.operators = &thwire.Server{Credential: v.settings.Operators.Credential, Log: v.log}
 	o := &thoperator.Server{Fleet: fleet{v}, Peers: wire}
 	o.Register(v.operators)
@@ -140,6 +146,9 @@
 
 // Run claims the request where that is needed and forwards it.
 func (v *VM) Run(ctx context.Context, q *threquest.Request) (*threquest.Answer, error) {
+	if err := v.guard.Check(q); err != nil {
+		return nil, err
+	}
 	return v.claims.Run(ctx, q, v.balance.Forward)
 }
 
@@ -151,6 +160,7 @@
 	v.balance.Start(v.pool)
 	v.claims.Start(v.pool)
 	v.sender.Start(v.pool)
+	v.guard.Start(v.pool)
 	go func() { _ = v.callers.Serve(v.listeners.callers) }()
 }
 
