--- a/e2e/path_bench_test.go
+++ b/e2e/path_bench_test.go
@@ -40,6 +40,7 @@
 }
 
 func report(b *testing.B, name string, direct, proxied *hdrhistogram.Histogram, quantile float64) {
+	b.Helper()
 	d, p := float64(direct.ValueAtQuantile(quantile)), float64(proxied.ValueAtQuantile(quantile))
 	b.ReportMetric(d, "us-direct-"+name)
 	b.ReportMetric(p-d, "us-added-"+name)
--- a/e2e/rig_test.go
+++ b/e2e/rig_test.go
@@ -121,20 +121,20 @@
 
 // newRig starts the platform, the targets and the VMs, and waits until the
 // VMs know each other.
-func newRig(t testing.TB, vms, targets int) *rig {
-	t.Helper()
-	if p, ok := t.(*testing.T); ok {
+func newRig(tb testing.TB, vms, targets int) *rig {
+	tb.Helper()
+	if p, ok := tb.(*testing.T); ok {
 		p.Parallel()
 	}
-	r := &rig{t: t, number: rigs.Add(1), dir: t.TempDir(), platform: &thstand.Platform{}}
-	l := listen(t, "127.0.0.1")
+	r := &rig{t: tb, number: rigs.Add(1), dir: tb.TempDir(), platform: &thstand.Platform{}}
+	l := listen(tb, "127.0.0.1")
 	r.address = l.Addr().String()
 	r.platform.Start(l, platformCredential)
-	t.Cleanup(r.platform.Close)
+	tb.Cleanup(r.platform.Close)
 	for i := range targets {
-		target := thstand.StartTarget(listen(t, "127.0.0.1"), thstand.TargetBehaviour{}, uint64(i+1))
+		target := thstand.StartTarget(listen(tb, "127.0.0.1"), thstand.TargetBehaviour{}, uint64(i+1))
 		r.targets = append(r.targets, target)
-		t.Cleanup(target.Close)
+		tb.Cleanup(target.Close)
 	}
 	for i := range vms {
 		r.addVM(i)
@@ -142,18 +142,18 @@
 	for _, v := range r.vms {
 		r.startVM(v)
 	}
-	t.Cleanup(r.close)
+	tb.Cleanup(r.close)
 	return r
 }
 
 // newLinkedRig is newRig with a link in front of each target.
-func newLinkedRig(t testing.TB, vms, targets int) *rig {
-	t.Helper()
-	r := newRig(t, vms, targets)
+func newLinkedRig(tb testing.TB, vms, targets int) *rig {
+	tb.Helper()
+	r := newRig(tb, vms, targets)
 	for _, target := range r.targets {
-		l := thstand.NewLink(listen(t, "127.0.0.1"), target.Address())
+		l := thstand.NewLink(listen(tb, "127.0.0.1"), target.Address())
 		r.targetLinks = append(r.targetLinks, l)
-		t.Cleanup(l.Close)
+		tb.Cleanup(l.Close)
 	}
 	return r
 }
@@ -166,17 +166,17 @@
 	return r.targets[i].Address()
 }
 
-func listen(t testing.TB, ip string) net.Listener {
-	t.Helper()
+func listen(tb testing.TB, ip string) net.Listener {
+	tb.Helper()
 	l, err := net.Listen("tcp", ip+":0")
-	assert.NilError(t, err)
+	assert.NilError(tb, err)
 	return l
 }
 
 // reserve returns an address that was free a moment ago.
-func reserve(t testing.TB, ip string) string {
-	t.Helper()
-	l := listen(t, ip)
+func reserve(tb testing.TB, ip string) string {
+	tb.Helper()
+	l := listen(tb, ip)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
