--- a/io/thtarget/break_test.go
+++ b/io/thtarget/break_test.go
@@ -214,10 +214,53 @@
 			wrong = append(wrong, fmt.Sprintf("%s: ran %d times", b.name, n))
 		}
 	}
-	t.Logf("%d wrong outcomes of %d:\n%s", len(wrong), len(breakPoints()), strings.Join(wrong, "\n"))
+	wrong = append(wrong, plainOnReused(t)...)
+	t.Logf("%d wrong outcomes of %d:\n%s", len(wrong), len(breakPoints())+1, strings.Join(wrong, "\n"))
 	assert.Assert(t, len(wrong) > 0)
 }
 
+// readAndClose answers the first request of each connection and closes after
+// it has read the second one.
+func readAndClose(_ *scripted, p *peer) {
+	if _, ok := p.request(); !ok {
+		return
+	}
+	p.say(okAnswer)
+	_, _ = p.request()
+}
+
+// plainOnReused sends an order on a connection that the target closes after
+// reading it.
+func plainOnReused(t *testing.T) []string {
+	t.Helper()
+	s := newScripted(t, readAndClose)
+	h := fasthttp.HostClient{Addr: s.address()}
+	for _, id := range []string{"r1", "r2"} {
+		var q fasthttp.Request
+		var r fasthttp.Response
+		q.SetRequestURI("http://" + s.address() + "/orders")
+		q.Header.SetMethod("POST")
+		q.Header.Set("Tamarack-Request-Id", id)
+		_ = h.Do(&q, &r)
+	}
+	if n := s.ran("r2"); n != 1 {
+		return []string{fmt.Sprintf("closed after a request on a reused connection: ran %d times", n)}
+	}
+	return nil
+}
+
+func TestReusedConnectionThatEndsIsNotRepeated(t *testing.T) {
+	s := newScripted(t, readAndClose)
+	c := newClient()
+	defer c.Close()
+	assert.NilError(t, send(c, s, newRequest("r1", "POST", patience)).Err)
+	a := send(c, s, newRequest("r2", "POST", patience))
+	assert.Equal(t, therror.KindOf(a.Err), therror.AnswerLost)
+	assert.Assert(t, a.Sent && a.Reused)
+	assert.Equal(t, s.ran("r2"), 1)
+	assert.Equal(t, s.connections(), 1)
+}
+
 func TestContextDeadlineIsAnswerLate(t *testing.T) {
 	s := newScripted(t, func(_ *scripted, p *peer) {
 		_, _ = p.request()
--- a/io/thtarget/connection.go
+++ b/io/thtarget/connection.go
@@ -4,10 +4,15 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"tamarackhollow/core/thclock"
 )
 
+// maxUnboundedWrite is the size of a request, in bytes, that the empty send
+// buffer of a connection takes at once, so that its write needs no deadline.
+const maxUnboundedWrite = 8 << 10
+
 // connection is one connection to a target. While it is idle it holds no buffers.
 type connection struct {
 	net.Conn
@@ -24,6 +29,10 @@
 	// peek asks the socket for a byte without waiting; it is made once.
 	peek  func(fd uintptr) bool
 	quiet bool
+	// extend is the read deadline from the first byte on, if it is a later one.
+	extend time.Time
+	// bounded is whether a write deadline is set.
+	bounded bool
 }
 
 func newConnection(nc net.Conn) *connection {
@@ -36,6 +45,23 @@
 	return n
 }
 
+// begin makes the connection ready for one exchange, which ends by the
+// deadline and whose answer begins by the other.
+func (n *connection) begin(firstByte, end time.Time, size int) {
+	n.written, n.got, n.readErr = 0, 0, nil
+	n.extend = time.Time{}
+	if firstByte.Before(end) {
+		n.extend = end
+	}
+	_ = n.SetReadDeadline(firstByte)
+	if size > maxUnboundedWrite {
+		_ = n.SetWriteDeadline(end)
+	} else if n.bounded {
+		_ = n.SetWriteDeadline(time.Time{})
+	}
+	n.bounded = size > maxUnboundedWrite
+}
+
 func (n *connection) close() { _ = n.Close() }
 
 // Write counts what the kernel took.
@@ -48,6 +74,10 @@
 // Read counts what came and keeps the network's own error, which the HTTP
 // library replaces by one of its own.
 func (n *connection) Read(b []byte) (int, error) {
+	if n.got > 0 && !n.extend.IsZero() {
+		_ = n.SetReadDeadline(n.extend)
+		n.extend = time.Time{}
+	}
 	r, err := n.Conn.Read(b)
 	n.got += r
 	if err != nil {
--- a/io/thtarget/exchange.go
+++ b/io/thtarget/exchange.go
@@ -77,8 +77,8 @@
 		return false
 	}
 	a.Reused = n.served > 0
-	n.written, n.got, n.readErr = 0, 0, nil
-	_ = n.SetDeadline(time.Now().Add(left))
+	wall := time.Now()
+	n.begin(wall.Add(firstByteWait(p, a, q, left, rest(now, q.Deadline))), wall.Add(left), requestSize(q))
 	stop := context.AfterFunc(ctx, n.end)
 	answer, keep, err := c.talk(p, n, a, q, left)
 	if !stop() {
@@ -120,15 +120,6 @@
 	if err != nil {
 		return nil, false, err
 	}
-	silent := a.Reused && q.RepeatSafe() && !early
-	if silent {
-		wait := min(p.silence(), left, rest(c.options.Clock.Now(), q.Deadline)/silenceShare)
-		_ = n.SetReadDeadline(time.Now().Add(wait))
-		if _, err := b.reader.Peek(1); err != nil {
-			return nil, false, err
-		}
-		_ = n.SetReadDeadline(time.Now().Add(left))
-	}
 	r := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(r)
 	if err := readAnswer(b.reader, r, q, c.options.MaxAnswerBytes); err != nil {
@@ -155,10 +146,30 @@
 	if n.written == 0 || isTimeout(err) {
 		return false, err
 	}
+	n.extend = time.Time{}
 	_ = n.SetReadDeadline(time.Now().Add(min(left, earlyAnswerWait)))
 	return true, nil
 }
 
+// firstByteWait returns how long the answer may take to begin. On a reused
+// connection, which may have gone silent, that is shorter if the request can
+// be repeated.
+func firstByteWait(p *pool, a *threquest.Attempt, q *threquest.Request, left, all time.Duration) time.Duration {
+	if !a.Reused || !q.RepeatSafe() {
+		return left
+	}
+	return min(p.silence(), left, all/silenceShare)
+}
+
+// requestSize returns about how many bytes the request takes.
+func requestSize(q *threquest.Request) int {
+	size := len(q.URI) + len(q.Body)
+	for _, h := range q.Headers {
+		size += len(h.Name) + len(h.Value)
+	}
+	return size
+}
+
 // readAnswer reads one final answer to its end and makes sure that it is the
 // request's own and that nothing follows it.
 func readAnswer(br *bufio.Reader, r *fasthttp.Response, q *threquest.Request, maxBytes int) error {
--- a/io/thtarget/headers.go
+++ b/io/thtarget/headers.go
@@ -109,7 +109,8 @@
 		}
 	}
 	h.Set(headerRequestID, q.ID)
-	h.Set(headerDeadline, strconv.FormatInt(max(1, millis), 10))
+	var digits [20]byte
+	h.SetBytesV(headerDeadline, strconv.AppendInt(digits[:0], max(1, millis), 10))
 	r.SetBodyRaw(q.Body)
 }
 
