thtarget: show what a plain client repeats

Cause: the comparison had no case of a request run twice. Conclusion: nothing on this path repeats by itself.

--- a/io/thtarget/break_test.go
+++ b/io/thtarget/break_test.go
@@ -214,8 +214,9 @@
 			wrong = append(wrong, fmt.Sprintf("%s: ran %d times", b.name, n))
 		}
 	}
-	wrong = append(wrong, plainOnReused(t)...)
-	t.Logf("%d wrong outcomes of %d:\n%s", len(wrong), len(breakPoints())+1, strings.Join(wrong, "\n"))
+	wrong = append(wrong, plainOnReused(t, "POST")...)
+	wrong = append(wrong, plainOnReused(t, "PUT")...)
+	t.Logf("%d wrong outcomes of %d:\n%s", len(wrong), len(breakPoints())+2, strings.Join(wrong, "\n"))
 	assert.Assert(t, len(wrong) > 0)
 }
 
@@ -231,7 +232,7 @@
 
 // plainOnReused sends an order on a connection that the target closes after
 // reading it.
-func plainOnReused(t *testing.T) []string {
+func plainOnReused(t *testing.T, method string) []string {
 	t.Helper()
 	s := newScripted(t, readAndClose)
 	h := fasthttp.HostClient{Addr: s.address()}
@@ -239,12 +240,12 @@
 		var q fasthttp.Request
 		var r fasthttp.Response
 		q.SetRequestURI("http://" + s.address() + "/orders")
-		q.Header.SetMethod("POST")
+		q.Header.SetMethod(method)
 		q.Header.Set("Tamarack-Request-Id", id)
 		_ = h.Do(&q, &r)
 	}
 	if n := s.ran("r2"); n != 1 {
-		return []string{fmt.Sprintf("closed after a request on a reused connection: ran %d times", n)}
+		return []string{fmt.Sprintf("%s, closed after it was read on a reused connection: ran %d times", method, n)}
 	}
 	return nil
 }
@@ -253,12 +254,15 @@
 	s := newScripted(t, readAndClose)
 	c := newClient()
 	defer c.Close()
-	assert.NilError(t, send(c, s, newRequest("r1", "POST", patience)).Err)
-	a := send(c, s, newRequest("r2", "POST", patience))
-	assert.Equal(t, therror.KindOf(a.Err), therror.AnswerLost)
-	assert.Assert(t, a.Sent && a.Reused)
-	assert.Equal(t, s.ran("r2"), 1)
-	assert.Equal(t, s.connections(), 1)
+	for i, method := range []string{"POST", "PUT", "GET"} {
+		first, second := fmt.Sprint("a", i), fmt.Sprint("b", i)
+		assert.NilError(t, send(c, s, newRequest(first, method, patience)).Err)
+		a := send(c, s, newRequest(second, method, patience))
+		assert.Equal(t, therror.KindOf(a.Err), therror.AnswerLost)
+		assert.Assert(t, a.Sent && a.Reused)
+		assert.Equal(t, s.ran(second), 1)
+		assert.Equal(t, s.connections(), i+1)
+	}
 }
 
 func TestContextDeadlineIsAnswerLate(t *testing.T) {
