thclaims: gather the fleet's claim writes

Cause: an order costs two writes, a claim and its end, and the store takes several hundred a second for the whole fleet. A group commit on each VM hardly helps, since each of 40 VMs sees few orders. One row that holds many claims: claims fall on rows at random, so that they would contend and share nothing. Change: above 100 writes/s for the fleet, as each VM reckons from its own rate, writes go through two homes, each with one transaction under way; a home that does not answer is left alone for 5 s and its rows are read back. Writes that wait too long are given up before they begin.

--- a/core/thclaim/machine.go
+++ b/core/thclaim/machine.go
@@ -25,6 +25,8 @@
 type Write struct {
 	Version uint64
 	Claim   Claim
+	// Until is when the write is of no use any more if it has not begun.
+	Until thclock.Instant
 }
 
 // Read asks for the row to be read; what was found goes to Machine.Found. The
@@ -81,7 +83,7 @@
 		deadline: q.Deadline,
 		until:    now.Add(min(claimWait, q.Deadline.Sub(now)/claimShare)),
 	}
-	return m, Write{Claim: m.claim}
+	return m, Write{Claim: m.claim, Until: m.until}
 }
 
 // Key returns the row's key.
@@ -122,7 +124,7 @@
 		}
 		m.version = v.Version
 	}
-	return m, Write{Version: m.version, Claim: m.claim}
+	return m, Write{Version: m.version, Claim: m.claim, Until: m.until}
 }
 
 // again goes on after the store has failed, as long as there is time.
--- a/io/thclaims/claims.go
+++ b/io/thclaims/claims.go
@@ -36,25 +36,33 @@
 // Next sends a claimed request on.
 type Next func(context.Context, *threquest.Request) (*threquest.Answer, error)
 
-// Options are what Claims are made of; all fields are needed.
+// Options are what Claims are made of. Platform, Clock, Log and Self are needed.
 type Options struct {
 	Platform thstore.Platform
 	Clock    thclock.Clock
 	Log      thevent.Logger
 	Self     throster.VM
+	// Peers and Roster serve to gather the fleet's writes; without them each
+	// VM writes its own.
+	Peers  Peers
+	Roster func() throster.Roster
 }
 
 // Claims guards requests with idempotency keys. Make one with New. It is safe
 // for concurrent use.
 type Claims struct {
 	options  Options
-	writer   writer
+	store    writer
+	gatherer gatherer
 	finisher finisher
 }
 
 // New returns claims without any pending.
 func New(o Options) *Claims {
-	c := &Claims{options: o, writer: writer{platform: o.Platform}}
+	c := &Claims{options: o}
+	c.store.commit = storeCommitter{o.Platform}.commit
+	c.store.clock = o.Clock
+	c.gatherer.claims = c
 	c.finisher.claims = c
 	return c
 }
@@ -90,7 +98,7 @@
 	for {
 		switch a := action.(type) {
 		case thclaim.Write:
-			err := c.writer.write(m.Key(), a.Version, a.Claim.Encode())
+			err := c.gatherer.write(m.Key(), a.Version, a.Claim.Encode(), a.Until)
 			m, action = m.Wrote(c.options.Clock.Now(), err)
 		case thclaim.Read:
 			r, err := c.read(ctx, m.Key(), a.Pause)
--- a/io/thclaims/fake_test.go
+++ b/io/thclaims/fake_test.go
@@ -24,8 +24,9 @@
 	loseAnswers, loseWrites float64
 	commits, writes, reads  int
 	conflicts               int
-	// before is called, without the lock, before each commit.
-	before func()
+	// before is called, without the lock, before each commit, which is refused
+	// if it returns false.
+	before func() bool
 }
 
 func newFakeStore(seed uint64) *fakeStore {
@@ -70,8 +71,8 @@
 	s.mu.Lock()
 	before := s.before
 	s.mu.Unlock()
-	if before != nil {
-		before()
+	if before != nil && !before() {
+		return therror.New(therror.StoreUnavailable, "too many wait")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/thclaims/finisher.go
+++ b/io/thclaims/finisher.go
@@ -12,6 +12,8 @@
 
 const (
 	finishInterval = time.Second
+	// finishWait is how long one try to write an end waits for its turn.
+	finishWait = 2 * storeTimeout
 	// maxPending bounds the claims whose end the store has not taken; beyond
 	// it the oldest stay as they are, which refuses their resends.
 	maxPending = 4096
@@ -96,7 +98,7 @@
 	if !f.putObject(&h) {
 		return false
 	}
-	return h.Recorded(f.claims.writer.write(h.Key, h.Version, h.Claim.Encode()))
+	return h.Recorded(f.claims.gatherer.write(h.Key, h.Version, h.Claim.Encode(), f.claims.options.Clock.Now().Add(finishWait)))
 }
 
 func (f *finisher) read(key string) (thstore.Row, error) {
--- a/io/thclaims/writer.go
+++ b/io/thclaims/writer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thstore"
 )
@@ -20,6 +21,8 @@
 	key     string
 	version uint64
 	value   []byte
+	// until is when the operation is given up if it is still waiting.
+	until thclock.Instant
 	// done gets the outcome; lead is closed if the waiter is to commit the
 	// next batch, which begins with its own operation.
 	done chan error
@@ -32,16 +35,19 @@
 // There is no goroutine of its own: a waiter commits for those that wait with
 // it and then hands over to the first that came meanwhile.
 type writer struct {
-	platform thstore.Platform
-	mu       sync.Mutex
-	queue    []*operation
-	busy     bool
+	// commit writes a batch and tells each of its operations the outcome.
+	commit func(batch []*operation)
+	clock  thclock.Clock
+	mu     sync.Mutex
+	queue  []*operation
+	busy   bool
 }
 
 // write commits the row, which has to stand at the version. It fails as
-// thstore.Platform.Commit does.
-func (w *writer) write(key string, version uint64, value []byte) error {
-	o := &operation{key: key, version: version, value: value, done: make(chan error, 1), lead: make(chan struct{})}
+// thstore.Platform.Commit does, and with StoreUnavailable if its turn has not
+// come when the instant has passed.
+func (w *writer) write(key string, version uint64, value []byte, until thclock.Instant) error {
+	o := &operation{key: key, version: version, value: value, until: until, done: make(chan error, 1), lead: make(chan struct{})}
 	w.mu.Lock()
 	w.queue = append(w.queue, o)
 	if !w.busy {
@@ -54,7 +60,9 @@
 		return err
 	case <-o.lead:
 	}
-	w.commit(w.nextBatch())
+	if batch := w.nextBatch(); len(batch) > 0 {
+		w.commit(batch)
+	}
 	w.handOver()
 	return <-o.done
 }
@@ -63,10 +71,15 @@
 func (w *writer) nextBatch() []*operation {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	now := w.clock.Now()
 	var batch, rest []*operation
 	taken := make(map[string]bool)
 	size := 0
 	for _, o := range w.queue {
+		if now.Passed(o.until) {
+			o.done <- therror.New(therror.StoreUnavailable, "too many writes wait for the store")
+			continue
+		}
 		full := len(batch) == maxBatch || len(batch) > 0 && size+len(o.value) > maxBatchBytes
 		if full || taken[o.key] {
 			rest = append(rest, o)
@@ -90,12 +103,14 @@
 	close(w.queue[0].lead)
 }
 
-// commit writes a batch and tells each of its operations the outcome.
-func (w *writer) commit(batch []*operation) {
+// storeCommitter commits batches to the store.
+type storeCommitter struct{ platform thstore.Platform }
+
+func (c storeCommitter) commit(batch []*operation) {
 	for len(batch) > 0 {
-		err := w.transact(batch)
+		err := c.transact(batch)
 		if len(batch) > 1 && therror.Is(err, therror.ChangeConflict) {
-			batch = w.split(batch)
+			batch = c.split(batch)
 			continue
 		}
 		for _, o := range batch {
@@ -105,7 +120,7 @@
 	}
 }
 
-func (w *writer) transact(batch []*operation) error {
+func (c storeCommitter) transact(batch []*operation) error {
 	t := thstore.Transaction{
 		Conditions: make([]thstore.Condition, len(batch)),
 		Writes:     make([]thstore.Write, len(batch)),
@@ -116,16 +131,22 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	return w.platform.Commit(ctx, t)
+	return c.platform.Commit(ctx, t)
 }
 
 // split reads the rows of a batch that conflicted, fails the operations whose
 // rows stand elsewhere and returns the others. If it finds none to fail, it
 // commits each alone.
-func (w *writer) split(batch []*operation) []*operation {
+func (c storeCommitter) split(batch []*operation) []*operation {
+	elsewhere := make([]bool, len(batch))
+	var wait sync.WaitGroup
+	for i, o := range batch {
+		wait.Go(func() { elsewhere[i] = c.standsElsewhere(o) })
+	}
+	wait.Wait()
 	var good []*operation
-	for _, o := range batch {
-		if w.standsElsewhere(o) {
+	for i, o := range batch {
+		if elsewhere[i] {
 			o.done <- therror.New(therror.ChangeConflict, "row %s has changed", o.key)
 			continue
 		}
@@ -135,14 +156,14 @@
 		return good
 	}
 	for _, o := range good {
-		o.done <- w.transact([]*operation{o})
+		o.done <- c.transact([]*operation{o})
 	}
 	return nil
 }
 
-func (w *writer) standsElsewhere(o *operation) bool {
+func (c storeCommitter) standsElsewhere(o *operation) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	r, err := w.platform.ReadRow(ctx, o.key)
+	r, err := c.platform.ReadRow(ctx, o.key)
 	return err == nil && r.Version != o.version
 }
