--- a/io/thtarget/break_test.go
+++ b/io/thtarget/break_test.go
@@ -214,10 +214,57 @@
 			wrong = append(wrong, fmt.Sprintf("%s: ran %d times", b.name, n))
 		}
 	}
-	t.Logf("%d wrong outcomes of %d:\n%s", len(wrong), len(breakPoints()), strings.Join(wrong, "\n"))
+	wrong = append(wrong, plainOnReused(t, "POST")...)
+	wrong = append(wrong, plainOnReused(t, "PUT")...)
+	t.Logf("%d wrong outcomes of %d:\n%s", len(wrong), len(breakPoints())+2, strings.Join(wrong, "\n"))
 	assert.Assert(t, len(wrong) > 0)
 }
 
+// readAndClose answers the first request of each connection and closes after
+// it has read the second one.
+func readAndClose(_ *scripted, p *peer) {
+	if _, ok := p.request(); !ok {
+		return
+	}
+	p.say(okAnswer)
+	_, _ = p.request()
+}
+
+// plainOnReused sends an order on a connection that the target closes after
+// reading it.
+func plainOnReused(t *testing.T, method string) []string {
+	t.Helper()
+	s := newScripted(t, readAndClose)
+	h := fasthttp.HostClient{Addr: s.address()}
+	for _, id := range []string{"r1", "r2"} {
+		var q fasthttp.Request
+		var r fasthttp.Response
+		q.SetRequestURI("http://" + s.address() + "/orders")
+		q.Header.SetMethod(method)
+		q.Header.Set("Tamarack-Request-Id", id)
+		_ = h.Do(&q, &r)
+	}
+	if n := s.ran("r2"); n != 1 {
+		return []string{fmt.Sprintf("%s, closed after it was read on a reused connection: ran %d times", method, n)}
+	}
+	return nil
+}
+
+func TestReusedConnectionThatEndsIsNotRepeated(t *testing.T) {
+	s := newScripted(t, readAndClose)
+	c := newClient()
+	defer c.Close()
+	for i, method := range []string{"POST", "PUT", "GET"} {
+		first, second := fmt.Sprint("a", i), fmt.Sprint("b", i)
+		assert.NilError(t, send(c, s, newRequest(first, method, patience)).Err)
+		a := send(c, s, newRequest(second, method, patience))
+		assert.Equal(t, therror.KindOf(a.Err), therror.AnswerLost)
+		assert.Assert(t, a.Sent && a.Reused)
+		assert.Equal(t, s.ran(second), 1)
+		assert.Equal(t, s.connections(), i+1)
+	}
+}
+
 func TestContextDeadlineIsAnswerLate(t *testing.T) {
 	s := newScripted(t, func(_ *scripted, p *peer) {
 		_, _ = p.request()
