thburn: count what callers saw and say how fast budgets burn

Cause: users need burn per customer and service over several windows, merged over all VMs, and refusals within rate counted over the fleet. Ruled out: judging a refusal within rate on the VM that refuses. The home of the customer's counts sees all and judges a minute once it is closed. Change: VMs keep each minute's counts until they outlast their home; the home merges each sequence once, keeps three rings a name and raises multi-window alerts. Conclusion: counts equal the naive version's through lost answers and replaced homes.

--- /dev/null
+++ b/core/thburn/alert.go
@@ -0,0 +1,68 @@
+package thburn
+
+import "tamarackhollow/core/thconfig"
+
+// Severity is how urgent an alert is.
+type Severity string
+
+// The severities.
+const (
+	// Page is for a burn that a person should look at now.
+	Page Severity = "page"
+	// Ticket is for a burn that can wait for working hours.
+	Ticket Severity = "ticket"
+)
+
+// Alert is a burn that has lasted over a long window and goes on in a short one.
+type Alert struct {
+	Severity Severity `json:"severity"`
+	Long     string   `json:"long"`
+	Short    string   `json:"short"`
+	// Factor is the burn rate that both windows exceed: how many times faster
+	// than the objective allows the error budget is spent.
+	Factor float64 `json:"factor"`
+}
+
+type rule struct {
+	severity    Severity
+	long, short Window
+	factor      float64
+}
+
+// rules spend 2 % of a 30-day budget in an hour, 5 % in six hours and 10 % in
+// three days before they alert.
+var rules = []rule{
+	{Page, oneHour, fiveMinutes, 14.4},
+	{Page, sixHours, halfHour, 6},
+	{Ticket, threeDays, sixHours, 1},
+}
+
+// minBad is how many bad requests the long window must hold, so that a single
+// failure of a customer with few requests wakes nobody.
+const minBad = 5
+
+// Burn returns how many times faster than the objective allows the error
+// budget is spent. An objective without a budget gives 0.
+func Burn(c Counts, objective thconfig.Objective) float64 {
+	budget := 1 - objective.Availability
+	if c.Valid() == 0 || objective.Availability <= 0 || budget <= 0 {
+		return 0
+	}
+	return float64(c.Bad()) / float64(c.Valid()) / budget
+}
+
+// Alerts returns the alerts that the counts of the windows raise.
+func Alerts(counts func(Window) Counts, objective thconfig.Objective) []Alert {
+	var all []Alert
+	for _, r := range rules {
+		long := counts(r.long)
+		if long.Bad() < minBad || Burn(long, objective) < r.factor {
+			continue
+		}
+		if Burn(counts(r.short), objective) < r.factor {
+			continue
+		}
+		all = append(all, Alert{Severity: r.severity, Long: r.long.Name, Short: r.short.Name, Factor: r.factor})
+	}
+	return all
+}
--- /dev/null
+++ b/core/thburn/counts.go
@@ -0,0 +1,150 @@
+// Package thburn counts how requests ended for callers and says how fast each
+// service's error budget burns: per customer and service, over several windows,
+// merged over all VMs, in fixed memory.
+//
+// Every VM counts what its own callers saw, minute by minute. The counts of one
+// customer go to one VM, its home, whose Ledger keeps the windows.
+package thburn
+
+import (
+	"time"
+
+	"tamarackhollow/core/thconfig"
+	"tamarackhollow/core/therror"
+)
+
+// Class is how a request ended for its caller.
+type Class uint8
+
+// The classes.
+const (
+	// Good is an answer within the objective's latency.
+	Good Class = iota
+	// Slow is a good answer that took longer.
+	Slow
+	// Failed is an error answer of a target, or none although the request may
+	// have run.
+	Failed
+	// Refused is a refusal for the fleet's own reasons.
+	Refused
+	// OverLimit is a refusal over the customer's rate and burst.
+	OverLimit
+	// CallersFault is a refusal for the caller's own reasons. It counts towards
+	// no objective.
+	CallersFault
+)
+
+// Counts are numbers of requests by class. They are immutable.
+type Counts struct {
+	Good      uint32 `json:"good,omitempty"`
+	Slow      uint32 `json:"slow,omitempty"`
+	Failed    uint32 `json:"failed,omitempty"`
+	Refused   uint32 `json:"refused,omitempty"`
+	OverLimit uint32 `json:"overLimit,omitempty"`
+	// WithinRate is how many of OverLimit were refused although the customer
+	// had asked for no more than its rate over all VMs in that minute.
+	WithinRate   uint32 `json:"withinRate,omitempty"`
+	CallersFault uint32 `json:"callersFault,omitempty"`
+}
+
+// With returns the counts with one more request of the class.
+func (c Counts) With(class Class) Counts {
+	switch class {
+	case Good:
+		c.Good++
+	case Slow:
+		c.Slow++
+	case Failed:
+		c.Failed++
+	case Refused:
+		c.Refused++
+	case OverLimit:
+		c.OverLimit++
+	case CallersFault:
+		c.CallersFault++
+	}
+	return c
+}
+
+// Plus returns the sum.
+func (c Counts) Plus(o Counts) Counts {
+	return Counts{
+		Good:         c.Good + o.Good,
+		Slow:         c.Slow + o.Slow,
+		Failed:       c.Failed + o.Failed,
+		Refused:      c.Refused + o.Refused,
+		OverLimit:    c.OverLimit + o.OverLimit,
+		WithinRate:   c.WithinRate + o.WithinRate,
+		CallersFault: c.CallersFault + o.CallersFault,
+	}
+}
+
+// Bad is how many requests count against the objective. A refusal over the
+// limit does only if the customer was within its rate.
+func (c Counts) Bad() uint64 {
+	return uint64(c.Slow) + uint64(c.Failed) + uint64(c.Refused) + uint64(c.WithinRate)
+}
+
+// Valid is how many requests the objective speaks of.
+func (c Counts) Valid() uint64 { return uint64(c.Good) + c.Bad() }
+
+// Offered is how many requests of the customer's rate were asked for.
+func (c Counts) Offered() uint64 {
+	return uint64(c.Good) + uint64(c.Slow) + uint64(c.Failed) + uint64(c.Refused) + uint64(c.OverLimit)
+}
+
+// GoodShare is the share of valid requests that were good; 1 if there were none.
+func (c Counts) GoodShare() float64 {
+	if c.Valid() == 0 {
+		return 1
+	}
+	return float64(c.Good) / float64(c.Valid())
+}
+
+// Observation is one request as its caller saw it end.
+type Observation struct {
+	// Customer is empty on open routes and where no key was known.
+	Customer string
+	// Service is empty where no route was known.
+	Service string
+	// Refused is whether the caller got an error of Kind in place of an answer.
+	Refused bool
+	Kind    therror.Kind
+	// Status is the target's status where it answered.
+	Status  int
+	Latency time.Duration
+}
+
+const firstErrorStatus = 500
+
+// Classify returns how the request ended by the service's objective. A zero
+// objective bounds no latency.
+func Classify(o Observation, objective thconfig.Objective) Class {
+	if o.Refused {
+		return ClassOf(o.Kind)
+	}
+	limit := time.Duration(objective.LatencyMillis) * time.Millisecond
+	switch {
+	case o.Status >= firstErrorStatus:
+		return Failed
+	case limit > 0 && o.Latency > limit:
+		return Slow
+	}
+	return Good
+}
+
+// ClassOf returns the class of a refusal.
+func ClassOf(k therror.Kind) Class {
+	switch k {
+	case therror.KeyMissing, therror.KeyUnknown, therror.RouteUnknown, therror.RouteForbidden,
+		therror.RequestMalformed, therror.RequestTooLarge, therror.CallerGone,
+		therror.ClaimMismatch, therror.ClaimRunning, therror.Quarantined, therror.NotFound:
+		return CallersFault
+	case therror.OverLimit:
+		return OverLimit
+	}
+	if k.Answer().Outcome == therror.NotRun {
+		return Refused
+	}
+	return Failed
+}
--- /dev/null
+++ b/core/thburn/window.go
@@ -0,0 +1,84 @@
+package thburn
+
+import "time"
+
+// Window is a span that burn is looked at over, up to now.
+type Window struct {
+	Name string        `json:"name"`
+	Span time.Duration `json:"-"`
+}
+
+// The windows. The two of an alert are far apart, so that it needs a lasting
+// cause and ends soon after the cause.
+var (
+	fiveMinutes = Window{"5m", 5 * time.Minute}
+	halfHour    = Window{"30m", 30 * time.Minute}
+	oneHour     = Window{"1h", time.Hour}
+	sixHours    = Window{"6h", 6 * time.Hour}
+	threeDays   = Window{"3d", 72 * time.Hour}
+)
+
+// Windows returns the windows, shortest first.
+func Windows() []Window {
+	return []Window{fiveMinutes, halfHour, oneHour, sixHours, threeDays}
+}
+
+const (
+	minuteSlots = 64 // one hour and a few minutes for late counts
+	coarseSlots = 13 // twelve and the one that is filling
+	halfHourMin = 30 // minutes in a slot of the middle ring
+	sixHoursMin = 360
+)
+
+// slot holds the counts of one stretch of time.
+type slot struct {
+	// at is the stretch's number since the Unix epoch.
+	at     int64
+	counts Counts
+}
+
+// ring holds the latest stretches of one length.
+type ring struct {
+	minutes int64
+	slots   []slot
+}
+
+func (r ring) number(minute int64) int64 { return minute / r.minutes }
+
+// add counts into the stretch of a minute. What is older than the ring, or
+// before the epoch, is left out.
+func (r ring) add(minute int64, c Counts) {
+	if minute < 0 {
+		return
+	}
+	n := r.number(minute)
+	s := &r.slots[n%int64(len(r.slots))]
+	switch {
+	case s.at == n:
+		s.counts = s.counts.Plus(c)
+	case s.at < n:
+		*s = slot{at: n, counts: c}
+	}
+}
+
+// at returns the slot of a minute, or nil if it has passed out of the ring.
+func (r ring) at(minute int64) *slot {
+	n := r.number(minute)
+	s := &r.slots[n%int64(len(r.slots))]
+	if s.at != n {
+		return nil
+	}
+	return s
+}
+
+// sum adds up the stretches of the last n lengths up to the minute.
+func (r ring) sum(minute, n int64) Counts {
+	last := r.number(minute)
+	var c Counts
+	for i := range r.slots {
+		if at := r.slots[i].at; at > last-n && at <= last {
+			c = c.Plus(r.slots[i].counts)
+		}
+	}
+	return c
+}
