thlimit, thgrant: hand parts over, recall advance tokens, serve new customers at once

Cause: a planned stop, a joining VM and a new customer each waited the whole takeover wait, in which a customer with one part was refused everything; a bucket with a burst of 1 gave 3 requests a second whatever its rate, because a spent lot counted until its end; tokens held in advance by one VM were refused to another.

Ruled out: a shorter takeover wait. With freshness for 3 s a home that misses its own replacement and its return acts beside the VM between.

Change: homes hand level and lots over, each part once, to whom a newer accepted roster names, or ahead of a planned stop to whom a roster without them would name, also while the roster cannot change. Spenders follow. A customer that is new since the VM became home needs no wait. Homes that are short recall advance tokens and ask for prompt reports.

--- a/core/thlimit/bucket.go
+++ b/core/thlimit/bucket.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -18,6 +19,8 @@
 	// deadline is when the spender has surely stopped spending.
 	deadline thclock.Instant
 	life     time.Duration
+	advance  bool
+	recalled bool
 }
 
 func (l lot) unspent() int { return l.tokens - l.spent }
@@ -35,6 +38,15 @@
 	filled  thclock.Instant
 	lots    []lot
 	unspent int
+	// until is set once the part has gone to another home: until then the VM
+	// acts on, and until resume the part may come back to it as it stands.
+	until  thclock.Instant
+	resume thclock.Instant
+}
+
+// ended reports that the VM must act for the part no longer.
+func (b *bucket) ended(now thclock.Instant) bool {
+	return b.until != (thclock.Instant{}) && now.Passed(b.until)
 }
 
 // advance brings the bucket to the present: lots that have surely ended count
@@ -118,7 +130,7 @@
 	}
 	l := lot{
 		spender: v.ID, incarnation: v.Incarnation, number: a.Number, tokens: tokens,
-		deadline: now.Add(withDrift(life)), life: life,
+		deadline: now.Add(withDrift(life)), life: life, advance: life > needLife,
 	}
 	b.lots = append(b.lots, l)
 	b.level -= float64(tokens)
@@ -126,10 +138,27 @@
 	return b.granted(l)
 }
 
+// recall picks the VMs that are to give back what they hold in advance. Each
+// lot is recalled once.
+func (b *bucket) recall(asker throster.VM) []string {
+	var ids []string
+	for i := range b.lots {
+		l := &b.lots[i]
+		if !l.advance || l.recalled || l.unspent() == 0 || l.spender == asker.ID {
+			continue
+		}
+		l.recalled = true
+		if !slices.Contains(ids, l.spender) {
+			ids = append(ids, l.spender)
+		}
+	}
+	return ids
+}
+
 func (b *bucket) granted(l lot) Grant {
 	return Grant{
 		Status: StatusGranted, Number: l.number, Tokens: l.tokens,
-		LifeMillis: millis(l.life), Level: int(b.level), WaitMillis: millisUp(b.wait()),
+		LifeMillis: millis(l.life), Level: int(b.level), WaitMillis: millisUp(b.wait()), Tight: 2*b.unspent > b.burst,
 	}
 }
 
--- a/core/thlimit/home.go
+++ b/core/thlimit/home.go
@@ -11,11 +11,20 @@
 // Home is one VM's role as home: the parts that it keeps. It remembers only
 // parts that have been asked for lately; the level of any other follows from
 // how long the VM has been its home. Make one with NewHome.
+//
+// At most one VM acts for a part at any moment. The right to act comes with a
+// layout, once every VM that goes by an older one has surely stopped, or is
+// handed over by the VM that has it.
 type Home struct {
-	self    throster.VM
-	wait    time.Duration
-	tenures []tenure
-	buckets map[Part]*bucket
+	self     throster.VM
+	freshFor time.Duration
+	wait     time.Duration
+	tenures  []tenure
+	past     past
+	buckets  map[Part]*bucket
+	yielded  map[Part]yield
+	// next is the layout without this VM, once it is about to stop.
+	next *Layout
 }
 
 // tenure is a layout and when it came into use here.
@@ -24,96 +33,211 @@
 	since  thclock.Instant
 }
 
+// yield is when a part was handed over, and to whom.
+type yield struct {
+	at thclock.Instant
+	to throster.VM
+}
+
 // maxTenures bounds the history of layouts.
 const maxTenures = 64
 
-// NewHome returns a home that begins to act for a part only once the takeover
-// wait has gone by since it became the part's home.
-func NewHome(self throster.VM, takeoverWait time.Duration) *Home {
-	return &Home{self: self, wait: takeoverWait, buckets: make(map[Part]*bucket)}
+// NewHome returns a home. A VM that misses an accepted roster or configuration
+// for longer than freshFor must not ask it for anything.
+func NewHome(self throster.VM, freshFor time.Duration) *Home {
+	return &Home{
+		self: self, freshFor: freshFor, wait: TakeoverWait(freshFor),
+		buckets: make(map[Part]*bucket), yielded: make(map[Part]yield),
+	}
+}
+
+// TakeoverWait returns how long a new home waits if nobody hands the part
+// over. A VM that has missed the change of homes stops after freshFor; one
+// that has missed it and the change back may have acted as long again; and the
+// lots that it gave live for LotLife.
+func TakeoverWait(freshFor time.Duration) time.Duration {
+	return 2*freshFor + LotLife
 }
 
-// Adopt brings a layout into use. Parts that the VM is home to no longer are
-// dropped at once.
+// Adopt brings a layout into use, once its roster has been accepted. For parts
+// that go elsewhere the VM acts on, until they are handed over, for as long
+// as it might have missed the change.
 func (h *Home) Adopt(now thclock.Instant, l *Layout) {
 	h.tenures = append(h.tenures, tenure{l, now})
 	if n := len(h.tenures); n > maxTenures {
 		h.tenures = append([]tenure(nil), h.tenures[n-maxTenures:]...)
 	}
-	for p := range h.buckets {
-		if !h.keeps(l, p) {
-			delete(h.buckets, p)
+	for p, b := range h.buckets {
+		h.adoptPart(now, l, p, b)
+	}
+	for p, y := range h.yielded {
+		if y.at.Before(h.tenures[0].since) {
+			delete(h.yielded, p)
+		}
+	}
+}
+
+func (h *Home) adoptPart(now thclock.Instant, l *Layout, p Part, b *bucket) {
+	if !h.keeps(l, p) {
+		if b.until == (thclock.Instant{}) {
+			b.until = now.Add(h.freshFor)
+			b.resume = now.Add(LotLife)
 		}
+		return
+	}
+	// The VM between may already wait no longer, unless it lost the part again
+	// at once.
+	if b.until != (thclock.Instant{}) && now.Passed(b.resume) {
+		delete(h.buckets, p)
+		return
 	}
+	b.until = thclock.Instant{}
 }
 
 func (h *Home) keeps(l *Layout, p Part) bool {
 	v, ok := l.Home(p)
-	return ok && v.ID == h.self.ID && v.Incarnation == h.self.Incarnation
+	return ok && h.isSelf(v)
+}
+
+func (h *Home) isSelf(v throster.VM) bool {
+	return v.ID == h.self.ID && v.Incarnation == h.self.Incarnation
 }
 
-// since returns when the VM became home to the part, and false if it is not.
-func (h *Home) since(p Part) (thclock.Instant, bool) {
-	var since thclock.Instant
+// since returns the tenure in which the VM became home to the part, and false
+// if it is not its home or has handed it over since.
+func (h *Home) since(p Part) (tenure, bool) {
+	var first tenure
 	found := false
+	y, gone := h.yielded[p]
 	for i := len(h.tenures) - 1; i >= 0 && h.keeps(h.tenures[i].layout, p); i-- {
-		since, found = h.tenures[i].since, true
+		if gone && !y.at.Before(h.tenures[i].since) {
+			break
+		}
+		first, found = h.tenures[i], true
 	}
-	return since, found
+	return first, found
 }
 
-// Ask answers a spender. The caller has made sure, after taking now, that the
-// VM is fresh; u is the part's customer as the VM's configuration has it.
-func (h *Home) Ask(now thclock.Instant, from throster.VM, u thconfig.Customer, a Ask) Grant {
-	b := h.bucket(now, u, a.Part)
+// Configure brings a newer configuration into force.
+func (h *Home) Configure(now thclock.Instant, c thconfig.Config) {
+	if c.Version() > h.past.config.Version() {
+		h.past = h.past.withConfig(now, c, h.wait)
+	}
+}
+
+// Ask answers a spender, and returns the VMs to recall advance tokens of the
+// part from. The caller has made sure, after taking now, that this VM is fresh.
+func (h *Home) Ask(now thclock.Instant, from throster.VM, a Ask) (Grant, []string) {
+	b := h.bucket(now, a.Part)
 	if b == nil {
-		return Grant{Status: StatusNotHome, Number: a.Number}
+		return h.elsewhere(a), nil
 	}
 	b.advance(now)
 	for _, r := range a.Reports {
 		b.report(from, r)
 	}
-	return b.ask(now, from, a)
+	g := b.ask(now, from, a)
+	if g.Tokens >= a.Need {
+		return g, nil
+	}
+	ids := b.recall(from)
+	g.Recalled = len(ids) > 0
+	return g, ids
 }
 
-// Report takes reports about lots.
-func (h *Home) Report(now thclock.Instant, from throster.VM, rs []Report) {
+func (h *Home) elsewhere(a Ask) Grant {
+	g := Grant{Status: StatusNotHome, Number: a.Number}
+	if y, ok := h.yielded[a.Part]; ok {
+		g.Home = &y.to
+	}
+	return g
+}
+
+// Report takes reports about lots, and returns those that are to be sent on
+// because their parts have been handed over.
+func (h *Home) Report(now thclock.Instant, from throster.VM, rs []Report) []Notice {
+	var on []Notice
 	for _, r := range rs {
 		if b := h.buckets[r.Part]; b != nil {
 			b.advance(now)
 			b.report(from, r)
+			continue
+		}
+		if y, ok := h.yielded[r.Part]; ok && now.Before(y.at.Add(LotLife)) {
+			on = append(on, Notice{y.to, r})
 		}
 	}
+	return on
 }
 
 // bucket returns the part's bucket, or nil if the VM may not act for it.
-func (h *Home) bucket(now thclock.Instant, u thconfig.Customer, p Part) *bucket {
-	rate, burst := p.Share(u)
-	if b := h.buckets[p]; b != nil {
+func (h *Home) bucket(now thclock.Instant, p Part) *bucket {
+	u, known := h.past.config.Customer(p.Customer)
+	if !known || p.Index < 0 || p.Index >= PartCount(u) {
+		delete(h.buckets, p)
+		return nil
+	}
+	b := h.buckets[p]
+	if b != nil && b.ended(now) {
+		delete(h.buckets, p)
+		return nil
+	}
+	if b == nil {
+		b = h.fresh(now, p)
+	}
+	if b != nil {
+		rate, burst := h.past.share(now, u, p)
 		b.resize(now, rate, burst)
-		return b
 	}
-	since, ok := h.since(p)
-	start := since.Add(h.wait)
-	if !ok || !now.SurelyPassed(start) {
+	return b
+}
+
+// fresh returns a new bucket for a part that the VM has been home to for long
+// enough. Of a customer that is new since it became home nobody else can have
+// given tokens, provided that no VM begins with a customer while it knows of a
+// newer roster than it goes by.
+func (h *Home) fresh(now thclock.Instant, p Part) *bucket {
+	t, ok := h.since(p)
+	if !ok || h.behind() {
 		return nil
 	}
+	start := t.since.Add(h.wait)
+	u, _ := h.past.config.Customer(p.Customer)
+	rate, burst := h.past.share(now, u, p)
 	b := &bucket{rate: rate, burst: burst, filled: start}
+	switch {
+	case h.past.newSince(now, p.Customer, t.layout.Roster().Version()):
+		b.filled, b.level = now, float64(burst)
+	case !now.SurelyPassed(start):
+		return nil
+	}
 	h.buckets[p] = b
 	return b
 }
 
+// behind reports that the configuration has a newer roster than the layout.
+func (h *Home) behind() bool {
+	l, ok := h.current()
+	return !ok || l.Roster().Version() < h.past.config.Roster().Version()
+}
+
 // Prune forgets the parts that stand as if never asked. It returns how many
 // are left.
 func (h *Home) Prune(now thclock.Instant) int {
 	for p, b := range h.buckets {
 		b.advance(now)
-		if b.full() {
+		if b.ended(now) || b.full() && h.remembers(now, p) {
 			delete(h.buckets, p)
 		}
 	}
 	return len(h.buckets)
 }
 
+// remembers reports whether the VM could act for the part without its bucket.
+func (h *Home) remembers(now thclock.Instant, p Part) bool {
+	t, ok := h.since(p)
+	return ok && now.SurelyPassed(t.since.Add(h.wait))
+}
+
 // Parts returns how many parts are remembered.
 func (h *Home) Parts() int { return len(h.buckets) }
--- a/core/thlimit/message.go
+++ b/core/thlimit/message.go
@@ -1,6 +1,10 @@
 package thlimit
 
-import "time"
+import (
+	"time"
+
+	"tamarackhollow/core/throster"
+)
 
 // Ask is a spender's call for tokens of one part.
 type Ask struct {
@@ -51,6 +55,14 @@
 	Level int `json:"level,omitempty"`
 	// WaitMillis is when it makes sense to ask again.
 	WaitMillis int `json:"waitMillis,omitempty"`
+	// Tight asks for a report as soon as the lot is spent, because the part can
+	// hardly refill before.
+	Tight bool `json:"tight,omitempty"`
+	// Recalled says that the part is short, but is fetching tokens back that
+	// other VMs hold in advance.
+	Recalled bool `json:"recalled,omitempty"`
+	// Home comes with StatusNotHome if the part was handed over to that VM.
+	Home *throster.VM `json:"home,omitempty"`
 }
 
 const (
--- /dev/null
+++ b/core/thlimit/past.go
@@ -0,0 +1,66 @@
+package thlimit
+
+import (
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thconfig"
+)
+
+// past holds the configurations that other VMs may still go by. It is
+// immutable.
+type past struct {
+	config thconfig.Config
+	old    []superseded
+}
+
+// superseded is a configuration and until when a VM may still act on it.
+type superseded struct {
+	config thconfig.Config
+	until  thclock.Instant
+}
+
+// withConfig returns the past after a newer configuration came into force.
+func (p past) withConfig(now thclock.Instant, c thconfig.Config, wait time.Duration) past {
+	n := past{config: c}
+	for _, s := range p.old {
+		if !now.SurelyPassed(s.until) {
+			n.old = append(n.old, s)
+		}
+	}
+	if p.config.Version() > 0 {
+		n.old = append(n.old, superseded{p.config, now.Add(wait)})
+	}
+	return n
+}
+
+// share returns the part's rate and burst. While another VM may still cut the
+// customer's bucket into another number of parts, the part's share of the rate
+// is the smaller one, so that the shares in use never add up to more than the
+// whole.
+func (p past) share(now thclock.Instant, u thconfig.Customer, part Part) (rate float64, burst int) {
+	rate, burst = part.Share(u)
+	for _, s := range p.old {
+		o, ok := s.config.Customer(u.Name)
+		if !ok || PartCount(o) == PartCount(u) || now.SurelyPassed(s.until) {
+			continue
+		}
+		o.Rate = u.Rate
+		r, _ := part.Share(o)
+		rate = min(rate, r)
+	}
+	return rate, burst
+}
+
+// newSince reports whether the customer was created after the given version,
+// and so lately that each configuration before it is still known here.
+func (p past) newSince(now thclock.Instant, customer string, version uint64) bool {
+	before := false
+	for _, s := range p.old {
+		if _, ok := s.config.Customer(customer); ok {
+			return false
+		}
+		before = before || s.config.Version() >= version && !now.SurelyPassed(s.until)
+	}
+	return before
+}
--- a/core/thlimit/spender.go
+++ b/core/thlimit/spender.go
@@ -26,11 +26,19 @@
 	Unreachable
 )
 
-// Decision is a verdict and, for Asking, or for Admitted when the tokens run
-// low, an ask to be sent.
+// Decision is a verdict and what is to be sent: for Asking, or for Admitted
+// when the tokens run low, an ask; for Admitted from a part that is short of
+// room, a notice.
 type Decision struct {
 	Verdict Verdict
 	Ask     *Outgoing
+	Notice  *Notice
+}
+
+// Notice is a report and where it goes.
+type Notice struct {
+	Home   throster.VM
+	Report Report
 }
 
 // Outgoing is an ask and where it goes.
@@ -63,6 +71,7 @@
 	spent    int
 	deadline thclock.Instant
 	advance  bool
+	tight    bool
 }
 
 // view is what a spender knows of one part.
@@ -76,6 +85,15 @@
 	refused   thclock.Instant
 	emptyTill thclock.Instant
 	downTill  thclock.Instant
+	// recalled says that the home fetches tokens back for this VM to ask again.
+	recalled bool
+	// moving says that the part was last found to be between two homes.
+	moving bool
+	// home is asked in place of the home by the layout of that version, and
+	// those that are gone are passed over.
+	home   throster.VM
+	gone   []string
+	layout uint64
 }
 
 type account struct {
@@ -99,6 +117,15 @@
 	downTime = 500 * time.Millisecond
 	// HedgeAfter is how long an ask may take before another part is asked too.
 	HedgeAfter = 10 * time.Millisecond
+	// maxGone bounds how many homes of a part are tried one after the other.
+	maxGone = 3
+	// comingWait is how long a request waits for a part between two homes, or
+	// for tokens that are fetched back.
+	comingWait = 200 * time.Millisecond
+	// recallTime is how long it takes to fetch tokens back.
+	recallTime = 8 * time.Millisecond
+	// moveTime is how long a part is left alone whose home does not act yet.
+	moveTime = 50 * time.Millisecond
 	// idleTime is after how long without a request holdings go back.
 	idleTime = 500 * time.Millisecond
 	// forgetTime is after how long without a request a customer is forgotten.
@@ -126,9 +153,10 @@
 	if !t.waits {
 		a.count(now)
 	}
-	if a.spend(now) {
+	if h := a.spend(now); h != nil {
 		a.leave(t)
-		return Decision{Admitted, s.prefetch(now, l, u, a)}
+		notice := a.settle(l, u.Name, h)
+		return Decision{Admitted, s.prefetch(now, l, u, a), notice}
 	}
 	a.join(now, t)
 	return s.seek(now, l, u, a, t)
@@ -170,16 +198,36 @@
 
 // spend takes one token from a live holding. It is the one place where tokens
 // are spent, and it looks at both clocks.
-func (a *account) spend(now thclock.Instant) bool {
+func (a *account) spend(now thclock.Instant) *holding {
 	for i := range a.holdings {
 		h := &a.holdings[i]
 		if h.left > 0 && !now.Passed(h.deadline) {
 			h.left--
 			h.spent++
-			return true
+			return h
 		}
 	}
-	return false
+	return nil
+}
+
+// settle returns the notice of a lot that is spent, if its home waits for it.
+func (a *account) settle(l *Layout, customer string, h *holding) *Notice {
+	if !h.tight || h.left > 0 {
+		return nil
+	}
+	n, ok := a.notice(l, customer, h)
+	a.drop(func(o holding) bool { return o.part == n.Report.Part.Index && o.number == n.Report.Number })
+	if !ok {
+		return nil
+	}
+	return &n
+}
+
+// notice tells a home that no more of a lot will be spent.
+func (a *account) notice(l *Layout, customer string, h *holding) (Notice, bool) {
+	p := Part{customer, h.part}
+	home, ok := a.views[h.part].homeBy(l, p)
+	return Notice{home, Report{Part: p, Number: h.number, Spent: h.spent, Done: true}}, ok
 }
 
 // tokens counts what can still be spent at the given time.
@@ -236,15 +284,25 @@
 	}
 	if i, ok := a.choose(now, u, t); ok {
 		if o := s.ask(now, l, u, a, i, a.waiting, a.target()); o != nil {
-			return Decision{Asking, o}
+			return Decision{Verdict: Asking, Ask: o}
 		}
 	}
-	if a.outstanding() {
+	if a.outstanding() || a.coming() && now.Before(t.since.Add(comingWait)) {
 		return Decision{Verdict: Waiting}
 	}
 	return Decision{Verdict: a.refuse(now, u, t)}
 }
 
+// coming reports that a part will be worth another ask in a moment.
+func (a *account) coming() bool {
+	for i := range a.views {
+		if a.views[i].moving || a.views[i].recalled {
+			return true
+		}
+	}
+	return false
+}
+
 func (a *account) outstanding() bool {
 	for i := range a.views {
 		if a.views[i].number != 0 {
@@ -289,9 +347,9 @@
 
 func (s *Spender) ask(now thclock.Instant, l *Layout, u thconfig.Customer, a *account, i, need, advance int) *Outgoing {
 	p := Part{u.Name, i}
-	home, ok := l.Home(p)
 	v := &a.views[i]
 	v.asked = now
+	home, ok := v.homeBy(l, p)
 	if !ok {
 		v.fail(now)
 		return nil
@@ -313,15 +371,22 @@
 		return
 	}
 	v.number = 0
+	v.moving = false
 	v.level = g.Level
 	if g.Tokens > 0 {
 		life := fromMillis(g.LifeMillis)
 		a.holdings = append(a.holdings, holding{
-			part: p.Index, number: g.Number, left: g.Tokens, deadline: v.asked.Add(life), advance: life > needLife,
+			part: p.Index, number: g.Number, left: g.Tokens, deadline: v.asked.Add(life), advance: life > needLife, tight: g.Tight,
 		})
 	}
 	if g.Status == StatusNotHome {
-		v.fail(now)
+		v.moved(now, g.Home)
+		return
+	}
+	v.recalled = v.recalled && g.Tokens == 0
+	if g.Recalled {
+		v.recalled = true
+		v.emptyTill = now.Add(recallTime)
 		return
 	}
 	if g.Tokens < v.need || g.Tokens == 0 {
@@ -330,16 +395,55 @@
 	}
 }
 
+// homeBy returns which VM to ask for the part.
+func (v *view) homeBy(l *Layout, p Part) (throster.VM, bool) {
+	if v.layout != l.Roster().Version() {
+		v.home, v.gone, v.layout = throster.VM{}, nil, l.Roster().Version()
+	}
+	if v.home.ID != "" {
+		return v.home, true
+	}
+	return l.Home(p)
+}
+
+// moved follows a part that has been handed over, or is about to be.
+func (v *view) moved(now thclock.Instant, to *throster.VM) {
+	if to != nil && to.ID != v.home.ID {
+		v.home = *to
+		return
+	}
+	v.home = throster.VM{}
+	v.moving = true
+	v.downTill = now.Add(moveTime)
+}
+
+// lost turns from a VM that gave no answer to the one that it would have
+// handed over to ahead of a planned stop.
+func (v *view) lost(now thclock.Instant, l *Layout, p Part) {
+	home, ok := v.homeBy(l, p)
+	if !ok || len(v.gone) == maxGone {
+		v.home, v.gone = throster.VM{}, nil
+		v.fail(now)
+		return
+	}
+	v.gone = append(v.gone, home.ID)
+	r := l.Roster()
+	for _, id := range v.gone {
+		r = r.WithoutVM(id)
+	}
+	v.home, _ = NewLayout(r).Home(p)
+}
+
 func (v *view) fail(now thclock.Instant) {
 	v.refused = v.asked
 	v.downTill = now.Add(downTime)
 }
 
 // Failed takes note that an ask got no answer.
-func (s *Spender) Failed(now thclock.Instant, p Part, number uint64) {
+func (s *Spender) Failed(now thclock.Instant, l *Layout, p Part, number uint64) {
 	if v, _ := s.pending(p, number); v != nil {
 		v.number = 0
-		v.fail(now)
+		v.lost(now, l, p)
 	}
 }
 
@@ -378,44 +482,61 @@
 
 // Flush gives back what is not likely to be spent in time, and forgets the
 // customers that send nothing any more.
-func (s *Spender) Flush(now thclock.Instant) []Report {
-	var rs []Report
+func (s *Spender) Flush(now thclock.Instant, l *Layout) []Notice {
+	var ns []Notice
 	for name, a := range s.accounts {
-		rs = a.giveBack(now, name, rs)
+		idle := now.Sub(a.used) > idleTime
+		soon := now.Add(flushLead)
+		ns = a.giveBack(ns, l, name, func(h holding) bool { return idle || soon.Passed(h.deadline) })
+		a.drop(func(h holding) bool { return now.Passed(h.deadline) })
 		if len(a.holdings) == 0 && a.waiting == 0 && !a.outstanding() && now.Sub(a.used) > forgetTime {
 			delete(s.accounts, name)
 		}
 	}
-	return rs
+	return ns
 }
 
-func (a *account) giveBack(now thclock.Instant, customer string, rs []Report) []Report {
-	idle := now.Sub(a.used) > idleTime
-	soon := now.Add(flushLead)
-	for i := range a.holdings {
-		h := &a.holdings[i]
-		if h.left > 0 && (idle || soon.Passed(h.deadline)) && !now.Passed(h.deadline) {
-			rs = append(rs, Report{Part: Part{customer, h.part}, Number: h.number, Spent: h.spent, Done: true})
-			h.left = 0
-		}
+// Close gives back every token that is held, for a planned stop.
+func (s *Spender) Close(l *Layout) []Notice {
+	var ns []Notice
+	for name, a := range s.accounts {
+		ns = a.giveBack(ns, l, name, func(holding) bool { return true })
 	}
-	a.drop(func(h holding) bool {
-		return h.left == 0 && (idle || soon.Passed(h.deadline)) || now.Passed(h.deadline)
-	})
-	return rs
+	return ns
 }
 
-// Close gives back every token that is held, for a planned stop.
-func (s *Spender) Close() []Report {
+// Recall gives back what is held of a part in advance.
+func (s *Spender) Recall(p Part) []Report {
+	a := s.accounts[p.Customer]
+	if a == nil {
+		return nil
+	}
+	pick := func(h holding) bool { return h.part == p.Index && h.advance }
 	var rs []Report
-	for name, a := range s.accounts {
-		for _, h := range a.holdings {
-			rs = append(rs, Report{Part: Part{name, h.part}, Number: h.number, Spent: h.spent, Done: true})
+	for _, h := range a.holdings {
+		if pick(h) {
+			rs = append(rs, Report{Part: p, Number: h.number, Spent: h.spent, Done: true})
 		}
-		a.holdings = nil
 	}
+	a.drop(pick)
 	return rs
 }
 
+// giveBack forgets the lots that the function picks and appends notices of
+// those that have tokens left.
+func (a *account) giveBack(ns []Notice, l *Layout, customer string, pick func(holding) bool) []Notice {
+	for i := range a.holdings {
+		h := &a.holdings[i]
+		if h.left == 0 || !pick(*h) {
+			continue
+		}
+		if n, ok := a.notice(l, customer, h); ok {
+			ns = append(ns, n)
+		}
+	}
+	a.drop(pick)
+	return ns
+}
+
 // Customers returns how many customers are remembered.
 func (s *Spender) Customers() int { return len(s.accounts) }
--- a/io/thgrant/calls.go
+++ b/io/thgrant/calls.go
@@ -15,11 +15,20 @@
 const (
 	pathAsk    = "/limit/ask"
 	pathReport = "/limit/report"
+	pathRecall = "/limit/recall"
 )
 
 // reportCall carries reports that do not ride on an ask.
 type reportCall struct {
-	Reports []thlimit.Report `json:"reports"`
+	// Spender is whose lots they are; a former home may send them on.
+	Spender     string           `json:"spender"`
+	Incarnation uint64           `json:"incarnation"`
+	Reports     []thlimit.Report `json:"reports"`
+}
+
+// recallCall asks for advance tokens back.
+type recallCall struct {
+	Part thlimit.Part `json:"part"`
 }
 
 // reportAnswer answers a reportCall.
@@ -61,7 +70,7 @@
 
 func (m *Limiter) askFailed(s *spendShard, o *thlimit.Outgoing) {
 	m.count.asksFailed.Add(1)
-	s.failed(m.o.Clock.Now(), o.Ask.Part, o.Ask.Number)
+	s.failed(m.o.Clock.Now(), m.layout.Load(), o.Ask.Part, o.Ask.Number)
 }
 
 // takeAsk answers a spender. The present is read before freshness is checked,
@@ -69,87 +78,152 @@
 func (m *Limiter) takeAsk(from thwire.Sender, a thlimit.Ask) (thlimit.Grant, error) {
 	m.adopt()
 	now := m.o.Clock.Now()
-	u, known := m.o.Config().Customer(a.Part.Customer)
-	fresh := m.o.CheckFresh() == nil
-	if !known || !fresh {
-		return thlimit.Grant{Status: thlimit.StatusNotHome, Number: a.Number}, nil
+	if m.o.CheckFresh() != nil {
+		return thlimit.Grant{Status: thlimit.StatusNotHome, Number: a.Number}, nil //nolint:nilerr // the spender asks elsewhere
 	}
 	m.count.grants.Add(1)
 	v := throster.VM{ID: from.ID, Incarnation: from.Incarnation}
-	return m.homes[shardOf(u.Name)].ask(now, v, u, a), nil
+	g, ids := m.homes[shardOf(a.Part.Customer)].ask(now, v, a)
+	for _, id := range ids {
+		m.background(func() { m.recall(id, a.Part) })
+	}
+	return g, nil
+}
+
+// recall fetches back what a VM holds of a part in advance.
+func (m *Limiter) recall(id string, p thlimit.Part) {
+	v, ok := m.layout.Load().Roster().VM(id)
+	if !ok {
+		return
+	}
+	if v.ID == m.o.Self.ID {
+		a, _ := m.takeRecall(thwire.Sender{}, recallCall{p})
+		_, _ = m.takeReports(thwire.Sender{}, a)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	a, err := thwire.Call[recallCall, reportCall](ctx, m.o.Client, v.PeerAddress, pathRecall, recallCall{p})
+	if err == nil {
+		_, _ = m.takeReports(thwire.Sender{}, a)
+	}
 }
 
-func (m *Limiter) takeReports(from thwire.Sender, c reportCall) (reportAnswer, error) {
+// takeRecall gives back what this VM holds of a part in advance.
+func (m *Limiter) takeRecall(_ thwire.Sender, c recallCall) (reportCall, error) {
+	rs := m.spends[shardOf(c.Part.Customer)].recall(c.Part)
+	return reportCall{m.o.Self.ID, m.o.Self.Incarnation, rs}, nil
+}
+
+func (m *Limiter) takeReports(_ thwire.Sender, c reportCall) (reportAnswer, error) {
 	now := m.o.Clock.Now()
-	v := throster.VM{ID: from.ID, Incarnation: from.Incarnation}
+	v := throster.VM{ID: c.Spender, Incarnation: c.Incarnation}
+	on := make([]thlimit.Notice, 0, len(c.Reports))
 	for _, r := range c.Reports {
-		m.homes[shardOf(r.Part.Customer)].report(now, v, []thlimit.Report{r})
+		on = append(on, m.homes[shardOf(r.Part.Customer)].report(now, v, []thlimit.Report{r})...)
 	}
+	m.notifyFor(v, on, m.background)
 	return reportAnswer{}, nil
 }
 
-// adopt takes up the newest roster.
+// adopt takes up the newest roster and configuration.
 func (m *Limiter) adopt() {
+	m.adoptRoster()
+	m.adoptConfig()
+}
+
+func (m *Limiter) adoptRoster() {
 	r := m.o.Roster()
-	if r.Version() == m.layout.Load().Roster().Version() {
+	before := m.layout.Load().Roster()
+	if r.Version() == before.Version() || m.o.Accepted != nil && r.Version() > m.o.Accepted() {
 		return
 	}
-	m.layout.Update(func(old *thlimit.Layout) (*thlimit.Layout, bool) {
+	changed := m.layout.Update(func(old *thlimit.Layout) (*thlimit.Layout, bool) {
 		if r.Version() <= old.Roster().Version() {
 			return old, false
 		}
 		l := thlimit.NewLayout(r)
-		now := m.o.Clock.Now()
 		for i := range m.homes {
-			m.homes[i].adopt(now, l)
+			m.homes[i].adopt(m.o.Clock.Now(), l)
 		}
 		return l, true
 	})
+	if !changed {
+		return
+	}
+	m.o.Log.Log(thevent.LimitHomeTaken, thevent.F("roster", r.Version()))
+	m.background(m.lose)
+	if !member(before, m.o.Self) && member(r, m.o.Self) {
+		m.background(m.pullGained)
+	}
+}
+
+func member(r throster.Roster, v throster.VM) bool {
+	o, ok := r.VM(v.ID)
+	return ok && o.Incarnation == v.Incarnation
+}
+
+func (m *Limiter) adoptConfig() {
+	c := m.o.Config()
+	if c.Version() == m.configured.Load() {
+		return
+	}
+	m.configured.Update(func(old uint64) (uint64, bool) {
+		if c.Version() <= old {
+			return old, false
+		}
+		for i := range m.homes {
+			m.homes[i].configure(m.o.Clock.Now(), c)
+		}
+		return c.Version(), true
+	})
 }
 
 // flush gives back tokens that nobody spends and forgets what is idle.
-func (m *Limiter) flush(ctx context.Context) {
+func (m *Limiter) flush(context.Context) {
 	now := m.o.Clock.Now()
-	rs := make([]thlimit.Report, 0, shards)
 	for i := range m.spends {
-		rs = append(rs, m.spends[i].flush(now)...)
+		m.notify(m.spends[i].flush(now, m.layout.Load()), m.background)
 		m.homes[i].prune(now)
 	}
-	m.report(ctx, rs)
+	m.offerMoving(now)
+}
+
+// notify tells homes what became of this VM's lots.
+func (m *Limiter) notify(ns []thlimit.Notice, run func(func())) {
+	m.count.reports.Add(uint64(len(ns)))
+	m.notifyFor(m.o.Self, ns, run)
 }
 
-// report tells the homes what became of lots.
-func (m *Limiter) report(ctx context.Context, rs []thlimit.Report) {
-	l := m.layout.Load()
+// notifyFor makes one call to each home. None is repeated: a lost report costs
+// tokens and makes none.
+func (m *Limiter) notifyFor(spender throster.VM, ns []thlimit.Notice, run func(func())) {
+	if len(ns) == 0 {
+		return
+	}
 	calls := make(map[string]*reportCall)
-	for _, r := range rs {
-		home, ok := l.Home(r.Part)
-		if !ok {
-			continue
-		}
-		m.count.reports.Add(1)
-		if home.ID == m.o.Self.ID {
-			_, _ = m.takeReports(thwire.Sender{ID: m.o.Self.ID, Incarnation: m.o.Self.Incarnation}, reportCall{[]thlimit.Report{r}})
-			continue
-		}
-		c := calls[home.PeerAddress]
+	for _, n := range ns {
+		c := calls[n.Home.PeerAddress]
 		if c == nil {
-			c = &reportCall{}
-			calls[home.PeerAddress] = c
+			c = &reportCall{Spender: spender.ID, Incarnation: spender.Incarnation}
+			calls[n.Home.PeerAddress] = c
 		}
-		c.Reports = append(c.Reports, r)
+		c.Reports = append(c.Reports, n.Report)
 	}
 	for address, c := range calls {
-		m.sendReports(ctx, address, *c)
+		run(func() { m.sendReports(address, *c) })
 	}
 }
 
-// sendReports is not repeated: a lost report costs tokens and makes none.
-func (m *Limiter) sendReports(ctx context.Context, address string, c reportCall) {
-	send := func() {
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
-		defer cancel()
-		_, _ = thwire.Call[reportCall, reportAnswer](limited, m.o.Client, address, pathReport, c)
+func (m *Limiter) sendReports(address string, c reportCall) {
+	if address == m.o.Self.PeerAddress {
+		_, _ = m.takeReports(thwire.Sender{}, c)
+		return
 	}
-	_ = m.asks.Submit(send)
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	_, _ = thwire.Call[reportCall, reportAnswer](ctx, m.o.Client, address, pathReport, c)
 }
+
+// background runs a task on a worker, or not at all if none is free.
+func (m *Limiter) background(task func()) { _ = m.asks.Submit(task) }
--- a/io/thgrant/limiter.go
+++ b/io/thgrant/limiter.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,8 +35,6 @@
 	flushInterval = 100 * time.Millisecond
 	// rosterInterval is how often the roster is looked at, besides at each ask.
 	rosterInterval = 200 * time.Millisecond
-	// defaultFreshFor is the default of Options.FreshFor.
-	defaultFreshFor = 3 * time.Second
 )
 
 // Options are what a Limiter is made of.
@@ -51,8 +50,11 @@
 	Client *thwire.Client
 	Clock  thclock.Clock
 	Log    thevent.Logger
+	// Accepted returns the highest version of roster and configuration that is
+	// known to be accepted; nil takes every roster as accepted.
+	Accepted func() uint64
 	// FreshFor is for how long a VM that misses an accepted change may go on
-	// as fresh; zero takes the default.
+	// as fresh; zero takes throster.FreshFor.
 	FreshFor time.Duration
 }
 
@@ -60,9 +62,13 @@
 type Limiter struct {
 	o      Options
 	layout thboard.Cell[*thlimit.Layout]
-	homes  [shards]homeShard
-	spends [shards]spendShard
-	count  counters
+	// configured is the version of the configuration that the homes go by.
+	configured thboard.Cell[uint64]
+	homes      [shards]homeShard
+	spends     [shards]spendShard
+	count      counters
+	// offering is set while parts are being offered.
+	offering atomic.Bool
 	// asks runs the calls to homes; a call that finds no worker fails at once.
 	asks *ants.Pool
 }
@@ -71,7 +77,7 @@
 // brought it into the fleet.
 func New(o Options) *Limiter {
 	if o.FreshFor == 0 {
-		o.FreshFor = defaultFreshFor
+		o.FreshFor = throster.FreshFor
 	}
 	if o.Log == nil {
 		o.Log = thevent.Discard{}
@@ -79,21 +85,18 @@
 	m := &Limiter{o: o, asks: newAskPool(o.Log)}
 	m.layout.Store(thlimit.NewLayout(throster.Roster{}))
 	for i := range m.homes {
-		m.homes[i].home = thlimit.NewHome(o.Self, TakeoverWait(o.FreshFor))
+		m.homes[i].home = thlimit.NewHome(o.Self, o.FreshFor)
 	}
 	return m
 }
 
-// TakeoverWait returns how long a new home waits until the former home's
-// freshness and every lot that it gave have surely ended.
-func TakeoverWait(freshFor time.Duration) time.Duration {
-	return 2*freshFor + thlimit.LotLife
-}
-
 // Register adds the limiter's peer calls to a server.
 func (m *Limiter) Register(s *thwire.Server) {
 	thwire.Handle(s, pathAsk, m.takeAsk)
 	thwire.Handle(s, pathReport, m.takeReports)
+	thwire.Handle(s, pathRecall, m.takeRecall)
+	thwire.Handle(s, pathPull, m.takePull)
+	thwire.Handle(s, pathOffer, m.takeOffer)
 }
 
 // Start starts the limiter's controllers.
@@ -114,6 +117,9 @@
 		if d.Ask != nil {
 			m.send(s, d.Ask)
 		}
+		if d.Notice != nil {
+			m.notify([]thlimit.Notice{*d.Notice}, m.background)
+		}
 		switch d.Verdict {
 		case thlimit.Admitted:
 			m.count.admitted.Add(1)
@@ -151,15 +157,16 @@
 	return nil
 }
 
-// Leave gives back every token that this VM holds, for a planned stop.
+// Leave gives back every token that this VM holds and hands over every part
+// that it is home to, for a planned stop. The VM must stay reachable for its
+// peers until the context ends or Leave returns.
 func (m *Limiter) Leave(ctx context.Context) error {
-	rs := []thlimit.Report{}
+	ns := make([]thlimit.Notice, 0, shards)
 	for i := range m.spends {
-		rs = append(rs, m.spends[i].close()...)
+		ns = append(ns, m.spends[i].close(m.layout.Load())...)
 	}
-	m.report(ctx, rs)
-	m.asks.Release()
-	return nil
+	m.notify(ns, func(task func()) { task() })
+	return m.handOver(ctx)
 }
 
 func shardOf(customer string) int { return int(xxhash.Sum64String(customer) % shards) }
--- a/io/thgrant/shard.go
+++ b/io/thgrant/shard.go
@@ -50,10 +50,10 @@
 	s.wake(p.Customer)
 }
 
-func (s *spendShard) failed(now thclock.Instant, p thlimit.Part, number uint64) {
+func (s *spendShard) failed(now thclock.Instant, l *thlimit.Layout, p thlimit.Part, number uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.spender.Failed(now, p, number)
+	s.spender.Failed(now, l, p, number)
 	s.wake(p.Customer)
 }
 
@@ -64,16 +64,22 @@
 	}
 }
 
-func (s *spendShard) flush(now thclock.Instant) []thlimit.Report {
+func (s *spendShard) flush(now thclock.Instant, l *thlimit.Layout) []thlimit.Notice {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.spender.Flush(now)
+	return s.spender.Flush(now, l)
 }
 
-func (s *spendShard) close() []thlimit.Report {
+func (s *spendShard) recall(p thlimit.Part) []thlimit.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.spender.Close()
+	return s.spender.Recall(p)
+}
+
+func (s *spendShard) close(l *thlimit.Layout) []thlimit.Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spender.Close(l)
 }
 
 func (s *spendShard) customers() int {
@@ -88,16 +94,16 @@
 	home *thlimit.Home
 }
 
-func (h *homeShard) ask(now thclock.Instant, from throster.VM, u thconfig.Customer, a thlimit.Ask) thlimit.Grant {
+func (h *homeShard) ask(now thclock.Instant, from throster.VM, a thlimit.Ask) (thlimit.Grant, []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.home.Ask(now, from, u, a)
+	return h.home.Ask(now, from, a)
 }
 
-func (h *homeShard) report(now thclock.Instant, from throster.VM, rs []thlimit.Report) {
+func (h *homeShard) report(now thclock.Instant, from throster.VM, rs []thlimit.Report) []thlimit.Notice {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.home.Report(now, from, rs)
+	return h.home.Report(now, from, rs)
 }
 
 func (h *homeShard) adopt(now thclock.Instant, l *thlimit.Layout) {
@@ -106,6 +112,48 @@
 	h.home.Adopt(now, l)
 }
 
+func (h *homeShard) configure(now thclock.Instant, c thconfig.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.home.Configure(now, c)
+}
+
+func (h *homeShard) yield(now thclock.Instant, to throster.VM, q thlimit.Pull) []thlimit.Estate {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.home.Yield(now, to, q)
+}
+
+func (h *homeShard) inherit(now, pulled thclock.Instant, es []thlimit.Estate) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.home.Inherit(now, pulled, es)
+}
+
+func (h *homeShard) gained(now thclock.Instant, us []thconfig.Customer, before int) []thlimit.Move {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.home.Gained(now, us, before)
+}
+
+func (h *homeShard) lose(now thclock.Instant, us []thconfig.Customer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.home.Lose(now, us)
+}
+
+func (h *homeShard) moving(now thclock.Instant) []thlimit.Move {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.home.Moving(now)
+}
+
+func (h *homeShard) retire(us []thconfig.Customer, gone []string) []thlimit.Move {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.home.Retire(us, gone...)
+}
+
 func (h *homeShard) prune(now thclock.Instant) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -127,6 +175,9 @@
 	asksFailed  atomic.Uint64
 	grants      atomic.Uint64
 	reports     atomic.Uint64
+	yielded     atomic.Uint64
+	inherited   atomic.Uint64
+	joining     atomic.Int64
 }
 
 // Stats are a limiter's counters and sizes.
@@ -141,6 +192,13 @@
 	Grants uint64 `json:"grants"`
 	// Reports counts the lots that this VM has told homes about on their own.
 	Reports uint64 `json:"reports"`
+	// Roster is the version of the roster that the limiter goes by.
+	Roster uint64 `json:"roster"`
+	// Yielded and Inherited count the parts that were handed over.
+	Yielded   uint64 `json:"yielded"`
+	Inherited uint64 `json:"inherited"`
+	// Joining says that parts are still being taken over from former homes.
+	Joining bool `json:"joining"`
 	// Customers and Parts are what is remembered as spender and as home.
 	Customers int `json:"customers"`
 	Parts     int `json:"parts"`
@@ -156,6 +214,10 @@
 		AsksFailed:  m.count.asksFailed.Load(),
 		Grants:      m.count.grants.Load(),
 		Reports:     m.count.reports.Load(),
+		Roster:      m.layout.Load().Roster().Version(),
+		Joining:     m.count.joining.Load() > 0,
+		Yielded:     m.count.yielded.Load(),
+		Inherited:   m.count.inherited.Load(),
 	}
 	for i := range m.spends {
 		s.Customers += m.spends[i].customers()
