thlimit: cut up large buckets only, give more in advance, pace spenders

Change: a bucket with a burst under 30 has one part. Tokens held in advance may make up half of the burst, since they can be recalled. A part that is short slows its spenders down until about one ask in three finds a token. Among parts of equal level a spender takes the one that it used longest ago.

--- a/core/thlimit/bucket.go
+++ b/core/thlimit/bucket.go
@@ -38,6 +38,7 @@
 	filled  thclock.Instant
 	lots    []lot
 	unspent int
+	pace    time.Duration
 	// until is set once the part has gone to another home: until then the VM
 	// acts on, and until resume the part may come back to it as it stands.
 	until  thclock.Instant
@@ -125,6 +126,7 @@
 		return b.granted(b.lots[i])
 	}
 	tokens, life := b.size(a)
+	b.adapt(tokens > 0)
 	if tokens == 0 {
 		return Grant{Status: StatusShort, Number: a.Number, WaitMillis: millisUp(b.wait())}
 	}
@@ -163,45 +165,50 @@
 }
 
 // size decides how many tokens an ask gets. Waiting requests come first; what
-// is given in advance leaves as much for each other spender.
+// is held in advance by all VMs stays within half of the burst.
 func (b *bucket) size(a Ask) (int, time.Duration) {
 	free := int(b.level)
 	need := min(max(0, a.Need), free)
-	extra := min(max(0, a.Advance), (free-need)/(1+b.spenders()))
+	extra := min(max(0, a.Advance), free-need, b.burst/2-b.unspent-need)
 	if extra > 0 {
 		return need + extra, advanceLife
 	}
 	return need, needLife
 }
 
-// spenders counts the VMs that hold lots, at least one.
-func (b *bucket) spenders() int {
-	n := 0
-	for i, l := range b.lots {
-		seen := false
-		for _, o := range b.lots[:i] {
-			seen = seen || o.spender == l.spender
-		}
-		if !seen {
-			n++
-		}
-	}
-	return max(1, n)
-}
-
 const (
 	minWait = 2 * time.Millisecond
 	maxWait = time.Second
+	// maxPace bounds how seldom spenders ask a part that is short.
+	maxPace = 250 * time.Millisecond
+	// slower and faster are the steps of the pace: at rest about two asks in
+	// three find nothing.
+	slower = 1.05
+	faster = 0.9
 )
 
-// wait is how long it takes until the level holds a whole token.
+// adapt makes spenders ask less often while most asks find nothing.
+func (b *bucket) adapt(found bool) {
+	step := slower
+	if found {
+		step = faster
+	}
+	most := maxPace
+	if b.rate > 0 {
+		most = min(most, time.Duration(float64(b.burst)/b.rate/2*float64(time.Second)))
+	}
+	b.pace = min(max(time.Duration(float64(b.pace)*step), minWait), most)
+}
+
+// wait is how long a spender that found nothing does not ask again: at least
+// until the level holds a whole token.
 func (b *bucket) wait() time.Duration {
 	if b.rate <= 0 {
 		return maxWait
 	}
 	missing := math.Max(0, 1-b.level)
 	d := time.Duration(missing / b.rate * float64(time.Second))
-	return min(max(d, minWait), maxWait)
+	return min(max(d, b.pace, minWait), maxWait)
 }
 
 // full reports that the bucket is as if it had never been asked.
--- a/core/thlimit/fault_test.go
+++ b/core/thlimit/fault_test.go
@@ -121,7 +121,7 @@
 }
 
 func TestRepeatedAskAndReportCountOnce(t *testing.T) {
-	u := thconfig.Customer{Name: "depot", Deployment: "cordial", Rate: slow, Burst: 2}
+	u := thconfig.Customer{Name: "depot", Deployment: "cordial", Rate: slow, Burst: 1}
 	f := newFleet(1, u)
 	f.advance(365 * 24 * time.Hour)
 	h, now := f.nodes[0].home, f.nodes[0].clock()
@@ -136,7 +136,7 @@
 }
 
 func TestRepeatedReportMakesNoRoom(t *testing.T) {
-	u := thconfig.Customer{Name: "depot", Deployment: "cordial", Rate: 1000, Burst: 6}
+	u := thconfig.Customer{Name: "depot", Deployment: "cordial", Rate: 1000, Burst: 2}
 	h, now := homeWith(u)
 	a := throster.VM{ID: "a", Incarnation: 1}
 	q := ask(1, 2)
@@ -159,11 +159,11 @@
 // TestCuttingTheBucketAnewNeverAddsRate raises a burst so that the bucket gets
 // more parts, while one home still goes by the old configuration.
 func TestCuttingTheBucketAnewNeverAddsRate(t *testing.T) {
-	u := thconfig.Customer{Name: "depot", Deployment: "cordial", Rate: 30, Burst: 1}
+	u := thconfig.Customer{Name: "depot", Deployment: "cordial", Rate: 30, Burst: 20}
 	f := newFleet(3, u)
 	f.advance(takeoverWait + time.Minute)
 	f.syncAll()
-	u.Burst = 3
+	u.Burst = 30
 	f.setCustomer(u)
 	behind, _ := f.nodes[0].layout.Home(thlimit.Part{Customer: "depot"})
 	for end := f.now + freshFor; f.now < end; f.advance(10 * time.Millisecond) {
--- a/core/thlimit/fleet_test.go
+++ b/core/thlimit/fleet_test.go
@@ -30,6 +30,8 @@
 	stall    func() time.Duration
 	admitted []time.Duration
 	messages int
+	// count is told of each message.
+	count func(message any)
 }
 
 // limit is what was accepted at a time.
@@ -83,6 +85,7 @@
 	f := &fleet{
 		send:  func(_, _ *node) []time.Duration { return []time.Duration{time.Millisecond} },
 		stall: func() time.Duration { return 0 },
+		count: func(any) {},
 	}
 	vs := make([]throster.VM, vms)
 	for i := range vs {
@@ -132,10 +135,11 @@
 	joined := n.layout.Roster().Len() == 0
 	n.layout = thlimit.NewLayout(n.f.roster)
 	n.home.Adopt(now, n.layout)
-	n.home.Lose(now, n.config.Customers())
 	if joined {
 		n.pull(n.home.Gained(now, n.config.Customers(), 0))
+		return
 	}
+	n.home.Lose(now, n.config.Customers())
 }
 
 func (f *fleet) syncAll() {
@@ -196,7 +200,16 @@
 	n.admit(n.f.limits[0].Name, &thlimit.Try{}, 0)
 }
 
+// admit decides on a request and, once it is decided, tells the fleet.
 func (n *node) admit(customer string, t *thlimit.Try, round int) {
+	n.admitThen(customer, t, round, func(admitted bool) {
+		if admitted {
+			n.f.admitted = append(n.f.admitted, n.f.now)
+		}
+	})
+}
+
+func (n *node) admitThen(customer string, t *thlimit.Try, round int, done func(bool)) {
 	u, _ := n.config.Customer(customer)
 	d := n.spender.Admit(n.clock(), n.layout, u, t)
 	if d.Ask != nil {
@@ -207,13 +220,16 @@
 	}
 	switch d.Verdict {
 	case thlimit.Admitted:
-		n.f.admitted = append(n.f.admitted, n.f.now)
+		done(true)
+	case thlimit.OverLimit, thlimit.Unreachable:
+		done(false)
 	case thlimit.Asking, thlimit.Waiting:
 		if round > 200 {
 			n.spender.Abandon(customer, t)
+			done(false)
 			return
 		}
-		w := &waiter{again: func() { n.admit(customer, t, round+1) }}
+		w := &waiter{again: func() { n.admitThen(customer, t, round+1, done) }}
 		n.waiters = append(n.waiters, w)
 		n.f.at(n.f.now+thlimit.HedgeAfter, n, w.wake)
 	}
@@ -242,6 +258,7 @@
 
 func (n *node) ask(o *thlimit.Outgoing) {
 	f := n.f
+	f.count(o.Ask)
 	to := f.node(o.Home.ID)
 	if o.Home.ID == n.vm.ID {
 		to = n
@@ -255,6 +272,7 @@
 		decide := func() {
 			g, ids := to.home.Ask(now, n.vm, o.Ask)
 			to.recall(ids, o.Ask.Part)
+			f.count(g)
 			to.pass(n, func() {
 				n.spender.Answer(n.clock(), o.Ask.Part, g)
 				n.answered()
@@ -333,6 +351,7 @@
 }
 
 func (n *node) tell(to *node, spender throster.VM, r thlimit.Report) {
+	n.f.count(r)
 	n.pass(to, func() {
 		for _, on := range to.home.Report(to.clock(), spender, []thlimit.Report{r}) {
 			to.tell(n.f.node(on.Home.ID), spender, on.Report)
--- a/core/thlimit/part.go
+++ b/core/thlimit/part.go
@@ -21,9 +21,14 @@
 	"tamarackhollow/core/throster"
 )
 
-// Parts is into how many parts a bucket is cut. A bucket whose burst is smaller
-// has as many parts as tokens, for a part without a token could give none.
-const Parts = 3
+const (
+	// Parts is into how many parts a large bucket is cut, so that the loss of a
+	// home leaves the most of it.
+	Parts = 3
+	// partedBurst is the least burst of a bucket that is cut up. In a smaller
+	// one the fractions of tokens in each part would count.
+	partedBurst = 30
+)
 
 // Part names one share of a customer's bucket.
 type Part struct {
@@ -33,7 +38,10 @@
 
 // PartCount returns how many parts of the customer's bucket hold tokens.
 func PartCount(u thconfig.Customer) int {
-	return min(Parts, max(0, u.Burst))
+	if u.Burst < partedBurst {
+		return min(1, max(0, u.Burst))
+	}
+	return Parts
 }
 
 // Share returns the part's rate and burst. The shares of all parts add up to
--- a/core/thlimit/past.go
+++ b/core/thlimit/past.go
@@ -35,9 +35,8 @@
 }
 
 // share returns the part's rate and burst. While another VM may still cut the
-// customer's bucket into another number of parts, the part's share of the rate
-// is the smaller one, so that the shares in use never add up to more than the
-// whole.
+// customer's bucket into another number of parts, the part has the smaller of
+// its shares, so that the shares in use never add up to more than the whole.
 func (p past) share(now thclock.Instant, u thconfig.Customer, part Part) (rate float64, burst int) {
 	rate, burst = part.Share(u)
 	for _, s := range p.old {
@@ -45,9 +44,8 @@
 		if !ok || PartCount(o) == PartCount(u) || now.SurelyPassed(s.until) {
 			continue
 		}
-		o.Rate = u.Rate
-		r, _ := part.Share(o)
-		rate = min(rate, r)
+		r, b := part.Share(o)
+		rate, burst = min(rate, r), min(burst, b)
 	}
 	return rate, burst
 }
--- a/core/thlimit/spender.go
+++ b/core/thlimit/spender.go
@@ -81,6 +81,8 @@
 	asked  thclock.Instant
 	need   int
 	level  int
+	// used is when the part was last asked.
+	used thclock.Instant
 	// refused is when the last ask was made that did not get what it needed.
 	refused   thclock.Instant
 	emptyTill thclock.Instant
@@ -324,7 +326,7 @@
 		if t != nil && !v.refused.Before(t.since) {
 			continue
 		}
-		if !found || v.level > a.views[best].level {
+		if w := &a.views[best]; !found || v.level > w.level || v.level == w.level && v.used.Before(w.used) {
 			best, found = i, true
 		}
 	}
@@ -355,7 +357,7 @@
 		return nil
 	}
 	s.last++
-	v.number, v.need = s.last, need
+	v.number, v.need, v.used = s.last, need, now
 	return &Outgoing{
 		Ask:   Ask{Part: p, Number: s.last, Need: need, Advance: advance, Reports: a.reports(now, u.Name, i)},
 		Home:  home,
