thhealth: compare a target with the others VM by VM, and ask for evidence

Cause: passing on only bad tallies made every target look worse, and news of a suspect target was compared with older news of the others. Change: a cell carries what the same VM saw of the other targets; a target that looks odd is named suspect, and all news of it goes first; answers extremely slow count as a kind of their own; the last few attempts are judged by count; a pacer sends urgent news each 250 ms within a budget of bytes.

--- a/core/thhealth/cell.go
+++ b/core/thhealth/cell.go
@@ -17,9 +17,13 @@
 	Target, Origin uint32
 	// Age is how long ago the tally was taken.
 	Age time.Duration
+	// Suspect is whether the VM needs to know more of the target.
+	Suspect bool
 	// Leaving is whether the target itself told the VM that it is leaving.
 	Leaving bool
 	Tally   Tally
+	// Rest is what the same VM saw of the service's other targets.
+	Rest Rest
 }
 
 // TargetKey names a target of a service in cells.
@@ -42,7 +46,7 @@
 }
 
 const (
-	cellBytes = 17
+	cellBytes = 27
 	ageStep   = 50 * time.Millisecond
 	// maxAge is the age beyond which a tally is not sent on.
 	maxAge = 250 * ageStep
@@ -50,6 +54,7 @@
 	countScale  = 16
 	workStep    = time.Millisecond
 	leavingFlag = 1
+	suspectFlag = 2
 )
 
 // EncodeCells returns the cells in the compact form of the exchange.
@@ -59,8 +64,10 @@
 		data = binary.BigEndian.AppendUint32(data, c.Target)
 		data = binary.BigEndian.AppendUint32(data, c.Origin)
 		data = append(data, byte(min(c.Age, maxAge)/ageStep), flags(c))
-		data = append(data, code(c.Tally.Short.Requests), code(c.Tally.Short.Failed), code(c.Tally.Short.Slow))
-		data = append(data, code(c.Tally.Long.Requests), code(c.Tally.Long.Failed), code(c.Tally.Long.Slow))
+		data = appendCounts(data, c.Tally.Short)
+		data = appendCounts(data, c.Tally.Long)
+		data = appendCounts(data, c.Rest.Short)
+		data = appendCounts(data, c.Rest.Long)
 		data = append(data, code(float64(c.Tally.Work)/float64(workStep)))
 	}
 	return data
@@ -79,20 +86,33 @@
 			Origin:  binary.BigEndian.Uint32(data[4:]),
 			Age:     time.Duration(data[8]) * ageStep,
 			Leaving: data[9]&leavingFlag != 0,
+			Suspect: data[9]&suspectFlag != 0,
 		}
-		c.Tally.Short = Counts{Requests: decode(data[10]), Failed: decode(data[11]), Slow: decode(data[12])}
-		c.Tally.Long = Counts{Requests: decode(data[13]), Failed: decode(data[14]), Slow: decode(data[15])}
-		c.Tally.Work = time.Duration(decode(data[16]) * float64(workStep))
+		c.Tally.Short, c.Tally.Long = readCounts(data[10:]), readCounts(data[14:])
+		c.Rest.Short, c.Rest.Long = readCounts(data[18:]), readCounts(data[22:])
+		c.Tally.Work = time.Duration(decode(data[26]) * float64(workStep))
 		cs = append(cs, c)
 	}
 	return cs, nil
 }
 
 func flags(c Cell) byte {
+	var b byte
 	if c.Leaving {
-		return leavingFlag
+		b |= leavingFlag
 	}
-	return 0
+	if c.Suspect {
+		b |= suspectFlag
+	}
+	return b
+}
+
+func appendCounts(data []byte, c Counts) []byte {
+	return append(data, code(c.Requests), code(c.Failed), code(c.Slow), code(c.Stalled))
+}
+
+func readCounts(data []byte) Counts {
+	return Counts{Requests: decode(data[0]), Failed: decode(data[1]), Slow: decode(data[2]), Stalled: decode(data[3])}
 }
 
 // code maps a count to one byte on a logarithmic scale.
--- a/core/thhealth/classify.go
+++ b/core/thhealth/classify.go
@@ -7,6 +7,9 @@
 	"tamarackhollow/core/threquest"
 )
 
+// stalledFactor is how many times the bound of slow answers is extremely slow.
+const stalledFactor = 2.5
+
 // Classify says what an attempt that was not shed shows of its target, where
 // an answer that takes longer than slowAfter is slow.
 func Classify(a threquest.Attempt, slowAfter time.Duration) Outcome {
@@ -15,6 +18,8 @@
 		switch {
 		case a.Answer != nil && failure(a.Answer.Status):
 			return Failed
+		case float64(took) > stalledFactor*float64(slowAfter):
+			return Stalled
 		case took > slowAfter:
 			return Slow
 		}
@@ -46,7 +51,7 @@
 	case a.Reused:
 		return Silent
 	}
-	return Failed
+	return Late
 }
 
 // failure reports whether a status is the target's own fault.
--- a/core/thhealth/judge.go
+++ b/core/thhealth/judge.go
@@ -7,11 +7,14 @@
 	// Origin names the VM.
 	Origin uint32
 	Tally  Tally
+	// Rest is what the VM saw of the other targets in the same time.
+	Rest Rest
 }
 
 // Sample is all that this VM knows of a target at the present moment.
 type Sample struct {
 	Own   Tally
+	Rest  Rest
 	Peers []Report
 }
 
@@ -22,6 +25,8 @@
 	Local bool
 	// Severity is the strength of the evidence, as a log likelihood ratio.
 	Severity float64
+	// Suspect verdicts need more evidence.
+	Suspect bool
 	// Seen is the evidence itself.
 	Seen Counts
 }
@@ -29,7 +34,11 @@
 const (
 	// sureRatio is the log likelihood ratio that a verdict needs: chance alone
 	// reaches it about once in exp(sureRatio) independent looks.
-	sureRatio = 10.0
+	sureRatio = 8.0
+	// latestRatio is like sureRatio for the last few attempts.
+	latestRatio = 10.0
+	// suspectRatio is the ratio from which more evidence is asked for.
+	suspectRatio = 3.0
 	// othersShare is the part of sureRatio that must be left when the VM whose
 	// reports weigh most is left out.
 	othersShare = 0.5
@@ -39,107 +48,108 @@
 	priorRequests = 20.0
 	priorFailed   = 0.1
 	priorSlow     = 1.0
+	priorStalled  = 0.1
+	// stalledExcess is like slowExcess for answers that are extremely slow.
+	stalledExcess = 0.1
 )
 
-// Judge compares each target of a service with the others. A service that
-// fails or slows as a whole has no sick targets.
+// Judge compares each target of a service with the others, VM by VM, so that
+// neither a VM's own trouble nor one VM's older news is held against a target.
+// A service that fails or slows as a whole has no sick targets.
 func Judge(p Policy, targets []Sample) []Verdict {
 	vs := make([]Verdict, len(targets))
-	for _, view := range []func(Tally) Counts{short, long} {
-		j := newJudgement(p, targets, view)
-		j.run(vs)
+	for i, s := range targets {
+		vs[i] = judgeTarget(p, s)
 	}
+	judgeLatest(p, targets, vs)
 	return vs
 }
 
-func short(t Tally) Counts { return t.Short }
-func long(t Tally) Counts  { return t.Long }
-
-// judgement is one pass over the targets with one length of memory.
-type judgement struct {
-	policy  Policy
-	targets []Sample
-	view    func(Tally) Counts
-	fleet   []Counts
-	own     []Counts
-	// ownSum and sum leave out the targets found sick so far.
-	ownSum, sum Counts
+func judgeTarget(p Policy, s Sample) Verdict {
+	a, b := shortView(s).verdict(p), longView(s).verdict(p)
+	a.Suspect = a.Suspect || b.Suspect
+	if b.Sick && (!a.Sick || a.Local && !b.Local || b.Severity > a.Severity && a.Local == b.Local) {
+		return b
+	}
+	return a
 }
 
-func newJudgement(p Policy, targets []Sample, view func(Tally) Counts) *judgement {
-	j := &judgement{
-		policy: p, targets: targets, view: view,
-		fleet: make([]Counts, len(targets)), own: make([]Counts, len(targets)),
+// judgeLatest finds targets that this VM alone has seen too little of for its
+// memories by time.
+func judgeLatest(p Policy, targets []Sample, vs []Verdict) {
+	var sum Counts
+	for _, s := range targets {
+		sum = sum.Plus(s.Own.Latest)
 	}
 	for i, s := range targets {
-		j.own[i] = view(s.Own)
-		j.fleet[i] = j.own[i]
-		for _, r := range s.Peers {
-			j.fleet[i] = j.fleet[i].Plus(view(r.Tally))
+		mine := s.Own.Latest
+		if r := ratio(p, mine, sum.Minus(mine)); r >= latestRatio && !vs[i].Sick {
+			vs[i] = Verdict{Sick: true, Local: true, Severity: r, Suspect: true, Seen: mine}
 		}
-		j.ownSum = j.ownSum.Plus(j.own[i])
-		j.sum = j.sum.Plus(j.fleet[i])
 	}
-	return j
-}
-
-// run finds the worst target, leaves it out of what the others are compared
-// with, and goes on until none is sick.
-func (j *judgement) run(vs []Verdict) {
-	done := make([]bool, len(vs))
-	for range vs {
-		worst := -1
-		var found Verdict
-		for i := range vs {
-			if done[i] {
-				continue
-			}
-			if v := j.verdict(i); v.Sick && (worst < 0 || v.Severity > found.Severity) {
-				worst, found = i, v
-			}
-		}
-		if worst < 0 {
-			return
-		}
-		done[worst] = true
-		j.sum = j.sum.Minus(j.fleet[worst])
-		j.ownSum = j.ownSum.Minus(j.own[worst])
-		vs[worst] = stronger(vs[worst], found)
+}
+
+// pair is what one VM saw of a target and of the others.
+type pair struct {
+	target, rest Counts
+}
+
+func (p pair) plus(o pair) pair {
+	return pair{target: p.target.Plus(o.target), rest: p.rest.Plus(o.rest)}
+}
+
+func (p pair) minus(o pair) pair {
+	return pair{target: p.target.Minus(o.target), rest: p.rest.Minus(o.rest)}
+}
+
+// view is the evidence on one target with one length of memory.
+type view struct {
+	own, all, most pair
+}
+
+func shortView(s Sample) view {
+	v := newView(pair{s.Own.Short, s.Rest.Short})
+	for _, r := range s.Peers {
+		v.add(pair{r.Tally.Short, r.Rest.Short})
+	}
+	return v
+}
+
+func longView(s Sample) view {
+	v := newView(pair{s.Own.Long, s.Rest.Long})
+	for _, r := range s.Peers {
+		v.add(pair{r.Tally.Long, r.Rest.Long})
 	}
+	return v
 }
 
-func stronger(a, b Verdict) Verdict {
-	if a.Sick && (!b.Sick || a.Severity >= b.Severity && (!a.Local || b.Local)) {
-		return a
+func newView(own pair) view { return view{own: own, all: own, most: own} }
+
+func (v *view) add(p pair) {
+	v.all = v.all.plus(p)
+	if p.target.Bad() > v.most.target.Bad() {
+		v.most = p
 	}
-	return b
 }
 
-func (j *judgement) verdict(i int) Verdict {
-	all := j.fleet[i]
-	rest := j.sum.Minus(all)
-	if r := ratio(j.policy, all, rest); r >= sureRatio && j.confirmed(i, rest) {
-		return Verdict{Sick: true, Severity: r, Seen: all}
+func (v view) verdict(p Policy) Verdict {
+	all := ratio(p, v.all.target, v.all.rest)
+	if all >= sureRatio && v.confirmed(p) {
+		return Verdict{Sick: true, Suspect: true, Severity: all, Seen: v.all.target}
 	}
-	mine := j.own[i]
-	if r := ratio(j.policy, mine, j.ownSum.Minus(mine)); r >= sureRatio {
-		return Verdict{Sick: true, Local: true, Severity: r, Seen: mine}
+	if r := ratio(p, v.own.target, v.own.rest); r >= sureRatio {
+		return Verdict{Sick: true, Local: true, Suspect: true, Severity: r, Seen: v.own.target}
 	}
-	return Verdict{Seen: all}
+	suspect := ratio(p.suspecting(), v.all.target, v.all.rest) >= suspectRatio
+	return Verdict{Seen: v.all.target, Suspect: suspect}
 }
 
 // confirmed reports whether the evidence holds without the VM that
 // contributes most to it, so that one VM's bad path convinces nobody else.
-func (j *judgement) confirmed(i int, rest Counts) bool {
-	most := j.own[i]
-	for _, r := range j.targets[i].Peers {
-		if c := j.view(r.Tally); c.Bad() > most.Bad() {
-			most = c
-		}
-	}
-	p := j.policy
+func (v view) confirmed(p Policy) bool {
 	p.Evidence *= othersShare
-	return ratio(p, j.fleet[i].Minus(most), rest) >= sureRatio*othersShare
+	others := v.all.minus(v.most)
+	return ratio(p, others.target, others.rest) >= sureRatio*othersShare
 }
 
 // ratio returns the larger log likelihood ratio, by failures or by slowness,
@@ -152,6 +162,7 @@
 	return max(
 		excess(target.Requests, target.Failed, rest.Requests+priorRequests, rest.Failed+priorFailed, p.FailureShare),
 		excess(target.Requests, target.Slow, rest.Requests+priorRequests, rest.Slow+priorSlow, slowExcess),
+		excess(target.Requests, target.Stalled, rest.Requests+priorRequests, rest.Stalled+priorStalled, stalledExcess),
 	)
 }
 
--- a/core/thhealth/policy.go
+++ b/core/thhealth/policy.go
@@ -44,3 +44,9 @@
 	}
 	return p
 }
+
+// suspecting is the policy by which more evidence is asked for.
+func (p Policy) suspecting() Policy {
+	p.Evidence = 1
+	return p
+}
--- a/core/thhealth/row.go
+++ b/core/thhealth/row.go
@@ -20,6 +20,7 @@
 type peerTally struct {
 	Report
 	leaving bool
+	suspect bool
 	// relays counts down how often the tally is passed on.
 	relays uint8
 }
@@ -27,11 +28,15 @@
 const (
 	// maxOrigins bounds the VMs whose tallies a row keeps.
 	maxOrigins = 64
-	relayTimes = 2
+	relayTimes = 3
 	// badWeight is how much more urgent news of bad attempts is.
 	badWeight = 10
-	// relayBad is how many bad attempts make a tally worth passing on.
-	relayBad  = 0.5
+	// suspectWeight puts all news of suspect targets first.
+	suspectWeight = 1000
+	// suspectFor is how long a VM that suspects a target is told more of it.
+	suspectFor = 2 * time.Second
+	// relayAge is the age beyond which a tally is not passed on.
+	relayAge  = 4 * time.Second
 	forgotten = 3 * longMemory
 )
 
@@ -52,10 +57,7 @@
 	at := now.Add(-c.Age)
 	t := c.Tally
 	t.At = at
-	p := peerTally{Report: Report{Origin: c.Origin, Tally: t}, leaving: c.Leaving}
-	if c.Leaving || t.Short.Bad()+t.Long.Bad() >= relayBad {
-		p.relays = relayTimes
-	}
+	p := peerTally{Report: Report{Origin: c.Origin, Tally: t, Rest: c.Rest}, leaving: c.Leaving, suspect: c.Suspect, relays: relayTimes}
 	i := slices.IndexFunc(r.peers, func(o peerTally) bool { return o.Origin == c.Origin })
 	switch {
 	case i >= 0 && r.peers[i].Tally.At.Sub(at) > -ageStep:
@@ -88,7 +90,7 @@
 	r.peers = slices.DeleteFunc(r.peers, func(p peerTally) bool { return now.Sub(p.Tally.At) > forgotten })
 	s.Peers = make([]Report, len(r.peers))
 	for i, p := range r.peers {
-		s.Peers[i] = Report{Origin: p.Origin, Tally: p.Tally.Faded(now)}
+		s.Peers[i] = Report{Origin: p.Origin, Tally: p.Tally.Faded(now), Rest: p.Rest.Faded(now.Sub(p.Tally.At))}
 	}
 	return s
 }
@@ -124,6 +126,28 @@
 	Key uint32
 	// Leaving is whether the target told this VM that it is leaving.
 	Leaving bool
+	// Suspect is whether this VM needs to know more of the target.
+	Suspect bool
+	// Rest is what this VM saw of the service's other targets.
+	Rest Rest
+}
+
+// wanted is whether this or another VM needs to know more of the target.
+func (e Entry) wanted(now thclock.Instant) bool {
+	return e.Suspect || e.Leaving || slices.ContainsFunc(e.Row.peers, func(p peerTally) bool {
+		return (p.suspect || p.leaving) && now.Sub(p.Tally.At) < suspectFor
+	})
+}
+
+// Urgent reports whether there is news that others should have at once.
+func Urgent(now thclock.Instant, entries []Entry) bool {
+	return slices.ContainsFunc(entries, func(e Entry) bool {
+		return e.wanted(now) && (e.Row.unsent.Requests > 0 || slices.ContainsFunc(e.Row.peers, func(p peerTally) bool { return p.relayable(now) }))
+	})
+}
+
+func (p peerTally) relayable(now thclock.Instant) bool {
+	return p.relays > 0 && now.Sub(p.Tally.At) < relayAge
 }
 
 // pick is a cell that may be sent, with its urgency.
@@ -151,21 +175,26 @@
 }
 
 func (r *Row) offer(picks []pick, now thclock.Instant, origin uint32, e Entry) []pick {
-	if w := r.unsent.Requests + badWeight*r.unsent.Bad(); w > 0 || e.Leaving {
-		if e.Leaving {
-			w += badWeight
+	wanted := e.wanted(now)
+	if w := r.unsent.Requests + badWeight*r.unsent.Bad(); w > 0 || e.Leaving || e.Suspect {
+		if wanted {
+			w += 2 * suspectWeight
 		}
-		c := Cell{Target: e.Key, Origin: origin, Leaving: e.Leaving, Tally: r.own.Faded(now)}
+		c := Cell{Target: e.Key, Origin: origin, Leaving: e.Leaving, Suspect: e.Suspect, Tally: r.own.Faded(now), Rest: e.Rest}
 		picks = append(picks, pick{c, w, func() { r.unsent = Counts{} }})
 	}
+	if !wanted {
+		return picks
+	}
 	for i := range r.peers {
 		p := &r.peers[i]
-		age := now.Sub(p.Tally.At)
-		if p.relays == 0 || age > maxAge {
+		if !p.relayable(now) {
 			continue
 		}
-		c := Cell{Target: e.Key, Origin: p.Origin, Age: age, Leaving: p.leaving, Tally: p.Tally}
-		picks = append(picks, pick{c, p.Tally.Short.Bad() + relayBad, func() { p.relays-- }})
+		age := now.Sub(p.Tally.At)
+		c := Cell{Target: e.Key, Origin: p.Origin, Age: age, Leaving: p.leaving, Suspect: p.suspect, Tally: p.Tally, Rest: p.Rest}
+		w := suspectWeight*(2-float64(age)/float64(relayAge)) + p.Tally.Short.Bad()
+		picks = append(picks, pick{c, w, func() { p.relays-- }})
 	}
 	return picks
 }
--- a/core/thhealth/state.go
+++ b/core/thhealth/state.go
@@ -54,6 +54,9 @@
 	return State{Phase: Warming, Until: now.Add(warmUp)}
 }
 
+// InUse reports whether the target gets ordinary work.
+func (s State) InUse() bool { return s.Phase == Healthy || s.Phase == Warming }
+
 // ColdShare returns the share, 0 to 1, of its capacity that a target does not
 // have yet.
 func (s State) ColdShare(now thclock.Instant) float64 {
--- a/core/thhealth/tally.go
+++ b/core/thhealth/tally.go
@@ -16,7 +16,11 @@
 	None Outcome = iota
 	Good
 	Slow
+	// Stalled is an answer that was extremely slow.
+	Stalled
 	Failed
+	// Late is an answer that had not come when the attempt was given up.
+	Late
 	// Silent is an open connection on which no answer came.
 	Silent
 )
@@ -24,6 +28,8 @@
 const (
 	shortMemory = 2 * time.Second
 	longMemory  = 20 * time.Second
+	// latestMemory is in attempts.
+	latestMemory = 6
 	// silentRun is how many silent connections in a row, without one good
 	// answer, are blamed on the target.
 	silentRun = 3
@@ -32,14 +38,16 @@
 // Counts are attempts seen, older ones counting less.
 type Counts struct {
 	Requests, Failed, Slow float64
+	// Stalled counts those of the slow ones that were extremely so.
+	Stalled float64
 }
 
 // Bad returns how many attempts failed or were slow.
-func (c Counts) Bad() float64 { return c.Failed + c.Slow }
+func (c Counts) Bad() float64 { return min(c.Failed+c.Slow, c.Requests) }
 
 // Plus returns the sum of both.
 func (c Counts) Plus(o Counts) Counts {
-	return Counts{Requests: c.Requests + o.Requests, Failed: c.Failed + o.Failed, Slow: c.Slow + o.Slow}
+	return Counts{Requests: c.Requests + o.Requests, Failed: c.Failed + o.Failed, Slow: c.Slow + o.Slow, Stalled: c.Stalled + o.Stalled}
 }
 
 // Minus returns what is left of c without o.
@@ -48,11 +56,12 @@
 		Requests: max(0, c.Requests-o.Requests),
 		Failed:   max(0, c.Failed-o.Failed),
 		Slow:     max(0, c.Slow-o.Slow),
+		Stalled:  max(0, c.Stalled-o.Stalled),
 	}
 }
 
 func (c Counts) scaled(f float64) Counts {
-	return Counts{Requests: c.Requests * f, Failed: c.Failed * f, Slow: c.Slow * f}
+	return Counts{Requests: c.Requests * f, Failed: c.Failed * f, Slow: c.Slow * f, Stalled: c.Stalled * f}
 }
 
 func (c Counts) with(o Outcome) Counts {
@@ -62,9 +71,18 @@
 	case Slow:
 		c.Requests++
 		c.Slow++
+	case Stalled:
+		c.Requests++
+		c.Slow++
+		c.Stalled++
 	case Failed:
 		c.Requests++
 		c.Failed++
+	case Late:
+		c.Requests++
+		c.Failed++
+		c.Slow++
+		c.Stalled++
 	}
 	return c
 }
@@ -73,6 +91,9 @@
 type Tally struct {
 	// Short and Long remember for a few seconds and for some tens.
 	Short, Long Counts
+	// Latest remembers the last few attempts, however long ago. It stays on
+	// this VM.
+	Latest Counts
 	// Work is the time that attempts took, remembered as long as Short.
 	Work time.Duration
 	// At is the moment to which the counts have faded.
@@ -105,12 +126,13 @@
 			return t
 		}
 		o = Failed
-	case Good, Slow:
+	case Good, Slow, Stalled:
 		t.silent = 0
 	}
 	t = t.Faded(now)
 	t.Short = t.Short.with(o)
 	t.Long = t.Long.with(o)
+	t.Latest = t.Latest.scaled(1 - 1.0/latestMemory).with(o)
 	return t
 }
 
@@ -124,3 +146,27 @@
 // Busy returns how many of the VM's requests the target had in flight, on
 // average over the last few seconds.
 func (t Tally) Busy() float64 { return float64(t.Work) / float64(shortMemory) }
+
+// Rest is what one VM saw of a service's other targets while it gathered a
+// Tally of one, so that the two can be compared as equals.
+type Rest struct {
+	Short, Long Counts
+}
+
+// Faded returns the rest as it stands a while later.
+func (r Rest) Faded(d time.Duration) Rest {
+	if d <= 0 {
+		return r
+	}
+	return Rest{Short: r.Short.scaled(fade(d, shortMemory)), Long: r.Long.scaled(fade(d, longMemory))}
+}
+
+// Plus adds a target's tally to the rest.
+func (r Rest) Plus(t Tally) Rest {
+	return Rest{Short: r.Short.Plus(t.Short), Long: r.Long.Plus(t.Long)}
+}
+
+// Minus takes a target's tally out of the rest.
+func (r Rest) Minus(t Tally) Rest {
+	return Rest{Short: r.Short.Minus(t.Short), Long: r.Long.Minus(t.Long)}
+}
--- a/core/throute/faketarget_test.go
+++ b/core/throute/faketarget_test.go
@@ -1,6 +1,7 @@
 package throute_test
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -81,10 +82,14 @@
 	if w.canceled {
 		return
 	}
+	if x.faultOf(g, w.c.vm).frozen {
+		return
+	}
 	if g.running < x.w.slots {
 		x.start(g, w)
 		return
 	}
+	g.waiting = slices.DeleteFunc(g.waiting, func(o *work) bool { return o.canceled })
 	if len(g.waiting) >= backlog*x.w.slots {
 		w.done(x.spec.ShedStatus, false)
 		return
@@ -97,9 +102,6 @@
 	g.served++
 	w.started = true
 	f := x.faultOf(g, w.c.vm)
-	if f.frozen {
-		return
-	}
 	took := x.lognormal()
 	if f.slow > 0 {
 		took = time.Duration(float64(took) * f.slow)
--- a/core/throute/judgement.go
+++ b/core/throute/judgement.go
@@ -28,6 +28,10 @@
 	for i, g := range b.targets {
 		e.samples[i] = g.row.Sample(now)
 	}
+	rests := b.rests(now)
+	for i := range e.samples {
+		e.samples[i].Rest = rests[i]
+	}
 	return e
 }
 
@@ -48,6 +52,7 @@
 	g.peersBusy = evidence.PeersBusy()
 	before := g.state
 	g.state = before.Next(now, b.policy, v, evidence.Recent())
+	g.suspect = v.Suspect && g.state.Phase != thhealth.Ejected
 	if g.state.Phase == before.Phase {
 		return
 	}
@@ -66,12 +71,32 @@
 
 // Offers returns the rows that may be told to other VMs.
 func (b *Balancer[W]) Offers(now thclock.Instant, entries []thhealth.Entry) []thhealth.Entry {
-	for _, g := range b.targets {
-		entries = append(entries, thhealth.Entry{Row: &g.row, Key: g.key, Leaving: now.Before(g.leavingUntil)})
+	rests := b.rests(now)
+	for i, g := range b.targets {
+		entries = append(entries, thhealth.Entry{Row: &g.row, Key: g.key, Leaving: now.Before(g.leavingUntil), Suspect: g.suspect, Rest: rests[i]})
 	}
 	return entries
 }
 
+// rests returns, for each target, what this VM saw of the others that are in
+// ordinary use.
+func (b *Balancer[W]) rests(now thclock.Instant) []thhealth.Rest {
+	var sum thhealth.Rest
+	for _, g := range b.targets {
+		if g.state.InUse() {
+			sum = sum.Plus(g.row.Own().Faded(now))
+		}
+	}
+	rests := make([]thhealth.Rest, len(b.targets))
+	for i, g := range b.targets {
+		rests[i] = sum
+		if g.state.InUse() {
+			rests[i] = sum.Minus(g.row.Own().Faded(now))
+		}
+	}
+	return rests
+}
+
 // Receive takes in another VM's tally, and returns false if it concerns none
 // of the targets.
 func (b *Balancer[W]) Receive(now thclock.Instant, c thhealth.Cell) bool {
--- a/core/throute/result_test.go
+++ b/core/throute/result_test.go
@@ -19,6 +19,7 @@
 	asked, well []int // by customer
 	sends       int
 	cells       int     // bytes exchanged
+	calls       int     // exchanges begun
 	hours       float64 // of all VMs together
 	refused     int
 	failed      int
@@ -83,6 +84,9 @@
 // culprit is whether the VM is right to eject the target now.
 func (x *world) culprit(v *fakeVM, i int) bool {
 	f := x.faults[i]
+	if x.wholeService() {
+		return false
+	}
 	if f == (fault{}) || f.lyLoad || x.now < x.onset {
 		return false
 	}
@@ -125,6 +129,7 @@
 	r.latencies.Merge(o.latencies)
 	r.sends += o.sends
 	r.cells += o.cells
+	r.calls += o.calls
 	r.hours += o.hours
 	r.refused += o.refused
 	r.failed += o.failed
@@ -152,6 +157,12 @@
 	return worst
 }
 
+const (
+	// callBytes is about what a call and its answer weigh besides the cells.
+	callBytes    = 600.0
+	base64Growth = 4.0 / 3
+)
+
 func (r *result) report(b *testing.B) {
 	b.Helper()
 	slices.Sort(r.detections)
@@ -167,6 +178,6 @@
 	b.ReportMetric(r.worst()*100, "worst-%")
 	b.ReportMetric(r.capacity*100, "open-min-%")
 	b.ReportMetric(float64(r.sends)/float64(r.total()), "sends/req")
-	b.ReportMetric(float64(r.cells)/r.hours/3600, "B/VM-s")
+	b.ReportMetric(2*(base64Growth*float64(r.cells)+callBytes*float64(r.calls))/r.hours/3600, "B/VM-s")
 	b.ReportMetric(0, "ns/op")
 }
--- a/core/throute/settle.go
+++ b/core/throute/settle.go
@@ -56,7 +56,7 @@
 		o = thhealth.None
 	}
 	g.row.Observe(now, o, took)
-	if o != thhealth.Good && o != thhealth.Slow {
+	if o != thhealth.Good && o != thhealth.Slow && o != thhealth.Stalled {
 		return
 	}
 	if g.state.Phase == thhealth.Healthy || g.state.Phase == thhealth.Warming {
--- a/core/throute/target.go
+++ b/core/throute/target.go
@@ -16,6 +16,8 @@
 	spec    thconfig.Target
 	row     thhealth.Row
 	state   thhealth.State
+	// suspect is whether more evidence is needed.
+	suspect bool
 	// leavingUntil is how long the target's own word that it leaves holds.
 	leavingUntil thclock.Instant
 	// busyUntil is set by a shed answer.
--- a/core/throute/world_test.go
+++ b/core/throute/world_test.go
@@ -52,15 +52,14 @@
 
 // fault is what goes wrong with a target, from a moment on.
 type fault struct {
-	slow     float64 // factor; 0 is none
-	fail     float64 // share answered with 500
-	wrong    float64 // share whose answer is broken
-	frozen   bool    // nothing answers
-	period   time.Duration
-	lyLoad   bool // reports no load when it is full and the reverse
-	onlyVM   int  // 1 + the VM whose path has the fault; 0 is the target's own
-	leaving  bool // says so in its answers
-	restarts bool
+	slow    float64 // factor; 0 is none
+	fail    float64 // share answered with 500
+	wrong   float64 // share whose answer is broken
+	frozen  bool    // nothing answers
+	period  time.Duration
+	lyLoad  bool // reports no load when it is full and the reverse
+	onlyVM  int  // 1 + the VM whose path has the fault; 0 is the target's own
+	leaving bool // says so in its answers
 }
 
 func (f fault) active(since time.Duration) bool {
@@ -113,6 +112,7 @@
 	full  *throute.Balancer[*call] // nil for the naive one
 	key   uint32
 	open  []bool
+	pacer thhealth.Pacer
 	found []time.Duration // by target: when it was first ejected after the onset
 }
 
@@ -175,7 +175,7 @@
 
 const (
 	judgeEvery      = 250 * time.Millisecond
-	exchangeEvery   = 500 * time.Millisecond
+	exchangeEvery   = 250 * time.Millisecond
 	cellsPerMessage = 24
 )
 
@@ -348,6 +348,11 @@
 }
 
 func (x *world) exchange(v *fakeVM) {
+	pacer, due := v.pacer.Next(x.instant(), thhealth.Urgent(x.instant(), v.full.Offers(x.instant(), nil)))
+	v.pacer = pacer
+	if !due {
+		return
+	}
 	p := x.vms[x.rng.IntN(len(x.vms))]
 	if p == v {
 		return
@@ -355,6 +360,8 @@
 	there := x.message(v)
 	back := x.message(p)
 	x.result.cells += len(there) + len(back)
+	x.result.calls++
+	v.pacer = v.pacer.WithExchange((len(there) + len(back)) * 4 / 3)
 	x.after(time.Millisecond, func() { x.receive(p, there) })
 	x.after(2*time.Millisecond, func() { x.receive(v, back) })
 }
--- a/io/thbalance/control.go
+++ b/io/thbalance/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"slices"
 	"time"
 
@@ -14,7 +15,7 @@
 
 const (
 	judgeEvery    = 250 * time.Millisecond
-	exchangeEvery = 500 * time.Millisecond
+	exchangeEvery = 250 * time.Millisecond
 	// cellsPerMessage bounds one message of the exchange.
 	cellsPerMessage = 24
 	exchangeTimeout = time.Second
@@ -67,7 +68,7 @@
 // exchange swaps observations with one peer drawn at random.
 func (f *Forwarder) exchange(ctx context.Context) {
 	vms := f.Roster().VMs()
-	if f.Client == nil || len(vms) < 2 {
+	if f.Client == nil || len(vms) < 2 || !f.due() {
 		return
 	}
 	f.seedMu.Lock()
@@ -78,13 +79,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	answer, err := thwire.Call[exchange, exchange](ctx, f.Client, v.PeerAddress, exchangePath, f.collect())
+	message := f.collect()
+	answer, err := thwire.Call[exchange, exchange](ctx, f.Client, v.PeerAddress, exchangePath, message)
+	f.pacer = f.pacer.WithExchange(base64.StdEncoding.EncodedLen(len(message.Cells) + len(answer.Cells)))
 	if err != nil {
 		return
 	}
 	_ = f.receive(answer)
 }
 
+// due decides whether to exchange now. Only the exchange controller uses the
+// pacer, and never twice at the same time.
+func (f *Forwarder) due() bool {
+	now := f.Clock.Now()
+	urgent := false
+	f.each(func(s *service) {
+		s.with(func(b *throute.Balancer[*waiter]) {
+			urgent = urgent || thhealth.Urgent(now, b.Offers(now, nil))
+		})
+	})
+	pacer, due := f.pacer.Next(now, urgent)
+	f.pacer = pacer
+	return due
+}
+
 // collect returns the message that is most urgent now.
 func (f *Forwarder) collect() exchange {
 	now := f.Clock.Now()
--- a/io/thbalance/forwarder.go
+++ b/io/thbalance/forwarder.go
@@ -66,6 +66,7 @@
 	seed     *rand.Rand
 	version  atomic.Uint64
 	vms      atomic.Int64
+	pacer    thhealth.Pacer
 }
 
 const defaultHealthPath = "/health"
