--- a/core/throute/world_test.go
+++ b/core/throute/world_test.go
@@ -112,6 +112,7 @@
 	full  *throute.Balancer[*call] // nil for the naive one
 	key   uint32
 	open  []bool
+	pacer thhealth.Pacer
 	found []time.Duration // by target: when it was first ejected after the onset
 }
 
@@ -174,7 +175,7 @@
 
 const (
 	judgeEvery      = 250 * time.Millisecond
-	exchangeEvery   = 500 * time.Millisecond
+	exchangeEvery   = 250 * time.Millisecond
 	cellsPerMessage = 24
 )
 
@@ -347,6 +348,11 @@
 }
 
 func (x *world) exchange(v *fakeVM) {
+	pacer, due := v.pacer.Next(x.instant(), thhealth.Urgent(x.instant(), v.full.Offers(x.instant(), nil)))
+	v.pacer = pacer
+	if !due {
+		return
+	}
 	p := x.vms[x.rng.IntN(len(x.vms))]
 	if p == v {
 		return
@@ -354,6 +360,8 @@
 	there := x.message(v)
 	back := x.message(p)
 	x.result.cells += len(there) + len(back)
+	x.result.calls++
+	v.pacer = v.pacer.WithExchange((len(there) + len(back)) * 4 / 3)
 	x.after(time.Millisecond, func() { x.receive(p, there) })
 	x.after(2*time.Millisecond, func() { x.receive(v, back) })
 }
