thcommand: add the report on service-level burn

Cause: users need a report on burn as a table, as JSON and as a page. Conclusion: a script checks figures, escaping and that the page loads nothing.

--- a/io/thcommand/command.go
+++ b/io/thcommand/command.go
@@ -38,7 +38,7 @@
 // All returns the operators' subcommands.
 func All(s Streams) []*ffcli.Command {
 	return []*ffcli.Command{
-		Check(s), Apply(s), Get(s), Customer(s), Key(s), Drain(s), Status(s),
+		Check(s), Apply(s), Get(s), Customer(s), Key(s), Drain(s), Status(s), Report(s),
 	}
 }
 
--- a/io/thcommand/command_test.go
+++ b/io/thcommand/command_test.go
@@ -6,10 +6,13 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"gotest.tools/v3/assert"
 
+	"tamarackhollow/core/thburn"
+	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/throster"
@@ -153,12 +156,29 @@
 	})
 }
 
+// burning is a report of customers that fare differently.
+func burning(_ context.Context, q thburn.Query) thburn.Report {
+	const minute = 1_000_000
+	var l thburn.Ledger
+	now := thclock.At(minute * time.Minute)
+	l.Merge(now, thburn.Batch{Source: "vm1", Deltas: []thburn.Delta{{Sequence: 1, Minute: minute, Entries: []thburn.Entry{
+		{
+			Name:   thburn.Name{Customer: "depot", Service: "stock"},
+			Counts: thburn.Counts{Good: 4000, Slow: 500, Failed: 496, WithinRate: 4},
+			Kinds:  []thburn.KindCount{{Kind: "queueFull", Count: 3}},
+		},
+		{Name: thburn.Name{Customer: "a<b", Service: "orders"}, Counts: thburn.Counts{Good: 100}},
+	}}}})
+	return l.Report(now, q, func(string) thconfig.Objective { return thconfig.Objective{Availability: 0.99, LatencyMillis: 100} })
+}
+
 func serve(t *testing.T, f *fleet) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &thwire.Server{Credential: credential}
-	thoperator.Register(s, f)
+	o := &thoperator.Server{Fleet: f, Burn: burning}
+	o.Register(s)
 	s.Start(l)
 	t.Cleanup(func() { assert.NilError(t, s.Shutdown()) })
 	return l.Addr().String()
--- a/io/thcommand/exit.go
+++ b/io/thcommand/exit.go
@@ -22,11 +22,15 @@
 	ExitUnknown     = 7
 	ExitCredential  = 8
 	ExitDeclined    = 9
+	ExitPaging      = 10
 )
 
 // errSpreading ends a command whose change is stored but not yet accepted.
 var errSpreading = errors.New("the change is stored but not yet known to a majority of the VMs")
 
+// errPaging ends a report that raises a page, if the operator asked for that.
+var errPaging = errors.New("a service-level objective burns fast enough to page")
+
 // errDeclined ends a command that the operator did not confirm.
 var errDeclined = errors.New("not confirmed, nothing was changed")
 
@@ -61,6 +65,8 @@
 		return ending{ExitUsage, "see tamarackhollow <subcommand> -h"}
 	case errors.Is(err, errSpreading):
 		return ending{ExitSpreading, "nothing is lost; watch tamarackhollow status until every VM shows the version"}
+	case errors.Is(err, errPaging):
+		return ending{ExitPaging, "see the report's rows with alerts, and their refusals by kind"}
 	case errors.Is(err, errDeclined):
 		return ending{ExitDeclined, "run it again with --yes, or answer y"}
 	}
--- a/io/thoperator/client.go
+++ b/io/thoperator/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"tamarackhollow/core/thburn"
 	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/io/thwire"
@@ -150,6 +151,11 @@
 	return call[StatusRequest, FleetAnswer](ctx, c, pathFleet, StatusRequest{})
 }
 
+// Report returns the report on service-level burn over all VMs.
+func (c *Client) Report(ctx context.Context, q thburn.Query) (thburn.Report, error) {
+	return call[thburn.Query, thburn.Report](ctx, c, pathReport, q)
+}
+
 // call makes a call that is safe to repeat, at one address after the other.
 func call[Q, A any](ctx context.Context, c *Client, path string, q Q) (A, error) {
 	var a A
--- a/io/thoperator/message.go
+++ b/io/thoperator/message.go
@@ -14,6 +14,7 @@
 	pathGet    = "/operator/get"
 	pathStatus = "/operator/status"
 	pathFleet  = "/operator/fleet"
+	pathReport = "/operator/report"
 	pathPeer   = "/peer/status"
 )
 
--- a/io/thoperator/server.go
+++ b/io/thoperator/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tamarackhollow/core/thburn"
 	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/thdiff"
 	"tamarackhollow/core/therror"
@@ -35,6 +36,8 @@
 	Fleet Fleet
 	// Peers asks the other VMs for their status; without it a VM only knows its own.
 	Peers *thwire.Client
+	// Burn makes the report on service-level burn; without it there is none.
+	Burn func(context.Context, thburn.Query) thburn.Report
 }
 
 // Register adds the operators' calls to a server.
@@ -49,6 +52,7 @@
 	thwire.Handle(operators, pathGet, s.get)
 	thwire.Handle(operators, pathStatus, s.status)
 	thwire.Handle(operators, pathFleet, s.fleet)
+	thwire.Handle(operators, pathReport, s.report)
 }
 
 // RegisterPeers adds the calls by which VMs ask each other for their status.
@@ -148,6 +152,15 @@
 
 func (s *Server) status(thwire.Sender, StatusRequest) (Status, error) { return s.Fleet.Status(), nil }
 
+func (s *Server) report(_ thwire.Sender, q thburn.Query) (thburn.Report, error) {
+	if s.Burn == nil {
+		return thburn.Report{}, therror.New(therror.NotFound, "this VM makes no reports")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), applyTimeout)
+	defer cancel()
+	return s.Burn(ctx, q), nil
+}
+
 // fleet asks every VM of the roster. One that cannot be asked is listed with
 // the reason.
 func (s *Server) fleet(thwire.Sender, StatusRequest) (FleetAnswer, error) {
