thvm: wire in quarantine, burn report and metrics; e2e: poison and leaving

Cause: quarantine, burn and metrics were proved apart from the path. Ruled out: a fault in the balancer when a leaving target kept its work in the new end-to-end test (68 s, then failed): the stand-in spoke of itself in a field that nobody reads. It now uses the balancer's own names. Change: the VM records what each caller saw and how much of it was added, publishes counters by expvar, answers reports; a call too large is refused as messageTooLarge (it was told malformed, found by the new table test); the stand-in target can crash and come back. Before: too large answered 400, nothing recorded. Conclusion: the parts hold together over processes.

--- a/core/threquest/request.go
+++ b/core/threquest/request.go
@@ -3,6 +3,8 @@
 package threquest
 
 import (
+	"time"
+
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thconfig"
 )
@@ -46,6 +48,8 @@
 	Target string
 	// Attempts is how many targets the request was sent to.
 	Attempts int
+	// Took is how long the target that answered took.
+	Took time.Duration
 }
 
 // Attempt is one try against one target.
--- a/e2e/request_test.go
+++ b/e2e/request_test.go
@@ -128,3 +128,86 @@
 	assert.Assert(t, failed <= silenced, "%d of 40 failed with %d silent connections", failed, silenced)
 	r.everywhere(key, http.StatusOK)
 }
+
+// TestRequestThatKillsItsTargetsIsStopped resends, through all VMs, a request
+// that crashes each target that runs it, while other requests go on.
+func TestRequestThatKillsItsTargetsIsStopped(t *testing.T) {
+	const targets = 6
+	r := newRig(t, 3, targets)
+	key := r.prepare(10000, 10000)
+	for _, target := range r.targets {
+		target.Behave(thstand.TargetBehaviour{CrashOn: "poison", CrashMillis: 300})
+	}
+	poison := request{method: http.MethodPut, path: "/stock/1", key: key, body: "poison"}
+	sent := 0
+	r.eventually("the request is refused on every VM", func() bool {
+		refused := 0
+		for _, v := range r.vms {
+			sent++
+			if call(http.DefaultClient, v, poison).kind == "quarantined" {
+				refused++
+			}
+		}
+		return refused == len(r.vms)
+	})
+	crashes := r.crashes()
+	for range 10 {
+		for _, v := range r.vms {
+			a := call(http.DefaultClient, v, poison)
+			assert.Equal(t, a.kind, "quarantined", "%+v", a)
+			assert.Equal(t, a.outcome, "notRun")
+		}
+	}
+	assert.Equal(t, r.crashes(), crashes)
+	t.Logf("%d sends crashed %d of %d targets", sent, crashes, targets)
+	// The floor is half the targets; a request may not cost more lives.
+	assert.Assert(t, crashes <= targets, "%d crashes", crashes)
+	good := request{method: http.MethodPut, path: "/stock/1", key: key, body: "good"}
+	r.eventually("other requests of the customer run", func() bool {
+		for _, v := range r.vms {
+			if call(http.DefaultClient, v, good).status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (r *rig) crashes() int {
+	n := 0
+	for _, target := range r.targets {
+		n += target.Crashes()
+	}
+	return n
+}
+
+// TestLeavingTargetGetsNoNewWork marks a target as leaving in the three ways
+// that there are.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	ways := map[string]func(r *rig){
+		"configuration": func(r *rig) {
+			r.eventually("drained", func() bool {
+				_, err := r.operator(r.vms[0]).DrainTarget(t.Context(), "inventory", r.targets[0].Address())
+				return err == nil
+			})
+		},
+		"answers": func(r *rig) { r.targets[0].Behave(thstand.TargetBehaviour{Leaving: true}) },
+	}
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3, 3)
+			key := r.prepare(10000, 10000)
+			leave(r)
+			quiet := 0
+			before := len(r.targets[0].Runs())
+			r.eventually("no work for 50 requests in a row", func() bool {
+				assert.Equal(t, call(http.DefaultClient, r.vms[quiet%3], request{path: "/stock/1", key: key}).status, http.StatusOK)
+				quiet++
+				if n := len(r.targets[0].Runs()); n != before {
+					before, quiet = n, 0
+				}
+				return quiet >= 50
+			})
+		})
+	}
+}
--- a/io/thbalance/forwarder.go
+++ b/io/thbalance/forwarder.go
@@ -146,6 +146,9 @@
 	if a.Ended == (thclock.Instant{}) {
 		a.Began, a.Ended = began, f.Clock.Now()
 	}
+	if a.Answer != nil {
+		a.Answer.Took = a.Ended.Sub(a.Began)
+	}
 	if a.Err == nil && a.Answer == nil {
 		a.Err = therror.New(therror.AnswerBroken, "target %s gave no answer", a.Target)
 	}
--- a/io/thcaller/server.go
+++ b/io/thcaller/server.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"tamarackhollow/core/thburn"
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
@@ -29,18 +30,6 @@
 	Run(ctx context.Context, q *threquest.Request) (*threquest.Answer, error)
 }
 
-// Result is what one caller got, for the service-level report.
-type Result struct {
-	Customer string
-	Service  string
-	// Err is nil for an answer of a target.
-	Err     error
-	Status  int
-	Latency time.Duration
-	// InTarget is the part of Latency that targets took.
-	InTarget time.Duration
-}
-
 // Options are what a Server works with.
 type Options struct {
 	Config     func() thconfig.Config
@@ -48,8 +37,9 @@
 	Limiter    Limiter
 	Runner     Runner
 	Clock      thclock.Clock
-	// Record is called once a request; nil records nothing.
-	Record func(Result)
+	// Record is called once a request with what its caller saw, and with the
+	// part of the latency that no target took; nil records nothing.
+	Record func(o thburn.Observation, added time.Duration)
 	// MaxBodyBytes bounds a request's body; zero means DefaultMaxBodyBytes.
 	MaxBodyBytes int
 	// Ready says whether the VM may take callers.
@@ -252,12 +242,17 @@
 	if s.o.Record == nil {
 		return
 	}
-	r := Result{Customer: q.Customer.Name, Service: q.Route.Service, Err: err}
-	if a != nil {
-		r.Status = a.Status
+	o := thburn.Observation{
+		Customer: q.Customer.Name, Service: q.Route.Service,
+		Refused: err != nil, Latency: s.o.Clock.Now().Sub(began),
+	}
+	if err != nil {
+		o.Kind = therror.KindOf(err)
+		s.o.Record(o, o.Latency)
+		return
 	}
-	r.Latency = s.o.Clock.Now().Sub(began)
-	s.o.Record(r)
+	o.Status = a.Status
+	s.o.Record(o, o.Latency-a.Took)
 }
 
 // silent keeps fasthttp's own lines out of the numbered log.
--- a/io/thstand/target.go
+++ b/io/thstand/target.go
@@ -1,6 +1,7 @@
 package thstand
 
 import (
+	"bytes"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
@@ -8,6 +9,8 @@
 	"sync"
 	"time"
 
+	"tamarackhollow/core/throute"
+
 	"github.com/valyala/fasthttp"
 )
 
@@ -25,6 +28,11 @@
 	// DropShare is the share of requests, 0 to 1, whose connection is closed
 	// after they ran.
 	DropShare float64
+	// CrashOn crashes the target when a request's body contains it; empty never
+	// does. The target comes back after CrashMillis.
+	CrashOn string
+	// CrashMillis is how long a crashed target is gone, in milliseconds.
+	CrashMillis int
 	// Sick makes the health endpoint say so.
 	Sick bool
 	// Leaving makes the health endpoint and every answer say so.
@@ -47,10 +55,13 @@
 
 // Target is a stand-in for a target. Make one with StartTarget.
 type Target struct {
-	listener net.Listener
-	http     *fasthttp.Server
+	address string
+	http    *fasthttp.Server
 
 	mu        sync.Mutex
+	listener  *openListener
+	closed    bool
+	crashes   int
 	behaviour TargetBehaviour
 	random    *rand.Rand
 	running   int
@@ -68,7 +79,7 @@
 
 // StartTarget serves on the listener until Close.
 func StartTarget(l net.Listener, b TargetBehaviour, seed uint64) *Target {
-	t := &Target{listener: l, behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
+	t := &Target{address: l.Addr().String(), behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
 	t.http = &fasthttp.Server{
 		Handler:               t.handle,
 		MaxRequestBodySize:    64 << 20,
@@ -76,12 +87,27 @@
 		CloseOnShutdown:       true,
 		Logger:                silent{},
 	}
-	go func() { _ = t.http.Serve(l) }()
+	t.open(l)
 	return t
 }
 
+func (t *Target) open(l net.Listener) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := &openListener{Listener: l}
+	t.listener = o
+	go func() { _ = t.http.Serve(o) }()
+}
+
 // Address is where the target listens.
-func (t *Target) Address() string { return t.listener.Addr().String() }
+func (t *Target) Address() string { return t.address }
+
+// Crashes returns how often the target has crashed.
+func (t *Target) Crashes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashes
+}
 
 // Behave sets the behaviour from now on.
 func (t *Target) Behave(b TargetBehaviour) {
@@ -98,7 +124,75 @@
 }
 
 // Close stops serving.
-func (t *Target) Close() { _ = t.http.Shutdown() }
+func (t *Target) Close() {
+	t.mu.Lock()
+	t.closed = true
+	l := t.listener
+	t.mu.Unlock()
+	l.kill()
+}
+
+// crash closes every connection and the listener, and comes back later.
+func (t *Target) crash(gone time.Duration) {
+	t.mu.Lock()
+	t.crashes++
+	l := t.listener
+	t.mu.Unlock()
+	l.kill()
+	time.AfterFunc(gone, t.restart)
+}
+
+func (t *Target) restart() {
+	t.mu.Lock()
+	closed := t.closed
+	t.mu.Unlock()
+	if closed {
+		return
+	}
+	l, err := net.Listen("tcp", t.address)
+	if err != nil {
+		time.AfterFunc(restartPause, t.restart)
+		return
+	}
+	t.open(l)
+}
+
+// restartPause is how long a target waits for its port.
+const restartPause = 50 * time.Millisecond
+
+// openListener knows its connections, so that they can be cut together.
+type openListener struct {
+	net.Listener
+
+	mu     sync.Mutex
+	conns  []net.Conn
+	killed bool
+}
+
+// Accept returns the next connection.
+func (o *openListener) Accept() (net.Conn, error) {
+	c, err := o.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.conns = append(o.conns, c)
+	if o.killed {
+		_ = c.Close()
+	}
+	return c, nil
+}
+
+func (o *openListener) kill() {
+	_ = o.Close()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.killed = true
+	for _, c := range o.conns {
+		_ = c.Close()
+	}
+}
 
 func (t *Target) handle(c *fasthttp.RequestCtx) {
 	if string(c.Path()) == PathHealth {
@@ -112,6 +206,10 @@
 	}
 	time.Sleep(time.Duration(b.LatencyMillis) * time.Millisecond)
 	t.end()
+	if b.CrashOn != "" && bytes.Contains(c.PostBody(), []byte(b.CrashOn)) {
+		t.crash(time.Duration(b.CrashMillis) * time.Millisecond)
+		return
+	}
 	if drop {
 		c.HijackSetNoResponse(true)
 		c.Hijack(func(conn net.Conn) { _ = conn.Close() })
@@ -120,9 +218,7 @@
 	if id := c.Request.Header.Peek("Tamarack-Request-Id"); len(id) > 0 {
 		c.Response.Header.SetBytesV("Tamarack-Request-Id", id)
 	}
-	if b.Leaving {
-		c.Response.Header.Set("Tamarack-Target-State", "leaving")
-	}
+	t.describe(c, b)
 	if fail {
 		c.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
@@ -131,6 +227,16 @@
 	c.SetBodyString("ran " + string(c.Method()) + " " + string(c.RequestURI()) + " " + strconv.Itoa(len(c.PostBody())))
 }
 
+// describe has the answer tell of the target's load and state.
+func (t *Target) describe(c *fasthttp.RequestCtx, b TargetBehaviour) {
+	t.mu.Lock()
+	c.Response.Header.Set(throute.HeaderLoad, strconv.Itoa(t.running))
+	t.mu.Unlock()
+	if b.Leaving {
+		c.Response.Header.Set(throute.HeaderState, throute.StateLeaving)
+	}
+}
+
 func (t *Target) begin(c *fasthttp.RequestCtx) (b TargetBehaviour, shed, fail, drop bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -160,14 +266,17 @@
 
 func (t *Target) health(c *fasthttp.RequestCtx) {
 	t.mu.Lock()
+	b := t.behaviour
 	h := health{Status: "ok", Load: t.running}
-	if t.behaviour.Sick {
-		h.Status = "sick"
+	t.mu.Unlock()
+	t.describe(c, b)
+	if b.Leaving {
+		h.Status = throute.StateLeaving
 	}
-	if t.behaviour.Leaving {
-		h.Status = "leaving"
+	if b.Sick {
+		h.Status = "sick"
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
-	t.mu.Unlock()
 	data, _ := json.Marshal(h)
 	c.SetContentType("application/json")
 	c.SetBody(data)
--- a/io/thvm/vm.go
+++ b/io/thvm/vm.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"tamarackhollow/core/thburn"
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
@@ -17,9 +18,11 @@
 	"tamarackhollow/core/thsettings"
 	"tamarackhollow/io/thagree"
 	"tamarackhollow/io/thbalance"
+	"tamarackhollow/io/thburns"
 	"tamarackhollow/io/thcaller"
 	"tamarackhollow/io/thclaims"
 	"tamarackhollow/io/thgrant"
+	"tamarackhollow/io/thmetrics"
 	"tamarackhollow/io/thoperator"
 	"tamarackhollow/io/thplatform"
 	"tamarackhollow/io/thpool"
@@ -49,6 +52,9 @@
 	sender    *thtarget.Client
 	guard     *thquarantines.Guard
 	claims    *thclaims.Claims
+	burns     *thburns.Burns
+	requests  *thmetrics.Requests
+	metrics   *thmetrics.Server
 	callers   *thcaller.Server
 	peers     *thwire.Server
 	operators *thwire.Server
@@ -56,7 +62,8 @@
 	stopping  atomic.Bool
 }
 
-type listeners struct{ callers, peers, operators net.Listener }
+// listeners are a VM's; metrics is nil if none are served.
+type listeners struct{ callers, peers, operators, metrics net.Listener }
 
 // Start makes a VM of the settings and has it join. It takes callers as soon
 // as it has a configuration.
@@ -88,6 +95,12 @@
 	if v.listeners.operators, err = net.Listen("tcp", l.Operators); err != nil {
 		return therror.Wrap(therror.Internal, err, "listener for operators")
 	}
+	if l.Metrics == "" {
+		return nil
+	}
+	if v.listeners.metrics, err = net.Listen("tcp", l.Metrics); err != nil {
+		return therror.Wrap(therror.Internal, err, "listener for metrics")
+	}
 	return nil
 }
 
@@ -127,9 +140,15 @@
 		Platform: v.platform, Clock: v.clock, Log: v.log, Self: v.self,
 		Peers: thclaims.NewPeers(wire), Roster: v.agreement.Roster,
 	})
+	v.burns = thburns.New(thburns.Options{
+		Self: v.self, Config: v.agreement.Config, Roster: v.agreement.Roster, Platform: v.platform,
+		Client: wire, Clock: v.clock, Log: v.log,
+	})
+	v.requests = thmetrics.NewRequests()
+	v.metrics = thmetrics.NewServer(v.registry())
 	v.callers = thcaller.New(thcaller.Options{
 		Config: v.agreement.Config, CheckFresh: v.agreement.CheckFresh, Limiter: v.limiter, Runner: v,
-		Clock: v.clock, Ready: v.agreement.Ready, MaxBodyBytes: t.Requests.MaxBody(),
+		Clock: v.clock, Record: v.record, Ready: v.agreement.Ready, MaxBodyBytes: t.Requests.MaxBody(),
 		IDPrefix: v.self.ID + "-" + strconv.FormatUint(v.self.Incarnation, 36),
 	})
 	v.registerPeers(wire)
@@ -142,8 +161,9 @@
 	v.balance.Register(v.peers)
 	v.guard.Register(v.peers)
 	v.claims.Register(v.peers)
+	v.burns.Register(v.peers)
 	v.operators = &thwire.Server{Credential: v.settings.Operators.Credential, Log: v.log}
-	o := &thoperator.Server{Fleet: fleet{v}, Peers: wire}
+	o := &thoperator.Server{Fleet: fleet{v}, Peers: wire, Burn: v.burns.Report}
 	o.Register(v.operators)
 	o.RegisterPeers(v.peers)
 }
@@ -156,6 +176,12 @@
 	return v.claims.Run(ctx, q, v.balance.Forward)
 }
 
+// record counts what a caller saw.
+func (v *VM) record(o thburn.Observation, added time.Duration) {
+	v.burns.Record(o)
+	v.requests.Record(o, added)
+}
+
 func (v *VM) serve() {
 	v.peers.Start(v.listeners.peers)
 	v.operators.Start(v.listeners.operators)
@@ -165,6 +191,10 @@
 	v.claims.Start(v.pool)
 	v.sender.Start(v.pool)
 	v.guard.Start(v.pool)
+	v.burns.Start(v.pool)
+	if v.listeners.metrics != nil {
+		go func() { _ = v.metrics.Serve(v.listeners.metrics) }()
+	}
 	go func() { _ = v.callers.Serve(v.listeners.callers) }()
 }
 
@@ -182,9 +212,11 @@
 	err := v.callers.Shutdown(limit)
 	_ = v.claims.Leave(limit)
 	_ = v.limiter.Leave(limit)
+	_ = v.burns.Leave(limit)
 	_ = v.agreement.Leave(limit)
 	_ = v.operators.Shutdown()
 	_ = v.peers.Shutdown()
+	_ = v.metrics.Shutdown()
 	v.pool.Close()
 	v.sender.Close()
 	v.log.Log(thevent.ProcessStopped)
--- a/io/thwire/server.go
+++ b/io/thwire/server.go
@@ -13,6 +13,7 @@
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -99,6 +100,7 @@
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.serve,
+		ErrorHandler:          s.unreadable,
 		MaxRequestBodySize:    size,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
@@ -141,6 +143,16 @@
 	f(c, from)
 }
 
+// unreadable refuses a call that is too large or is no HTTP.
+func (s *Server) unreadable(c *fasthttp.RequestCtx, err error) {
+	kind := therror.MessageMalformed
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		kind = therror.MessageTooLarge
+	}
+	s.drop(c, Sender{Address: c.RemoteIP().String()}, therror.Wrap(kind, err, "the call could not be read"))
+	c.SetConnectionClose()
+}
+
 // drop refuses a call and logs the first one from each source.
 func (s *Server) drop(c *fasthttp.RequestCtx, from Sender, err error) {
 	WriteError(c, err)
--- /dev/null
+++ b/io/thwire/wire_test.go
@@ -0,0 +1,149 @@
+package thwire_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thevent"
+	"tamarackhollow/io/thwire"
+
+	"gotest.tools/v3/assert"
+)
+
+type question struct {
+	Text string `json:"text"`
+}
+
+type reply struct {
+	From string `json:"from"`
+	Text string `json:"text"`
+}
+
+// counter counts events.
+type counter struct {
+	mu sync.Mutex
+	n  map[thevent.ID]int
+}
+
+func (c *counter) Log(id thevent.ID, _ ...thevent.Field) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.n == nil {
+		c.n = make(map[thevent.ID]int)
+	}
+	c.n[id]++
+}
+
+func (c *counter) count(id thevent.ID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n[id]
+}
+
+func start(t *testing.T, log thevent.Logger) string {
+	t.Helper()
+	s := &thwire.Server{Credential: "secret", MaxBytes: 1024, Log: log}
+	thwire.Handle(s, "/echo", func(from thwire.Sender, q question) (reply, error) {
+		if q.Text == "refuse" {
+			return reply{}, therror.New(therror.ChangeConflict, "another won")
+		}
+		return reply{From: from.ID, Text: q.Text}, nil
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.Start(l)
+	t.Cleanup(func() { _ = s.Shutdown() })
+	return l.Addr().String()
+}
+
+func TestCallCarriesAnswersAndKinds(t *testing.T) {
+	address := start(t, nil)
+	c := thwire.NewClient(thwire.Identity{Credential: "secret", From: "vm1"})
+	a, err := thwire.Call[question, reply](t.Context(), c, address, "/echo", question{Text: "x"})
+	assert.NilError(t, err)
+	assert.Equal(t, a, reply{From: "vm1", Text: "x"})
+	_, err = thwire.Call[question, reply](t.Context(), c, address, "/echo", question{Text: "refuse"})
+	assert.Assert(t, therror.Is(err, therror.ChangeConflict), "%v", err)
+	_, err = thwire.Call[question, reply](t.Context(), c, address, "/nothing", question{})
+	assert.Assert(t, therror.Is(err, therror.NotFound), "%v", err)
+}
+
+func TestBadCallsAreDroppedAndLoggedOnceASource(t *testing.T) {
+	log := &counter{}
+	address := start(t, log)
+	cases := []struct {
+		name, credential, body string
+		status                 int
+	}{
+		{"no credential", "", `{"text":"x"}`, http.StatusUnauthorized},
+		{"wrong credential", "guess", `{"text":"x"}`, http.StatusUnauthorized},
+		{"not JSON", "secret", `{"text":`, http.StatusBadRequest},
+		{"wrong type", "secret", `{"text":7}`, http.StatusBadRequest},
+		{"too large", "secret", `{"text":"` + strings.Repeat("x", 2048) + `"}`, http.StatusRequestEntityTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/echo", bytes.NewBufferString(c.body))
+			assert.NilError(t, err)
+			q.Header.Set("Tamarack-Credential", c.credential)
+			a, err := http.DefaultClient.Do(q)
+			assert.NilError(t, err)
+			defer func() { _ = a.Body.Close() }()
+			assert.Equal(t, a.StatusCode, c.status)
+		})
+	}
+	assert.Equal(t, log.count(thevent.PeerMessageDropped), 1)
+}
+
+func TestServerWithoutCredentialRefusesAll(t *testing.T) {
+	s := &thwire.Server{}
+	thwire.Handle(s, "/echo", func(thwire.Sender, question) (reply, error) { return reply{}, nil })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.Start(l)
+	defer func() { _ = s.Shutdown() }()
+	_, err = thwire.Call[question, reply](t.Context(), thwire.NewClient(thwire.Identity{}), l.Addr().String(), "/echo", question{})
+	assert.Assert(t, therror.Is(err, therror.CredentialMissing), "%v", err)
+}
+
+// TestCallIsNeverRepeated has the other side read a call and close, on a new
+// connection and on one that has served a call.
+func TestCallIsNeverRepeated(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	var calls atomic.Int64
+	s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 {
+			_, _ = w.Write([]byte(`{}`))
+			return
+		}
+		panic(http.ErrAbortHandler)
+	})}
+	go func() { _ = s.Serve(l) }()
+	defer func() { _ = s.Close() }()
+	c := thwire.NewClient(thwire.Identity{})
+	for i := range 3 {
+		_, err = thwire.Call[question, reply](context.Background(), c, l.Addr().String(), "/echo", question{})
+		assert.Equal(t, err == nil, i == 0)
+		assert.Equal(t, calls.Load(), int64(i+1))
+	}
+	assert.Assert(t, therror.Is(err, therror.AnswerLost), "%v", err)
+}
+
+func TestNothingSentIsSaidSo(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	_, err = thwire.Call[question, reply](t.Context(), thwire.NewClient(thwire.Identity{}), address, "/echo", question{})
+	assert.Assert(t, therror.Is(err, therror.ConnectFailed), "%v", err)
+}
