throster: bring news to three peers and pass over the dead

Cause: with the store down and zones gone, VMs at 460 lost their freshness though they heard a majority, because a third of their questions went to dead peers; a change known to one VM alone took seconds to come round; and a fifth of the pushes timing out held up the rest.

Ruled out: a longer freshness (it would be longer too for a withdrawn key on a cut-off VM), and asking twice as often always (15 KB/s a VM).

Change: a VM that moves to a new version brings it to three random peers. Peers that nobody has heard of for FreshFor, or that failed last, are drawn one time in eight. A VM with less than a second of freshness left asks every 100 ms. Pushes run 128 at once. Seats stand in a slice in the roster's order.

--- a/core/throster/accept.go
+++ b/core/throster/accept.go
@@ -36,33 +36,15 @@
 func (n *Node) acknowledged(r Roster, version uint64) int {
 	count := 0
 	for _, v := range r.VMs() {
-		now, ok := n.Roster().VM(v.ID)
-		gone := !ok || now.Incarnation > v.Incarnation
-		if gone || n.seats[v.ID].acked >= version {
+		i, ok := n.Roster().index(v.ID)
+		gone := !ok || n.Roster().VMs()[i].Incarnation > v.Incarnation
+		if gone || n.seats[i].acked >= version {
 			count++
 		}
 	}
 	return count
 }
 
-// Acknowledge records that the member has reached the version. Where the
-// answer came from an incarnation that has been replaced it counts for
-// nothing.
-func (n *Node) Acknowledge(id string, incarnation, version uint64) {
-	s, ok := n.seats[id]
-	if !ok {
-		return
-	}
-	if incarnation > s.incarnation {
-		s = seat{incarnation: incarnation}
-	}
-	if incarnation == s.incarnation && version > s.acked {
-		s.acked = version
-	}
-	n.seats[id] = s
-	n.settle()
-}
-
 // settle looks whether the version in force is accepted by now.
 func (n *Node) settle() {
 	n.selfAcks()
@@ -90,8 +72,8 @@
 // Lacking returns the VMs of the roster not known to have the version.
 func (n *Node) Lacking(version uint64) []VM {
 	var out []VM
-	for _, v := range n.Roster().VMs() {
-		if v.ID != n.self.ID && n.seats[v.ID].acked < version {
+	for i, v := range n.Roster().VMs() {
+		if v.ID != n.self.ID && n.seats[i].acked < version {
 			out = append(out, v)
 		}
 	}
--- a/core/throster/exchange.go
+++ b/core/throster/exchange.go
@@ -79,11 +79,9 @@
 	if q.Brief {
 		return a
 	}
-	vs := n.Roster().VMs()
-	a.Ages = make([]byte, len(vs))
-	a.Acked = make([]byte, (len(vs)+7)/8)
-	for i, v := range vs {
-		s := n.seats[v.ID]
+	a.Ages = make([]byte, len(n.seats))
+	a.Acked = make([]byte, (len(n.seats)+7)/8)
+	for i, s := range n.seats {
 		a.Ages[i] = age(now, s.heard)
 		if s.acked >= n.version {
 			a.Acked[i/8] |= 1 << (i % 8)
@@ -130,15 +128,14 @@
 }
 
 func (n *Node) heardFrom(sent thclock.Instant, a Answer) {
-	s, ok := n.seats[a.ID]
-	if !ok || !a.Voter || a.Incarnation != s.incarnation {
+	s := n.seat(a.ID)
+	if s == nil || !a.Voter || a.Incarnation != s.incarnation {
 		return
 	}
 	if s.heard.Before(sent) {
 		s.heard = sent
 	}
 	s.acked = max(s.acked, a.Version)
-	n.seats[a.ID] = s
 	if n.Claiming() && a.ID != n.self.ID && a.Roster == n.Roster().Version() {
 		n.confirmed[a.ID] = true
 	}
@@ -153,7 +150,7 @@
 	}
 	same := a.Seats == sumOverrides(n.overrides())
 	for i, v := range vs {
-		s := n.seats[v.ID]
+		s := &n.seats[i]
 		if v.ID == n.self.ID || !same && s.incarnation != incarnationIn(a, v) {
 			continue
 		}
@@ -165,7 +162,6 @@
 		if a.Acked[i/8]&(1<<(i%8)) != 0 {
 			s.acked = max(s.acked, a.Version)
 		}
-		n.seats[v.ID] = s
 	}
 }
 
@@ -198,9 +194,9 @@
 		need--
 	}
 	heard := make([]thclock.Instant, 0, r.Len())
-	for id, s := range n.seats {
-		if id != n.self.ID {
-			heard = append(heard, s.heard)
+	for i, v := range r.VMs() {
+		if v.ID != n.self.ID {
+			heard = append(heard, n.seats[i].heard)
 		}
 	}
 	if need == 0 || need > len(heard) {
@@ -217,8 +213,8 @@
 }
 
 func (n *Node) learnIncarnation(id string, incarnation uint64) {
-	if s, ok := n.seats[id]; ok && incarnation > s.incarnation {
-		n.seats[id] = seat{incarnation: incarnation}
+	if s := n.seat(id); s != nil && incarnation > s.incarnation {
+		*s = seat{incarnation: incarnation}
 	}
 }
 
@@ -231,9 +227,9 @@
 // overrides lists the incarnations newer than the roster's, ordered by ID.
 func (n *Node) overrides() []Override {
 	var os []Override
-	for _, v := range n.Roster().VMs() {
-		if i := n.seats[v.ID].incarnation; i > v.Incarnation {
-			os = append(os, Override{ID: v.ID, Incarnation: i})
+	for i, v := range n.Roster().VMs() {
+		if now := n.seats[i].incarnation; now > v.Incarnation {
+			os = append(os, Override{ID: v.ID, Incarnation: now})
 		}
 	}
 	return os
--- a/core/throster/knowledge.go
+++ b/core/throster/knowledge.go
@@ -16,8 +16,8 @@
 // Knowledge returns what the node knows of each member, ordered by ID.
 func (n *Node) Knowledge(now thclock.Instant) []Knowledge {
 	out := make([]Knowledge, 0, n.Roster().Len())
-	for _, v := range n.Roster().VMs() {
-		s := n.seats[v.ID]
+	for i, v := range n.Roster().VMs() {
+		s := n.seats[i]
 		k := Knowledge{ID: v.ID, Incarnation: s.incarnation, Version: s.acked, HeardMillis: asOfMillis(now, s.heard)}
 		if v.ID == n.self.ID && n.Voter() {
 			k.HeardMillis = 0
--- a/core/throster/node.go
+++ b/core/throster/node.go
@@ -1,6 +1,7 @@
 package throster
 
 import (
+	"slices"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -35,8 +36,9 @@
 	version uint64
 	// rosters begins with the last one that a majority is known to have; the
 	// last is in force.
-	rosters  []Roster
-	seats    map[string]seat
+	rosters []Roster
+	// seats holds what is known of each VM of the roster in force, in its order.
+	seats    []seat
 	accepted uint64
 	asOf     thclock.Instant
 	// confirmed holds who answered this incarnation since it began to claim
@@ -47,7 +49,7 @@
 
 // NewNode returns a node that knows nothing yet.
 func NewNode(self VM) *Node {
-	return &Node{self: self, rosters: []Roster{{}}, seats: map[string]seat{}, confirmed: map[string]bool{}}
+	return &Node{self: self, rosters: []Roster{{}}, confirmed: map[string]bool{}}
 }
 
 // Roster returns the roster in force.
@@ -73,15 +75,13 @@
 // Voter reports whether the node counts as a member: it stands in the roster
 // with its incarnation, or has claimed its seat from a majority of the others.
 func (n *Node) Voter() bool {
-	v, ok := n.Roster().VM(n.self.ID)
-	if !ok || n.left {
+	i, ok := n.Roster().index(n.self.ID)
+	if !ok || n.left || n.seats[i].incarnation > n.self.Incarnation {
 		return false
 	}
-	if v.Incarnation == n.self.Incarnation {
-		return n.seats[n.self.ID].incarnation <= n.self.Incarnation
-	}
-	return v.Incarnation < n.self.Incarnation && n.seats[n.self.ID].incarnation <= n.self.Incarnation &&
-		len(n.confirmed) >= majority(n.Roster().Len())
+	v := n.Roster().VMs()[i]
+	return v.Incarnation == n.self.Incarnation ||
+		v.Incarnation < n.self.Incarnation && len(n.confirmed) >= majority(n.Roster().Len())
 }
 
 // Claiming reports whether the node is a restarted member that has yet to
@@ -108,10 +108,10 @@
 		return
 	}
 	n.version = version
-	if r.Version() != n.Roster().Version() {
+	if before := n.Roster(); r.Version() != before.Version() {
 		n.rosters = append(n.rosters, r)
 		n.confirmed = map[string]bool{}
-		n.reseat()
+		n.reseat(before)
 	}
 	n.settle()
 }
@@ -122,31 +122,41 @@
 	if version <= n.version || len(rosters) == 0 {
 		return
 	}
+	before := n.Roster()
 	n.version = version
-	n.rosters = append([]Roster(nil), rosters...)
+	n.rosters = slices.Clone(rosters)
 	n.confirmed = map[string]bool{}
-	n.reseat()
+	n.reseat(before)
 	n.settle()
 }
 
-// reseat makes the seats fit the roster in force.
-func (n *Node) reseat() {
-	seats := make(map[string]seat, n.Roster().Len())
-	for _, v := range n.Roster().VMs() {
-		s := n.seats[v.ID]
-		if s.incarnation < v.Incarnation {
-			s = seat{incarnation: v.Incarnation}
+// reseat makes the seats of the roster before fit the one in force.
+func (n *Node) reseat(before Roster) {
+	vs := n.Roster().VMs()
+	seats := make([]seat, len(vs))
+	for i, v := range vs {
+		if j, ok := before.index(v.ID); ok {
+			seats[i] = n.seats[j]
+		}
+		if seats[i].incarnation < v.Incarnation {
+			seats[i] = seat{incarnation: v.Incarnation}
 		}
-		seats[v.ID] = s
 	}
 	n.seats = seats
 }
 
+// seat returns what is known of a VM of the roster in force, or nil.
+func (n *Node) seat(id string) *seat {
+	if i, ok := n.Roster().index(id); ok {
+		return &n.seats[i]
+	}
+	return nil
+}
+
 func (n *Node) selfAcks() {
-	if s, ok := n.seats[n.self.ID]; ok && n.Voter() {
+	if s := n.seat(n.self.ID); s != nil && n.Voter() {
 		s.incarnation = n.self.Incarnation
 		s.acked = n.version
-		n.seats[n.self.ID] = s
 	}
 }
 
--- a/core/throster/roster.go
+++ b/core/throster/roster.go
@@ -43,13 +43,17 @@
 
 // VM returns a VM by its ID.
 func (r Roster) VM(id string) (VM, bool) {
-	i, ok := slices.BinarySearchFunc(r.vms, id, func(v VM, id string) int { return strings.Compare(v.ID, id) })
+	i, ok := r.index(id)
 	if !ok {
 		return VM{}, false
 	}
 	return r.vms[i], true
 }
 
+func (r Roster) index(id string) (int, bool) {
+	return slices.BinarySearchFunc(r.vms, id, func(v VM, id string) int { return strings.Compare(v.ID, id) })
+}
+
 // WithVM returns the next version of the roster with the VM added or replaced.
 func (r Roster) WithVM(v VM) Roster {
 	n := r.WithoutVM(v.ID)
--- a/core/throster/schedule.go
+++ b/core/throster/schedule.go
@@ -11,6 +11,10 @@
 	// askEvery is how often a VM asks a peer. Knowledge of half the fleet
 	// takes about log2 of its size in such steps.
 	askEvery = 300 * time.Millisecond
+	// urgentEvery is how often a VM asks that has less than urgentLeft of its
+	// freshness left.
+	urgentEvery = 100 * time.Millisecond
+	urgentLeft  = time.Second
 	// headEvery is how often a VM of a small fleet reads the store's head, and
 	// headShare is what each VM of a large one adds to that, so that the fleet
 	// makes at most one read in headShare.
@@ -18,14 +22,19 @@
 	headShare = 5 * time.Millisecond
 	// claimAsks is how many peers a restarted VM asks at once.
 	claimAsks = 8
-	// peerRetry is how seldom a peer that failed is picked: one time in so many.
-	peerRetry = 8
+	// spreadTo is how many peers a VM brings a new version to.
+	spreadTo = 3
+	// silentAfter is how long a VM has not been heard of, by anybody, before
+	// it is seldom asked; rarely is how seldom: one time in so many.
+	silentAfter = FreshFor
+	rarely      = 8
 )
 
 // Schedule decides whom to ask when. The zero Schedule asks at once.
 type Schedule struct {
 	nextAsk  thclock.Instant
 	nextHead thclock.Instant
+	spread   uint64
 	failed   map[string]bool
 }
 
@@ -33,6 +42,8 @@
 type Duties struct {
 	Ask      []VM
 	ReadHead bool
+	// Tell are the peers to bring the newest version to.
+	Tell []VM
 }
 
 // Due returns what is due and sets when it is due again.
@@ -43,13 +54,17 @@
 		d.ReadHead = true
 	}
 	if now.Passed(s.nextAsk) {
-		s.nextAsk = now.Add(jittered(rng, askEvery))
-		d.Ask = s.peers(rng, n)
+		s.nextAsk = now.Add(jittered(rng, askInterval(now, n)))
+		d.Ask = s.peers(now, rng, n, askedAtOnce(n))
+	}
+	if n.version > s.spread {
+		s.spread = n.version
+		d.Tell = s.peers(now, rng, n, spreadTo)
 	}
 	return d
 }
 
-// Failed records that a call to the peer failed, and Worked that one succeeded.
+// Failed records that a call to the peer failed.
 func (s *Schedule) Failed(id string) {
 	if s.failed == nil {
 		s.failed = make(map[string]bool)
@@ -60,27 +75,41 @@
 // Worked records that a call to the peer succeeded.
 func (s *Schedule) Worked(id string) { delete(s.failed, id) }
 
-func (s *Schedule) peers(rng *rand.Rand, n *Node) []VM {
+// peers draws peers, and those that are likely gone or cut off only rarely.
+func (s *Schedule) peers(now thclock.Instant, rng *rand.Rand, n *Node, want int) []VM {
 	var out []VM
-	want := 1
-	if n.Claiming() {
-		want = claimAsks
-	}
 	vs := n.Roster().VMs()
-	for range want * peerRetry {
+	for range want * rarely {
 		if len(out) == want || len(vs) == 0 {
 			break
 		}
-		v := vs[rng.IntN(len(vs))]
-		skip := v.ID == n.self.ID || n.Claiming() && n.confirmed[v.ID]
-		if skip || s.failed[v.ID] && rng.IntN(peerRetry) > 0 {
+		i := rng.IntN(len(vs))
+		if vs[i].ID == n.self.ID || n.Claiming() && n.confirmed[vs[i].ID] {
 			continue
 		}
-		out = append(out, v)
+		doubtful := s.failed[vs[i].ID] || elapsed(now, n.seats[i].heard) > silentAfter
+		if doubtful && rng.IntN(rarely) > 0 {
+			continue
+		}
+		out = append(out, vs[i])
 	}
 	return out
 }
 
+func askedAtOnce(n *Node) int {
+	if n.Claiming() {
+		return claimAsks
+	}
+	return 1
+}
+
+func askInterval(now thclock.Instant, n *Node) time.Duration {
+	if now.Add(urgentLeft).Passed(n.Deadline()) {
+		return urgentEvery
+	}
+	return askEvery
+}
+
 func headInterval(vms int) time.Duration {
 	return max(headEvery, time.Duration(vms)*headShare)
 }
--- a/io/thagree/agreement.go
+++ b/io/thagree/agreement.go
@@ -40,8 +40,10 @@
 
 // Agreement is one VM's part in the agreement. Make one with New.
 type Agreement struct {
-	self   throster.VM
-	chain  chain
+	self  throster.VM
+	chain chain
+	// wake runs the controller before its next tick.
+	wake   chan struct{}
 	client *thwire.Client
 	clock  thclock.Clock
 	log    thevent.Logger
@@ -80,6 +82,7 @@
 		node:    throster.NewNode(o.Self),
 		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		changed: make(chan struct{}),
+		wake:    make(chan struct{}, 1),
 	}
 }
 
@@ -110,7 +113,7 @@
 
 // Start begins to ask the store and the peers.
 func (a *Agreement) Start(p *thpool.Pool) {
-	p.Every(tick, nil, func(ctx context.Context) { a.tick(ctx, p) })
+	p.Every(tick, a.wake, func(ctx context.Context) { a.tick(ctx, p) })
 }
 
 func (a *Agreement) tick(ctx context.Context, p *thpool.Pool) {
@@ -124,6 +127,7 @@
 	a.asking += len(d.Ask)
 	read := d.ReadHead && !a.reading
 	a.reading = a.reading || read
+	news := a.news(d.Tell)
 	join := a.joinDue(now)
 	snapshot := a.snapshotDue()
 	a.mu.Unlock()
@@ -131,6 +135,9 @@
 	for _, v := range d.Ask {
 		a.submit(p, func() { a.ask(ctx, v) })
 	}
+	for _, v := range d.Tell {
+		a.submit(p, func() { _ = a.exchangeWith(ctx, v, news) })
+	}
 	if read {
 		a.submit(p, func() { a.readHead(ctx) })
 	}
@@ -199,6 +206,7 @@
 	}
 	if v := a.records.Version(); v > before {
 		a.log.Log(thevent.ConfigApplied, thevent.F("version", v))
+		a.wakeUp()
 	}
 	if err != nil {
 		a.log.Log(thevent.ConfigChainBroken, thevent.F("version", a.records.Version()), thevent.F("error", err.Error()))
@@ -207,6 +215,14 @@
 	return err
 }
 
+// wakeUp lets the controller run soon; a wake-up that is waiting already serves.
+func (a *Agreement) wakeUp() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
 // takeSnapshot moves to a newer snapshot; a.mu is held.
 func (a *Agreement) takeSnapshot(c thconfig.Config, rosters []throster.Roster) {
 	n, err := a.records.WithSnapshot(c)
--- a/io/thagree/apply.go
+++ b/io/thagree/apply.go
@@ -14,7 +14,7 @@
 
 const (
 	// spreadAtOnce bounds the calls under way while a change is spread.
-	spreadAtOnce = 32
+	spreadAtOnce = 128
 	// acceptTimeout bounds the wait for a majority.
 	acceptTimeout = 2 * time.Second
 	conflictPause = 20 * time.Millisecond
--- a/io/thagree/peers.go
+++ b/io/thagree/peers.go
@@ -15,6 +15,9 @@
 	pathSnapshot = "/agree/snapshot"
 )
 
+// newsRecords is how many records a VM brings unasked.
+const newsRecords = 4
+
 // exchangeQuestion asks a peer what it knows and may bring it new records.
 type exchangeQuestion struct {
 	throster.Question
@@ -47,8 +50,8 @@
 	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(q.Records) > 0 && q.Records[len(q.Records)-1].Version > a.records.Version() {
-		_ = a.takeRecords(q.Records)
+	if rs := q.Records; len(rs) > 0 && rs[0].Version <= a.records.Version()+1 && rs[len(rs)-1].Version > a.records.Version() {
+		_ = a.takeRecords(rs)
 	}
 	out := exchangeAnswer{Answer: a.node.Answer(now, q.Question)}
 	rs, ok := a.records.Since(q.Version)
@@ -72,6 +75,17 @@
 	_ = a.exchangeWith(ctx, v, nil)
 }
 
+// news returns the newest records, to be told to the peers; a.mu is held. One
+// that lags further asks for the rest.
+func (a *Agreement) news(peers []throster.VM) []thconfig.Record {
+	if len(peers) == 0 {
+		return nil
+	}
+	v := a.records.Version()
+	rs, _ := a.records.Since(v - min(v, newsRecords))
+	return rs
+}
+
 func (a *Agreement) asked() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
