--- a/core/thconfig/proposal.go
+++ b/core/thconfig/proposal.go
@@ -6,8 +6,7 @@
 type Proposal struct {
 	// ID is the operator's name for the change.
 	ID string
-	// Precondition is the version of the operator's change that the proposal
-	// builds on; zero asks for none.
+	// Precondition is the version that the operator decided on; zero asks for none.
 	Precondition uint64
 	Change       Change
 }
@@ -26,8 +25,8 @@
 		}
 		return *earlier, false, nil
 	}
-	if p.Precondition != 0 && c.Changed() != p.Precondition {
-		return Record{}, false, therror.New(therror.ChangeConflict, "version %d has been applied since version %d", c.Changed(), p.Precondition)
+	if err := c.CheckPrecondition(p.Precondition); err != nil {
+		return Record{}, false, err
 	}
 	if err := c.Check(p.Change); err != nil {
 		return Record{}, false, err
--- a/io/thagree/apply.go
+++ b/io/thagree/apply.go
@@ -42,8 +42,8 @@
 }
 
 // Apply stores an operator's change and spreads it. The same change id applied
-// twice is one change. With a precondition, the last operator's change must be
-// of that version, or Apply fails with ChangeConflict naming the one that won.
+// twice is one change. With a precondition, no operator's change may have come
+// after that version, or Apply fails with ChangeConflict naming the one that won.
 func (a *Agreement) Apply(ctx context.Context, changeID string, precondition uint64, change thconfig.Change) (ApplyResult, error) {
 	if changeID == "" {
 		return ApplyResult{}, therror.New(therror.ChangeInvalid, "a change id is needed")
