throster: remove VMs that list and heartbeats agree are gone

Cause: the roster only grew. A dead VM stayed in the count, and a fleet that started at once would have raced for one roster place a transaction.

Ruled out: trusting the platform's list alone (it lags by a minute and lacks new VMs) or the heartbeats alone (a cut-off zone would be voted out).

A VM that wants to join says so in a row of its own, and whoever wins the next roster change takes all of them along.

--- a/core/thconfig/members.go
+++ b/core/thconfig/members.go
@@ -1,6 +1,8 @@
 package thconfig
 
 import (
+	"slices"
+
 	"tamarackhollow/core/throster"
 )
 
@@ -46,3 +48,16 @@
 	c.roster = throster.NewRoster(c.version+1, r.VMs())
 	return c, nil
 }
+
+// Joining returns the change that takes those into the roster that are not in
+// it yet, or only as a lower incarnation, and false if there are none.
+func (c Config) Joining(wanting []throster.VM) (ChangeMembers, bool) {
+	var m ChangeMembers
+	for _, v := range wanting {
+		one := ChangeMembers{Join: append(slices.Clone(m.Join), v)}
+		if _, err := c.withMembers(one); err == nil {
+			m = one
+		}
+	}
+	return m, len(m.Join) > 0
+}
--- a/io/thagree/agreement.go
+++ b/io/thagree/agreement.go
@@ -65,6 +65,9 @@
 	leaving  bool
 	changed  chan struct{}
 	nextJoin thclock.Instant
+	nextList thclock.Instant
+	// departures tells which VMs are gone.
+	departures throster.Departures
 	// snapshotAt is the version of the last snapshot that this VM stored.
 	snapshotAt uint64
 }
@@ -130,6 +133,7 @@
 	news := a.news(d.Tell)
 	join := a.joinDue(now)
 	snapshot := a.snapshotDue()
+	list := a.listDue(now)
 	a.mu.Unlock()
 
 	for _, v := range d.Ask {
@@ -147,6 +151,9 @@
 	if snapshot {
 		a.submit(p, func() { a.storeSnapshot(ctx) })
 	}
+	if list {
+		a.submit(p, func() { a.readList(ctx) })
+	}
 	a.noteFreshness()
 }
 
--- a/io/thagree/agreement_test.go
+++ b/io/thagree/agreement_test.go
@@ -13,6 +13,7 @@
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/throster"
+	"tamarackhollow/core/thstore"
 	"tamarackhollow/core/thstore/thstoretest"
 	"tamarackhollow/io/thagree"
 	"tamarackhollow/io/thpool"
@@ -164,3 +165,15 @@
 	eventually(t, "the leaving", func() bool { return vms[0].Roster().Len() == 2 && vms[1].Roster().Len() == 2 })
 	assert.Assert(t, !vms[2].Ready())
 }
+
+func TestJoinerTakesOthersAlong(t *testing.T) {
+	var platform thstoretest.Fake
+	value := []byte(`{"id":"other","peerAddress":"127.0.0.1:1","zone":"a","incarnation":3}`)
+	assert.NilError(t, platform.Commit(context.Background(), thstore.Transaction{Writes: []thstore.Write{{Key: "roster/join/other", Value: value}}}))
+	m := startVM(t, &platform, "vm0", 1)
+	eventually(t, "both", func() bool { return m.Roster().Len() == 2 })
+	assert.Equal(t, m.Config().Version(), uint64(1))
+	rows, err := platform.ScanRows(context.Background(), "roster/join/", "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 0)
+}
--- a/io/thagree/apply.go
+++ b/io/thagree/apply.go
@@ -10,6 +10,7 @@
 	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thstore"
 )
 
 const (
@@ -48,7 +49,7 @@
 	if changeID == "" {
 		return ApplyResult{}, therror.New(therror.ChangeInvalid, "a change id is needed")
 	}
-	v, err := a.store(ctx, changeID, precondition, func(thconfig.Config) (thconfig.Change, bool) { return change, true })
+	v, err := a.store(ctx, changeID, precondition, func(thconfig.Config) (draft, bool) { return draft{change: change}, true })
 	if err != nil {
 		a.log.Log(thevent.ConfigChangeRefused, thevent.F("changeId", changeID), thevent.F("error", err.Error()))
 		return ApplyResult{}, err
@@ -69,9 +70,15 @@
 	return r
 }
 
-// wish makes a change of the newest configuration, or returns false if none is
-// wanted any more.
-type wish func(thconfig.Config) (thconfig.Change, bool)
+// draft is a change to be stored, along with other writes.
+type draft struct {
+	change thconfig.Change
+	also   []thstore.Write
+}
+
+// wish makes a draft of the newest configuration, or returns false if nothing
+// is wanted any more.
+type wish func(thconfig.Config) (draft, bool)
 
 // store appends what the wish makes, until it is stored, refused or out of
 // time. It returns version 0 if nothing is wanted. A lost answer is resolved by
@@ -108,15 +115,15 @@
 	if err != nil {
 		return 0, false, err
 	}
-	change, wanted := w(c)
+	d, wanted := w(c)
 	if !wanted {
 		return 0, false, nil
 	}
-	r, isNew, err := thconfig.Proposal{ID: changeID, Precondition: precondition, Change: change}.Next(c, earlier)
+	r, isNew, err := thconfig.Proposal{ID: changeID, Precondition: precondition, Change: d.change}.Next(c, earlier)
 	if err != nil || !isNew {
 		return r.Version, false, err
 	}
-	if err := a.chain.append(ctx, h, r); err != nil {
+	if err := a.chain.append(ctx, h, r, d.also); err != nil {
 		return 0, therror.Is(err, therror.ChangeConflict) || therror.Is(err, therror.StoreOutcomeUnknown), err
 	}
 	a.mu.Lock()
--- a/io/thagree/follow.go
+++ b/io/thagree/follow.go
@@ -2,18 +2,12 @@
 
 import (
 	"context"
-	"time"
 
-	"tamarackhollow/core/thclock"
-	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/throster"
 )
 
-// joinEvery is how often a VM outside the roster tries to join it.
-const joinEvery = time.Second
-
 // readHead reads the store's head and moves up to it.
 func (a *Agreement) readHead(ctx context.Context) {
 	defer a.read()
@@ -76,44 +70,3 @@
 	}
 	return nil
 }
-
-// joinDue reports whether to try to join now; a.mu is held.
-func (a *Agreement) joinDue(now thclock.Instant) bool {
-	v, ok := a.node.Roster().VM(a.self.ID)
-	if a.leaving || a.node.Full() || ok && v.Incarnation >= a.self.Incarnation || !now.Passed(a.nextJoin) {
-		return false
-	}
-	a.nextJoin = now.Add(joinEvery/2 + time.Duration(a.rng.Int64N(int64(joinEvery))))
-	return true
-}
-
-func (a *Agreement) join(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	v, err := a.store(ctx, "", 0, func(c thconfig.Config) (thconfig.Change, bool) {
-		old, ok := c.Roster().VM(a.self.ID)
-		return thconfig.ChangeMembers{Join: []throster.VM{a.self}}, !ok || old.Incarnation < a.self.Incarnation
-	})
-	if err != nil || v == 0 {
-		return
-	}
-	a.log.Log(thevent.RosterChanged, thevent.F("version", v), thevent.F("joined", a.self.ID))
-	_ = a.spread(ctx, v)
-}
-
-// Leave takes the VM out of the roster ahead of a planned stop.
-func (a *Agreement) Leave(ctx context.Context) error {
-	a.mu.Lock()
-	a.leaving = true
-	a.node.Leave()
-	a.mu.Unlock()
-	v, err := a.store(ctx, "", 0, func(c thconfig.Config) (thconfig.Change, bool) {
-		old, ok := c.Roster().VM(a.self.ID)
-		return thconfig.ChangeMembers{Leave: []throster.VM{old}}, ok && old.Incarnation == a.self.Incarnation
-	})
-	if err != nil || v == 0 {
-		return err
-	}
-	a.log.Log(thevent.RosterChanged, thevent.F("version", v), thevent.F("left", a.self.ID))
-	return a.spread(ctx, v)
-}
--- a/io/thagree/store.go
+++ b/io/thagree/store.go
@@ -7,6 +7,7 @@
 
 	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
+	"tamarackhollow/core/throster"
 	"tamarackhollow/core/thstore"
 )
 
@@ -16,6 +17,7 @@
 	rowSnapshot   = "config/snapshot"
 	prefixChange  = "config/change/"
 	prefixID      = "config/id/"
+	prefixJoin    = "roster/join/"
 	objectPrefix  = "config/snapshot/"
 	recordsAtOnce = 200
 )
@@ -85,8 +87,8 @@
 	return rs, nil
 }
 
-// append stores the record right after the head.
-func (c chain) append(ctx context.Context, h head, r thconfig.Record) error {
+// append stores the record right after the head, along with other writes.
+func (c chain) append(ctx context.Context, h head, r thconfig.Record, also []thstore.Write) error {
 	change, err := json.Marshal(r)
 	if err != nil {
 		return err
@@ -95,14 +97,42 @@
 	id, _ := json.Marshal(idRow{Version: r.Version})
 	return c.platform.Commit(ctx, thstore.Transaction{
 		Conditions: []thstore.Condition{{Key: rowHead, Version: h.row}, {Key: prefixID + r.ChangeID}},
-		Writes: []thstore.Write{
+		Writes: append([]thstore.Write{
 			{Key: rowHead, Value: next},
 			{Key: changeKey(r.Version), Value: change},
 			{Key: prefixID + r.ChangeID, Value: id},
-		},
+		}, also...),
 	})
 }
 
+// askToJoin stores that the VM wants to join, for whoever joins next to take
+// it along.
+func (c chain) askToJoin(ctx context.Context, v throster.VM) error {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return c.platform.Commit(ctx, thstore.Transaction{Writes: []thstore.Write{{Key: prefixJoin + v.ID, Value: value}}})
+}
+
+// joining returns the VMs that want to join and the writes that take back what
+// they asked.
+func (c chain) joining(ctx context.Context) ([]throster.VM, []thstore.Write, error) {
+	rows, err := c.platform.ScanRows(ctx, prefixJoin, "", recordsAtOnce)
+	if err != nil {
+		return nil, nil, err
+	}
+	vms := make([]throster.VM, len(rows))
+	deletes := make([]thstore.Write, len(rows))
+	for i, row := range rows {
+		deletes[i] = thstore.Write{Key: row.Key, Delete: true}
+		if err := json.Unmarshal(row.Value, &vms[i]); err != nil {
+			return nil, nil, therror.Wrap(therror.MessageMalformed, err, "row %s", row.Key)
+		}
+	}
+	return vms, deletes, nil
+}
+
 // snapshot returns the newest stored snapshot, or the empty configuration.
 func (c chain) snapshot(ctx context.Context) (thconfig.Config, error) {
 	var s snapshotRow
