thtarget: let the customer's name through

Cause: Send took out every field of the system's own, also Tamarack-Customer, which tells a target whose request it is. Ruled out: trusting the fields that come in: a caller's own would pass if the callers' side failed to take it out. Change: Tamarack-Customer passes if it is the request's customer; a test sends a false one, a true one, the peers' credential and both spellings of the key field. thvm gives the claims their peers, so that writes are gathered. Conclusion: two checks stand between a caller and a target.

--- a/io/thtarget/headers.go
+++ b/io/thtarget/headers.go
@@ -15,6 +15,8 @@
 	headerRequestID = "Tamarack-Request-Id"
 	// headerDeadline carries the time left, in milliseconds.
 	headerDeadline = "Tamarack-Deadline-Millis"
+	// headerCustomer tells a target whose request it is.
+	headerCustomer = "Tamarack-Customer"
 	// headerOwn begins the names that only this system sets.
 	headerOwn = "Tamarack-"
 	// headerKey carries the caller's key, which no target sees.
@@ -64,12 +66,16 @@
 	return false
 }
 
-// forTarget reports whether a caller's field may reach a target.
-func forTarget(name string) bool {
-	if hopByHop(name) || strings.EqualFold(name, headerKey) {
+// forTarget reports whether a field of the request may reach a target. Of the
+// system's own only the customer's name may, and only if it is true.
+func forTarget(f threquest.Header, customer string) bool {
+	if hopByHop(f.Name) || strings.EqualFold(f.Name, headerKey) {
 		return false
 	}
-	return len(name) < len(headerOwn) || !strings.EqualFold(name[:len(headerOwn)], headerOwn)
+	if len(f.Name) < len(headerOwn) || !strings.EqualFold(f.Name[:len(headerOwn)], headerOwn) {
+		return true
+	}
+	return strings.EqualFold(f.Name, headerCustomer) && f.Value == customer && customer != ""
 }
 
 // named reports whether the field is one that a Connection field names.
@@ -104,7 +110,7 @@
 	h.SetHost(target)
 	connection := connectionFields(q.Headers)
 	for _, f := range q.Headers {
-		if forTarget(f.Name) && (connection == nil || !named(connection, f.Name)) {
+		if forTarget(f, q.Customer.Name) && (connection == nil || !named(connection, f.Name)) {
 			h.Add(f.Name, f.Value)
 		}
 	}
--- a/io/thtarget/reuse_test.go
+++ b/io/thtarget/reuse_test.go
@@ -178,15 +178,16 @@
 func TestTargetsSeeNeitherKeyNorHopByHopFields(t *testing.T) {
 	s := newScripted(t, serveWell)
 	q := newRequest("r1", "POST", patience)
-	for _, f := range []string{"Authorization", "authorization", "Connection", "X-Secret-Hop", "Keep-Alive", "TE", "Upgrade", "Expect", "Transfer-Encoding", "Content-Length", "Proxy-Authorization", "Tamarack-Deadline-Millis"} {
+	for _, f := range []string{"Authorization", "authorization", "Connection", "X-Secret-Hop", "Keep-Alive", "TE", "Upgrade", "Expect", "Transfer-Encoding", "Content-Length", "Proxy-Authorization", "Tamarack-Deadline-Millis", "Tamarack-Credential", "Tamarack-Customer"} {
 		q.Headers = append(q.Headers, threquest.Header{Name: f, Value: "x-secret-hop"})
 	}
-	q.Headers = append(q.Headers, threquest.Header{Name: "Accept", Value: "text/plain"}, threquest.Header{Name: "Idempotency-Key", Value: "k"})
+	q.Headers = append(q.Headers, threquest.Header{Name: "Accept", Value: "text/plain"}, threquest.Header{Name: "Idempotency-Key", Value: "k"}, threquest.Header{Name: "Tamarack-Customer", Value: "depot"})
+	q.Customer.Name = "depot"
 	a := newClient().Send(context.Background(), s.address(), q)
 	assert.NilError(t, a.Err)
 	text := strings.ToLower(s.seen[0])
 	assert.Assert(t, !strings.Contains(text, "x-secret-hop"), text)
-	for _, want := range []string{"accept: text/plain", "idempotency-key: k", "tamarack-request-id: r1", "tamarack-deadline-millis: ", "content-length: 9"} {
+	for _, want := range []string{"accept: text/plain", "idempotency-key: k", "tamarack-request-id: r1", "tamarack-deadline-millis: ", "content-length: 9", "tamarack-customer: depot"} {
 		assert.Assert(t, strings.Contains(text, want), "%s in %s", want, text)
 	}
 }
--- a/io/thvm/vm.go
+++ b/io/thvm/vm.go
@@ -123,7 +123,9 @@
 		Self: v.self, Roster: v.agreement.Roster, Config: v.agreement.Config, Sender: v.guard, Blame: v.guard,
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
-	v.claims = thclaims.New(thclaims.Options{Platform: v.platform, Clock: v.clock, Log: v.log, Self: v.self})
+	v.claims = thclaims.New(thclaims.Options{
+		Platform: v.platform, Clock: v.clock, Log: v.log, Self: v.self, Peers: thclaims.NewPeers(wire), Roster: v.agreement.Roster,
+	})
 	v.callers = thcaller.New(thcaller.Options{
 		Config: v.agreement.Config, CheckFresh: v.agreement.CheckFresh, Limiter: v.limiter, Runner: v,
 		Clock: v.clock, Ready: v.agreement.Ready, MaxBodyBytes: t.Requests.MaxBody(),
@@ -137,6 +139,7 @@
 	v.agreement.Register(v.peers)
 	v.limiter.Register(v.peers)
 	v.balance.Register(v.peers)
+	v.claims.Register(v.peers)
 	v.guard.Register(v.peers)
 	v.operators = &thwire.Server{Credential: v.settings.Operators.Credential, Log: v.log}
 	o := &thoperator.Server{Fleet: fleet{v}, Peers: wire}
