--- a/core/thclaim/machine_test.go
+++ b/core/thclaim/machine_test.go
@@ -254,3 +254,19 @@
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, tx.Conditions, []thstore.Condition{{Key: "claims/1", Version: 3}})
 }
+
+// TestClaimSize keeps a claim's row, with an answer of the usual size, below a
+// kilobyte.
+func TestClaimSize(t *testing.T) {
+	q := request("k", "crate", thclock.At(400000*time.Hour))
+	_, action := thclaim.Begin(q, "kigali-a-vm17", "0123456789abcdef0123456789abcdef", thclock.At(400000*time.Hour-10*time.Second))
+	w, ok := action.(thclaim.Write)
+	assert.Assert(t, ok)
+	answer := &thclaim.Answer{
+		Status: 201, Target: "10.20.30.40:8080", Body: make([]byte, 200),
+		Headers: []threquest.Header{{Name: "Content-Type", Value: "application/json"}},
+	}
+	done := w.Claim.WithState(thclaim.Done, answer)
+	t.Logf("claimed %d bytes, done with 200 bytes of answer %d bytes, key %d bytes", len(w.Claim.Encode()), len(done.Encode()), len(thclaim.Key("depot", "k")))
+	assert.Assert(t, len(done.Encode()) < 1<<10)
+}
