--- a/io/thvm/vm.go
+++ b/io/thvm/vm.go
@@ -124,7 +124,8 @@
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
 	v.claims = thclaims.New(thclaims.Options{
-		Platform: v.platform, Clock: v.clock, Log: v.log, Self: v.self, Peers: thclaims.NewPeers(wire), Roster: v.agreement.Roster,
+		Platform: v.platform, Clock: v.clock, Log: v.log, Self: v.self,
+		Peers: thclaims.NewPeers(wire), Roster: v.agreement.Roster,
 	})
 	v.callers = thcaller.New(thcaller.Options{
 		Config: v.agreement.Config, CheckFresh: v.agreement.CheckFresh, Limiter: v.limiter, Runner: v,
@@ -139,8 +140,8 @@
 	v.agreement.Register(v.peers)
 	v.limiter.Register(v.peers)
 	v.balance.Register(v.peers)
-	v.claims.Register(v.peers)
 	v.guard.Register(v.peers)
+	v.claims.Register(v.peers)
 	v.operators = &thwire.Server{Credential: v.settings.Operators.Credential, Log: v.log}
 	o := &thoperator.Server{Fleet: fleet{v}, Peers: wire}
 	o.Register(v.operators)
