--- a/io/thquarantines/guard_test.go
+++ b/io/thquarantines/guard_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync"
 	"testing"
 	"time"
 
@@ -17,99 +16,29 @@
 	"tamarackhollow/core/throster"
 	"tamarackhollow/io/thpool"
 	"tamarackhollow/io/thquarantines"
+	"tamarackhollow/io/thstand"
 	"tamarackhollow/io/thtarget"
 	"tamarackhollow/io/thwire"
 
-	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
 )
 
-// mortal is a target that dies when it runs a request whose body says so, and
-// comes back at the same address a little later.
-type mortal struct {
-	address string
-	mu      sync.Mutex
-	server  *fasthttp.Server
-	open    []net.Conn
-	deaths  int
-	done    sync.WaitGroup
-}
-
 const (
 	deadly = "deadly"
 	// downTime is how long a dead target refuses connections.
 	downTime = 300 * time.Millisecond
 )
 
-func newMortal(t *testing.T) *mortal {
+// newMortal returns a target that dies of the deadly body.
+func newMortal(t *testing.T) *thstand.Target {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	m := &mortal{address: l.Addr().String()}
-	m.live(l)
-	t.Cleanup(func() {
-		m.done.Wait()
-		m.end()
-	})
+	m := thstand.StartTarget(l, thstand.TargetBehaviour{DiesOf: deadly, DownMillis: int(downTime.Milliseconds())}, 1)
+	t.Cleanup(m.Close)
 	return m
 }
 
-func (m *mortal) live(l net.Listener) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.server = &fasthttp.Server{Logger: silent{}, Handler: m.handle, ConnState: func(c net.Conn, s fasthttp.ConnState) {
-		if s == fasthttp.StateNew {
-			m.mu.Lock()
-			m.open = append(m.open, c)
-			m.mu.Unlock()
-		}
-	}}
-	go func(s *fasthttp.Server) { _ = s.Serve(l) }(m.server)
-}
-
-func (m *mortal) handle(c *fasthttp.RequestCtx) {
-	if string(c.PostBody()) == deadly {
-		m.mu.Lock()
-		m.deaths++
-		m.mu.Unlock()
-		m.end()
-		m.done.Go(m.rise)
-		return
-	}
-	c.SetBodyString("alive")
-}
-
-// end closes the listener and every connection, as the end of a process does.
-func (m *mortal) end() {
-	m.mu.Lock()
-	open := m.open
-	m.open = nil
-	s := m.server
-	m.mu.Unlock()
-	go func() { _ = s.Shutdown() }()
-	for _, c := range open {
-		_ = c.Close()
-	}
-}
-
-func (m *mortal) rise() {
-	time.Sleep(downTime)
-	for {
-		l, err := net.Listen("tcp", m.address)
-		if err == nil {
-			m.live(l)
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-func (m *mortal) died() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.deaths
-}
-
 // fleet is some guards that tell each other what they see.
 func fleet(t *testing.T, n int) []*thquarantines.Guard {
 	t.Helper()
@@ -156,19 +85,19 @@
 // target again and again, through one VM after another.
 func TestKillerIsStoppedOnAllVMs(t *testing.T) {
 	gs := fleet(t, 3)
-	targets := []*mortal{newMortal(t), newMortal(t), newMortal(t), newMortal(t), newMortal(t), newMortal(t)}
+	targets := []*thstand.Target{newMortal(t), newMortal(t), newMortal(t), newMortal(t), newMortal(t), newMortal(t)}
 	blamed := 0
 	for i := range 12 {
 		g, m := gs[i%len(gs)], targets[i%len(targets)]
-		before := m.died()
-		a := g.Send(context.Background(), m.address, request(deadly))
+		before := m.Deaths()
+		a := g.Send(context.Background(), m.Address(), request(deadly))
 		assert.Assert(t, a.Err != nil)
 		if therror.Is(a.Err, therror.Quarantined) {
-			assert.Equal(t, m.died(), before)
+			assert.Equal(t, m.Deaths(), before)
 			assert.Assert(t, !a.Sent)
 			continue
 		}
-		if g.Died(request(deadly), m.address) {
+		if g.Died(request(deadly), m.Address()) {
 			blamed++
 		}
 		// A resend comes after the caller's own timeout.
@@ -176,14 +105,14 @@
 	}
 	deaths := 0
 	for _, m := range targets {
-		deaths += m.died()
+		deaths += m.Deaths()
 	}
 	assert.Equal(t, deaths, 3)
 	assert.Assert(t, blamed >= 2, "only %d deaths were put down to the request", blamed)
 	for _, g := range gs {
 		assert.Assert(t, therror.Is(g.Check(request(deadly)), therror.Quarantined))
 		assert.NilError(t, g.Check(request("harmless")))
-		a := g.Send(context.Background(), targets[5].address, request("harmless"))
+		a := g.Send(context.Background(), targets[5].Address(), request("harmless"))
 		assert.NilError(t, a.Err)
 	}
 }
@@ -207,15 +136,10 @@
 		assert.NilError(t, poolErr)
 		g.Start(p)
 		for range 20 {
-			a := g.Send(context.Background(), live.address, request("slow"))
+			a := g.Send(context.Background(), live.Address(), request("slow"))
 			assert.Equal(t, a.Err, err)
 		}
-		assert.Assert(t, !g.Died(request("slow"), live.address))
+		assert.Assert(t, !g.Died(request("slow"), live.Address()))
 		p.Close()
 	}
 }
-
-// silent drops the HTTP library's lines about the connections that die.
-type silent struct{}
-
-func (silent) Printf(string, ...any) {}
--- /dev/null
+++ b/io/thstand/death.go
@@ -0,0 +1,82 @@
+package thstand
+
+import (
+	"net"
+	"os"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// track keeps the open connections, which a death closes.
+func (t *Target) track(c net.Conn, s fasthttp.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch s {
+	case fasthttp.StateNew:
+		t.open = append(t.open, c)
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		t.open = slices.DeleteFunc(t.open, func(o net.Conn) bool { return o == c })
+	}
+}
+
+// die ends the target as the end of its process would: every connection is
+// closed, and new ones are refused until it is back.
+func (t *Target) die(down time.Duration) {
+	t.mu.Lock()
+	t.deaths++
+	open := t.open
+	t.open = nil
+	_ = t.listener.Close()
+	t.mu.Unlock()
+	address, _ := t.listener.Addr().(*net.TCPAddr)
+	fd, err := reservePort(address)
+	for _, c := range open {
+		_ = c.Close()
+	}
+	if err == nil {
+		time.AfterFunc(down, func() { t.rise(fd) })
+	}
+}
+
+// reservePort binds the address without listening, so that connections are
+// refused and nobody else takes it meanwhile.
+func reservePort(a *net.TCPAddr) (int, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, err
+	}
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return 0, err
+	}
+	return fd, syscall.Bind(fd, &syscall.SockaddrInet4{Port: a.Port, Addr: [4]byte(a.IP.To4())})
+}
+
+func (t *Target) rise(fd int) {
+	if err := syscall.Listen(fd, syscall.SOMAXCONN); err != nil {
+		return
+	}
+	f := os.NewFile(uintptr(fd), "target")
+	l, err := net.FileListener(f)
+	_ = f.Close()
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		_ = l.Close()
+		return
+	}
+	t.listener = l
+	go func() { _ = t.http.Serve(l) }()
+}
+
+// Deaths returns how often the target has died.
+func (t *Target) Deaths() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.deaths
+}
--- a/io/thstand/target.go
+++ b/io/thstand/target.go
@@ -29,6 +29,10 @@
 	Sick bool
 	// Leaving makes the health endpoint and every answer say so.
 	Leaving bool
+	// DiesOf is a body that the target dies of; empty is none.
+	DiesOf string
+	// DownMillis is how long a target that died refuses connections.
+	DownMillis int
 }
 
 // Run is one request that a target ran.
@@ -47,14 +51,18 @@
 
 // Target is a stand-in for a target. Make one with StartTarget.
 type Target struct {
-	listener net.Listener
-	http     *fasthttp.Server
+	address string
+	http    *fasthttp.Server
 
 	mu        sync.Mutex
+	listener  net.Listener
 	behaviour TargetBehaviour
 	random    *rand.Rand
 	running   int
 	runs      []Run
+	open      []net.Conn
+	deaths    int
+	closed    bool
 }
 
 // PathHealth is the health and load endpoint.
@@ -68,20 +76,21 @@
 
 // StartTarget serves on the listener until Close.
 func StartTarget(l net.Listener, b TargetBehaviour, seed uint64) *Target {
-	t := &Target{listener: l, behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
+	t := &Target{listener: l, address: l.Addr().String(), behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
 	t.http = &fasthttp.Server{
 		Handler:               t.handle,
 		MaxRequestBodySize:    64 << 20,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		Logger:                silent{},
+		ConnState:             t.track,
 	}
 	go func() { _ = t.http.Serve(l) }()
 	return t
 }
 
 // Address is where the target listens.
-func (t *Target) Address() string { return t.listener.Addr().String() }
+func (t *Target) Address() string { return t.address }
 
 // Behave sets the behaviour from now on.
 func (t *Target) Behave(b TargetBehaviour) {
@@ -98,7 +107,12 @@
 }
 
 // Close stops serving.
-func (t *Target) Close() { _ = t.http.Shutdown() }
+func (t *Target) Close() {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	_ = t.http.Shutdown()
+}
 
 func (t *Target) handle(c *fasthttp.RequestCtx) {
 	if string(c.Path()) == PathHealth {
@@ -112,6 +126,10 @@
 	}
 	time.Sleep(time.Duration(b.LatencyMillis) * time.Millisecond)
 	t.end()
+	if b.DiesOf != "" && string(c.PostBody()) == b.DiesOf {
+		t.die(time.Duration(b.DownMillis) * time.Millisecond)
+		return
+	}
 	if drop {
 		c.HijackSetNoResponse(true)
 		c.Hijack(func(conn net.Conn) { _ = conn.Close() })
