--- a/io/thstand/target.go
+++ b/io/thstand/target.go
@@ -1,7 +1,6 @@
 package thstand
 
 import (
-	"bytes"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
@@ -28,15 +27,14 @@
 	// DropShare is the share of requests, 0 to 1, whose connection is closed
 	// after they ran.
 	DropShare float64
-	// CrashOn crashes the target when a request's body contains it; empty never
-	// does. The target comes back after CrashMillis.
-	CrashOn string
-	// CrashMillis is how long a crashed target is gone, in milliseconds.
-	CrashMillis int
 	// Sick makes the health endpoint say so.
 	Sick bool
 	// Leaving makes the health endpoint and every answer say so.
 	Leaving bool
+	// DiesOf is a body that the target dies of; empty is none.
+	DiesOf string
+	// DownMillis is how long a target that died refuses connections.
+	DownMillis int
 }
 
 // Run is one request that a target ran.
@@ -59,13 +57,14 @@
 	http    *fasthttp.Server
 
 	mu        sync.Mutex
-	listener  *openListener
-	closed    bool
-	crashes   int
+	listener  net.Listener
 	behaviour TargetBehaviour
 	random    *rand.Rand
 	running   int
 	runs      []Run
+	open      []net.Conn
+	deaths    int
+	closed    bool
 }
 
 // PathHealth is the health and load endpoint.
@@ -79,36 +78,22 @@
 
 // StartTarget serves on the listener until Close.
 func StartTarget(l net.Listener, b TargetBehaviour, seed uint64) *Target {
-	t := &Target{address: l.Addr().String(), behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
+	t := &Target{listener: l, address: l.Addr().String(), behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
 	t.http = &fasthttp.Server{
 		Handler:               t.handle,
 		MaxRequestBodySize:    64 << 20,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		Logger:                silent{},
+		ConnState:             t.track,
 	}
-	t.open(l)
+	go func() { _ = t.http.Serve(l) }()
 	return t
 }
 
-func (t *Target) open(l net.Listener) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	o := &openListener{Listener: l}
-	t.listener = o
-	go func() { _ = t.http.Serve(o) }()
-}
-
 // Address is where the target listens.
 func (t *Target) Address() string { return t.address }
 
-// Crashes returns how often the target has crashed.
-func (t *Target) Crashes() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.crashes
-}
-
 // Behave sets the behaviour from now on.
 func (t *Target) Behave(b TargetBehaviour) {
 	t.mu.Lock()
@@ -127,71 +112,8 @@
 func (t *Target) Close() {
 	t.mu.Lock()
 	t.closed = true
-	l := t.listener
-	t.mu.Unlock()
-	l.kill()
-}
-
-// crash closes every connection and the listener, and comes back later.
-func (t *Target) crash(gone time.Duration) {
-	t.mu.Lock()
-	t.crashes++
-	l := t.listener
 	t.mu.Unlock()
-	l.kill()
-	time.AfterFunc(gone, t.restart)
-}
-
-func (t *Target) restart() {
-	t.mu.Lock()
-	closed := t.closed
-	t.mu.Unlock()
-	if closed {
-		return
-	}
-	l, err := net.Listen("tcp", t.address)
-	if err != nil {
-		time.AfterFunc(restartPause, t.restart)
-		return
-	}
-	t.open(l)
-}
-
-// restartPause is how long a target waits for its port.
-const restartPause = 50 * time.Millisecond
-
-// openListener knows its connections, so that they can be cut together.
-type openListener struct {
-	net.Listener
-
-	mu     sync.Mutex
-	conns  []net.Conn
-	killed bool
-}
-
-// Accept returns the next connection.
-func (o *openListener) Accept() (net.Conn, error) {
-	c, err := o.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.conns = append(o.conns, c)
-	if o.killed {
-		_ = c.Close()
-	}
-	return c, nil
-}
-
-func (o *openListener) kill() {
-	_ = o.Close()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.killed = true
-	for _, c := range o.conns {
-		_ = c.Close()
-	}
+	_ = t.http.Shutdown()
 }
 
 func (t *Target) handle(c *fasthttp.RequestCtx) {
@@ -206,8 +128,8 @@
 	}
 	time.Sleep(time.Duration(b.LatencyMillis) * time.Millisecond)
 	t.end()
-	if b.CrashOn != "" && bytes.Contains(c.PostBody(), []byte(b.CrashOn)) {
-		t.crash(time.Duration(b.CrashMillis) * time.Millisecond)
+	if b.DiesOf != "" && string(c.PostBody()) == b.DiesOf {
+		t.die(time.Duration(b.DownMillis) * time.Millisecond)
 		return
 	}
 	if drop {
