thhealth: find rare failures sooner, and follow most other VMs

Cause: VMs that eject a target forget why, so the evidence faded for those still undecided; a share of 3 % was reached late by a target failing 5 %. Change: the least share of failures is 1 % by default; a VM follows when most VMs heard from lately, and at least three, have ejected a target on more than their own evidence; failing targets that hide behind each other are compared with the best third; trial requests are cut early, 3 a second in all.

--- a/core/thhealth/cell.go
+++ b/core/thhealth/cell.go
@@ -19,6 +19,9 @@
 	Age time.Duration
 	// Suspect is whether the VM needs to know more of the target.
 	Suspect bool
+	// Ejected is whether the VM has lately ejected the target, on more evidence
+	// than its own.
+	Ejected bool
 	// Leaving is whether the target itself told the VM that it is leaving.
 	Leaving bool
 	Tally   Tally
@@ -55,6 +58,7 @@
 	workStep    = time.Millisecond
 	leavingFlag = 1
 	suspectFlag = 2
+	ejectedFlag = 4
 )
 
 // EncodeCells returns the cells in the compact form of the exchange.
@@ -87,6 +91,7 @@
 			Age:     time.Duration(data[8]) * ageStep,
 			Leaving: data[9]&leavingFlag != 0,
 			Suspect: data[9]&suspectFlag != 0,
+			Ejected: data[9]&ejectedFlag != 0,
 		}
 		c.Tally.Short, c.Tally.Long = readCounts(data[10:]), readCounts(data[14:])
 		c.Rest.Short, c.Rest.Long = readCounts(data[18:]), readCounts(data[22:])
@@ -104,6 +109,9 @@
 	if c.Suspect {
 		b |= suspectFlag
 	}
+	if c.Ejected {
+		b |= ejectedFlag
+	}
 	return b
 }
 
--- a/core/thhealth/classify.go
+++ b/core/thhealth/classify.go
@@ -7,9 +7,6 @@
 	"tamarackhollow/core/threquest"
 )
 
-// stalledFactor is how many times the bound of slow answers is extremely slow.
-const stalledFactor = 2.5
-
 // Classify says what an attempt that was not shed shows of its target, where
 // an answer that takes longer than slowAfter is slow.
 func Classify(a threquest.Attempt, slowAfter time.Duration) Outcome {
--- a/core/thhealth/judge.go
+++ b/core/thhealth/judge.go
@@ -1,6 +1,10 @@
 package thhealth
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 // Report is one VM's tally of a target, faded to the present.
 type Report struct {
@@ -16,8 +20,15 @@
 	Own   Tally
 	Rest  Rest
 	Peers []Report
+	// Voters counts the VMs heard from lately, and Votes those of them that
+	// have ejected the target. A VM that ejects a target forgets why, so the
+	// others' evidence would fade.
+	Votes, Voters int
 }
 
+// outvoted reports whether most other VMs have ejected the target.
+func (s Sample) outvoted() bool { return s.Votes >= enoughVotes && 2*s.Votes > s.Voters }
+
 // Verdict is what the evidence says of a target.
 type Verdict struct {
 	Sick bool
@@ -39,6 +50,13 @@
 	latestRatio = 10.0
 	// suspectRatio is the ratio from which more evidence is asked for.
 	suspectRatio = 3.0
+	// suspectFailing is the same for failures, which are rarer than slow answers.
+	suspectFailing = 1.5
+	// farWorse is by how much more a target fails than the best part of them.
+	farWorse = 0.25
+	bestPart = 3
+	// enoughVotes is how many VMs convince another at the least.
+	enoughVotes = 3
 	// othersShare is the part of sureRatio that must be left when the VM whose
 	// reports weigh most is left out.
 	othersShare = 0.5
@@ -62,12 +80,16 @@
 		vs[i] = judgeTarget(p, s)
 	}
 	judgeLatest(p, targets, vs)
+	judgeByBest(p, targets, vs)
 	return vs
 }
 
 func judgeTarget(p Policy, s Sample) Verdict {
 	a, b := shortView(s).verdict(p), longView(s).verdict(p)
 	a.Suspect = a.Suspect || b.Suspect
+	if s.outvoted() && !a.Sick {
+		a.Sick, a.Severity = true, sureRatio
+	}
 	if b.Sick && (!a.Sick || a.Local && !b.Local || b.Severity > a.Severity && a.Local == b.Local) {
 		return b
 	}
@@ -89,6 +111,32 @@
 	}
 }
 
+// judgeByBest finds targets that fail far more than the best ones do, where so
+// many fail that they hide behind each other. It looks at this VM's requests
+// only, which were all made in the same time.
+func judgeByBest(p Policy, targets []Sample, vs []Verdict) {
+	p.FailureShare = max(p.FailureShare, farWorse)
+	shares := make([]Counts, len(targets))
+	for i, s := range targets {
+		shares[i] = s.Own.Long
+	}
+	slices.SortFunc(shares, func(a, b Counts) int { return cmp.Compare(a.failing(), b.failing()) })
+	var best Counts
+	for _, c := range shares[:len(shares)/bestPart] {
+		best = best.Plus(c)
+	}
+	for i, s := range targets {
+		mine := s.Own.Long
+		r := compare(p, mine, best).failed
+		if r >= latestRatio && best.Requests >= p.Evidence && !vs[i].Sick {
+			vs[i] = Verdict{Sick: true, Local: true, Severity: r, Suspect: true, Seen: mine}
+		}
+	}
+}
+
+// failing is the share of failures, taking little evidence for half a failure.
+func (c Counts) failing() float64 { return (c.Failed + 0.5) / (c.Requests + 1) }
+
 // pair is what one VM saw of a target and of the others.
 type pair struct {
 	target, rest Counts
@@ -140,8 +188,7 @@
 	if r := ratio(p, v.own.target, v.own.rest); r >= sureRatio {
 		return Verdict{Sick: true, Local: true, Suspect: true, Severity: r, Seen: v.own.target}
 	}
-	suspect := ratio(p.suspecting(), v.all.target, v.all.rest) >= suspectRatio
-	return Verdict{Seen: v.all.target, Suspect: suspect}
+	return Verdict{Seen: v.all.target, Suspect: compare(p.suspecting(), v.all.target, v.all.rest).suspect()}
 }
 
 // confirmed reports whether the evidence holds without the VM that
@@ -152,20 +199,32 @@
 	return ratio(p, others.target, others.rest) >= sureRatio*othersShare
 }
 
-// ratio returns the larger log likelihood ratio, by failures or by slowness,
-// for the target being worse than the rest, or zero if the difference is not
-// one that the policy minds.
-func ratio(p Policy, target, rest Counts) float64 {
+// ratios are log likelihood ratios for a target being worse than the others,
+// each zero if the difference is not one that the policy minds.
+type ratios struct {
+	failed, slow, stalled float64
+}
+
+func (r ratios) most() float64 { return max(r.failed, r.slow, r.stalled) }
+
+func (r ratios) suspect() bool {
+	return r.failed >= suspectFailing || max(r.slow, r.stalled) >= suspectRatio
+}
+
+func compare(p Policy, target, rest Counts) ratios {
 	if target.Requests < p.Evidence*evidenceSlack {
-		return 0
+		return ratios{}
+	}
+	n1, n2 := target.Requests, rest.Requests+priorRequests
+	return ratios{
+		failed:  excess(n1, target.Failed, n2, rest.Failed+priorFailed, p.FailureShare),
+		slow:    excess(n1, target.Slow, n2, rest.Slow+priorSlow, slowExcess),
+		stalled: excess(n1, target.Stalled, n2, rest.Stalled+priorStalled, stalledExcess),
 	}
-	return max(
-		excess(target.Requests, target.Failed, rest.Requests+priorRequests, rest.Failed+priorFailed, p.FailureShare),
-		excess(target.Requests, target.Slow, rest.Requests+priorRequests, rest.Slow+priorSlow, slowExcess),
-		excess(target.Requests, target.Stalled, rest.Requests+priorRequests, rest.Stalled+priorStalled, stalledExcess),
-	)
 }
 
+func ratio(p Policy, target, rest Counts) float64 { return compare(p, target, rest).most() }
+
 // evidenceSlack lets counts that have faded a little since they came whole.
 const evidenceSlack = 0.75
 
--- a/core/thhealth/policy.go
+++ b/core/thhealth/policy.go
@@ -9,7 +9,7 @@
 // The defaults of a HealthPolicy's zero fields.
 const (
 	DefaultSlowFactor   = 2.5
-	DefaultFailureShare = 0.03
+	DefaultFailureShare = 0.01
 	DefaultEvidence     = 4
 	DefaultHold         = 5 * time.Second
 )
--- a/core/thhealth/reference.go
+++ b/core/thhealth/reference.go
@@ -60,3 +60,11 @@
 	}
 	return time.Duration(float64(r.Median())*p.SlowFactor) + slackLatency
 }
+
+// stalledFactor is how many times the bound of slow answers is extremely slow.
+const stalledFactor = 2.5
+
+// StalledAfter returns the latency beyond which an answer is extremely slow.
+func (r Reference) StalledAfter(p Policy) time.Duration {
+	return time.Duration(stalledFactor * float64(r.SlowAfter(p)))
+}
--- a/core/thhealth/row.go
+++ b/core/thhealth/row.go
@@ -21,6 +21,7 @@
 	Report
 	leaving bool
 	suspect bool
+	ejected bool
 	// relays counts down how often the tally is passed on.
 	relays uint8
 }
@@ -34,9 +35,11 @@
 	// suspectWeight puts all news of suspect targets first.
 	suspectWeight = 1000
 	// suspectFor is how long a VM that suspects a target is told more of it.
-	suspectFor = 2 * time.Second
+	suspectFor = 5 * time.Second
 	// relayAge is the age beyond which a tally is not passed on.
-	relayAge  = 4 * time.Second
+	relayAge = 4 * time.Second
+	// voteAge is the age beyond which another VM's ejection does not count.
+	voteAge   = 5 * time.Second
 	forgotten = 3 * longMemory
 )
 
@@ -57,7 +60,7 @@
 	at := now.Add(-c.Age)
 	t := c.Tally
 	t.At = at
-	p := peerTally{Report: Report{Origin: c.Origin, Tally: t, Rest: c.Rest}, leaving: c.Leaving, suspect: c.Suspect, relays: relayTimes}
+	p := peerTally{Report: Report{Origin: c.Origin, Tally: t, Rest: c.Rest}, leaving: c.Leaving, suspect: c.Suspect, ejected: c.Ejected, relays: relayTimes}
 	i := slices.IndexFunc(r.peers, func(o peerTally) bool { return o.Origin == c.Origin })
 	switch {
 	case i >= 0 && r.peers[i].Tally.At.Sub(at) > -ageStep:
@@ -90,6 +93,12 @@
 	r.peers = slices.DeleteFunc(r.peers, func(p peerTally) bool { return now.Sub(p.Tally.At) > forgotten })
 	s.Peers = make([]Report, len(r.peers))
 	for i, p := range r.peers {
+		if now.Sub(p.Tally.At) < voteAge {
+			s.Voters++
+			if p.ejected {
+				s.Votes++
+			}
+		}
 		s.Peers[i] = Report{Origin: p.Origin, Tally: p.Tally.Faded(now), Rest: p.Rest.Faded(now.Sub(p.Tally.At))}
 	}
 	return s
@@ -128,14 +137,17 @@
 	Leaving bool
 	// Suspect is whether this VM needs to know more of the target.
 	Suspect bool
+	// Ejected is whether this VM has lately ejected the target, on more
+	// evidence than its own.
+	Ejected bool
 	// Rest is what this VM saw of the service's other targets.
 	Rest Rest
 }
 
 // wanted is whether this or another VM needs to know more of the target.
 func (e Entry) wanted(now thclock.Instant) bool {
-	return e.Suspect || e.Leaving || slices.ContainsFunc(e.Row.peers, func(p peerTally) bool {
-		return (p.suspect || p.leaving) && now.Sub(p.Tally.At) < suspectFor
+	return e.Suspect || e.Ejected || e.Leaving || slices.ContainsFunc(e.Row.peers, func(p peerTally) bool {
+		return (p.suspect || p.ejected || p.leaving) && now.Sub(p.Tally.At) < suspectFor
 	})
 }
 
@@ -176,11 +188,11 @@
 
 func (r *Row) offer(picks []pick, now thclock.Instant, origin uint32, e Entry) []pick {
 	wanted := e.wanted(now)
-	if w := r.unsent.Requests + badWeight*r.unsent.Bad(); w > 0 || e.Leaving || e.Suspect {
+	if w := r.unsent.Requests + badWeight*r.unsent.Bad(); w > 0 || e.Leaving || e.Suspect || e.Ejected {
 		if wanted {
 			w += 2 * suspectWeight
 		}
-		c := Cell{Target: e.Key, Origin: origin, Leaving: e.Leaving, Suspect: e.Suspect, Tally: r.own.Faded(now), Rest: e.Rest}
+		c := Cell{Target: e.Key, Origin: origin, Leaving: e.Leaving, Suspect: e.Suspect, Ejected: e.Ejected, Tally: r.own.Faded(now), Rest: e.Rest}
 		picks = append(picks, pick{c, w, func() { r.unsent = Counts{} }})
 	}
 	if !wanted {
@@ -192,7 +204,7 @@
 			continue
 		}
 		age := now.Sub(p.Tally.At)
-		c := Cell{Target: e.Key, Origin: p.Origin, Age: age, Leaving: p.leaving, Suspect: p.suspect, Tally: p.Tally, Rest: p.Rest}
+		c := Cell{Target: e.Key, Origin: p.Origin, Age: age, Leaving: p.leaving, Suspect: p.suspect, Ejected: p.ejected, Tally: p.Tally, Rest: p.Rest}
 		w := suspectWeight*(2-float64(age)/float64(relayAge)) + p.Tally.Short.Bad()
 		picks = append(picks, pick{c, w, func() { p.relays-- }})
 	}
--- a/core/thhealth/state.go
+++ b/core/thhealth/state.go
@@ -29,6 +29,8 @@
 // State is a target's phase and what it depends on. The zero State is Healthy.
 type State struct {
 	Phase Phase
+	// Since is when the latest ejection began.
+	Since thclock.Instant
 	// Until ends a hold or a warm-up.
 	Until thclock.Instant
 	// Strikes counts ejections that followed each other closely.
@@ -57,6 +59,12 @@
 // InUse reports whether the target gets ordinary work.
 func (s State) InUse() bool { return s.Phase == Healthy || s.Phase == Warming }
 
+// JustEjected reports whether the target was ejected lately on more than this
+// VM's own evidence.
+func (s State) JustEjected(now thclock.Instant) bool {
+	return s.Phase == Ejected && !s.Verdict.Local && now.Sub(s.Since) < voteAge
+}
+
 // ColdShare returns the share, 0 to 1, of its capacity that a target does not
 // have yet.
 func (s State) ColdShare(now thclock.Instant) float64 {
@@ -104,7 +112,7 @@
 }
 
 func (s State) ejected(now thclock.Instant, p Policy, v Verdict) State {
-	n := State{Phase: Ejected, Verdict: v, Strikes: min(s.Strikes+1, maxStrikes)}
+	n := State{Phase: Ejected, Since: now, Verdict: v, Strikes: min(s.Strikes+1, maxStrikes)}
 	n.Until = now.Add(n.hold(p))
 	return n
 }
--- a/core/throute/balancer.go
+++ b/core/throute/balancer.go
@@ -191,6 +191,7 @@
 // target is leaving.
 func (b *Balancer[W]) Pick(now thclock.Instant, t *Try) (address string, err error) {
 	g := b.trial(now, t)
+	t.trial = g != nil
 	if g == nil {
 		b.loads = loads{targets: b.targets, slots: b.spec.Slots, t: t, now: now}
 		i, ok := b.set.Pick(b.rng, &b.loads)
@@ -207,7 +208,7 @@
 
 // trialsPerSecond is how many trial requests all VMs together send to an
 // ejected target.
-const trialsPerSecond = 5
+const trialsPerSecond = 3
 
 // trial chooses an ejected target whose next trial is due, for the first
 // attempt of a request that may be repeated.
@@ -244,6 +245,9 @@
 	if !t.Request.RepeatSafe() || t.count > 0 || m == 0 {
 		return left
 	}
+	if t.trial {
+		return min(left/2, b.reference.StalledAfter(b.policy))
+	}
 	cut := min(max(patienceFactor*m, minPatience), left/2)
 	if cut < shortPatience*m {
 		return left
--- a/core/throute/judgement.go
+++ b/core/throute/judgement.go
@@ -73,7 +73,10 @@
 func (b *Balancer[W]) Offers(now thclock.Instant, entries []thhealth.Entry) []thhealth.Entry {
 	rests := b.rests(now)
 	for i, g := range b.targets {
-		entries = append(entries, thhealth.Entry{Row: &g.row, Key: g.key, Leaving: now.Before(g.leavingUntil), Suspect: g.suspect, Rest: rests[i]})
+		entries = append(entries, thhealth.Entry{
+			Row: &g.row, Key: g.key, Rest: rests[i], Suspect: g.suspect,
+			Ejected: g.state.JustEjected(now), Leaving: now.Before(g.leavingUntil),
+		})
 	}
 	return entries
 }
--- a/core/throute/retry.go
+++ b/core/throute/retry.go
@@ -16,7 +16,7 @@
 
 const (
 	// failureShare is how many repeats of failed requests one success pays for.
-	failureShare = 0.1
+	failureShare = 0.2
 	// shedShare is how many repeats of shed requests one success pays for. A
 	// shed request costs its target next to nothing.
 	shedShare = 0.5
--- a/core/throute/set.go
+++ b/core/throute/set.go
@@ -124,7 +124,10 @@
 }
 
 // sickLoad is what a sick target that the floor keeps open counts more by.
-const sickLoad = 4
+const sickLoad = 1.5
+
+// triedLoad is what a target that failed this request counts more by.
+const triedLoad = 16
 
 // drawsForUntried bounds the draws before Pick looks at every target.
 const drawsForUntried = 4
@@ -153,7 +156,7 @@
 		load += sickLoad
 	}
 	if l.Tried(i) {
-		load += sickLoad * sickLoad
+		load += triedLoad
 	}
 	return load / max(s.all[i].capacity(), 1-maxCold)
 }
--- a/core/throute/try.go
+++ b/core/throute/try.go
@@ -14,6 +14,8 @@
 	count int
 	tried []*target
 	room  [4]*target
+	// trial is whether the attempt under way is the trial of an ejected target.
+	trial bool
 	// mayHaveRun is set by any attempt that is not known not to have run.
 	mayHaveRun bool
 	// last is the outcome of the latest such attempt.
