thvm, thburns, thwire: report burn and serve metrics in the whole path

Cause: the report and the metrics were not fed by the callers' side. Change: each answer or refusal is recorded; a planned stop brings the counts home and stores them before the VM leaves; listen.metrics serves the VM's metrics, bytes exchanged with peers among them. Ruled out: expvar's own registry, which serves the command line and takes one VM a process.

--- /dev/null
+++ b/e2e/report_test.go
@@ -0,0 +1,70 @@
+package e2e_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+
+	"tamarackhollow/core/thburn"
+	"tamarackhollow/core/thconfig"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestReportMergesAllVMsAndOutlastsThem counts what callers saw at three VMs,
+// stops each of them and looks at the report of those that are left.
+func TestReportMergesAllVMsAndOutlastsThem(t *testing.T) {
+	r := newRig(t, 3, 3)
+	r.prepare(1000, 1000)
+	r.apply(r.vms[0], "counted", thconfig.SetCustomer{Customer: thconfig.Customer{
+		Name: "counted", Rate: 1000, Burst: 1000, Deployment: "cordial",
+	}})
+	key, _ := r.issue("counted")
+	for _, v := range r.vms {
+		for range 10 {
+			r.eventually("an answer", func() bool {
+				return call(http.DefaultClient, v, request{path: "/stock/1", key: key}).status == http.StatusOK
+			})
+		}
+	}
+	r.eventually("every VM's requests are in the report", func() bool { return r.good(0, "counted") == 30 })
+	assert.NilError(t, r.terminate(r.vms[0]))
+	r.eventually("the report outlasts a planned stop", func() bool { return r.good(1, "counted") == 30 })
+}
+
+// good is how many good requests the report of one VM counts for a customer.
+func (r *rig) good(vm int, customer string) uint32 {
+	report, err := r.operator(r.vms[vm]).Report(context.Background(), thburn.Query{Customer: customer})
+	if err != nil || len(report.Missing) > 0 || len(report.Rows) == 0 {
+		return 0
+	}
+	windows := report.Rows[0].Windows
+	return windows[len(windows)-1].Counts.Good
+}
+
+func TestMetricsAreServed(t *testing.T) {
+	r := newRig(t, 1, 1)
+	key := r.prepare(1000, 1000)
+	assert.Equal(t, call(http.DefaultClient, r.vms[0], request{path: "/stock/1", key: "th.no.such"}).status, http.StatusUnauthorized)
+	assert.Equal(t, call(http.DefaultClient, r.vms[0], request{path: "/stock/1", key: key}).status, http.StatusOK)
+	a, err := http.Get("http://" + r.vms[0].metrics + "/")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, a.Body.Close()) }()
+	data, err := io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	var m struct {
+		Requests struct {
+			Answered uint64            `json:"answered"`
+			Refused  map[string]uint64 `json:"refused"`
+		} `json:"requests"`
+		Agreement struct {
+			Fresh   bool   `json:"fresh"`
+			Version uint64 `json:"version"`
+		} `json:"agreement"`
+	}
+	assert.NilError(t, json.Unmarshal(data, &m), string(data))
+	assert.Assert(t, m.Requests.Answered >= 1 && m.Requests.Refused["keyUnknown"] >= 1, string(data))
+	assert.Assert(t, m.Agreement.Fresh && m.Agreement.Version > 0, string(data))
+}
--- a/e2e/rig_test.go
+++ b/e2e/rig_test.go
@@ -94,6 +94,7 @@
 	store    *thstand.Link
 	callers  string
 	operator string
+	metrics  string
 	log      *syncBuffer
 	stopped  bool
 }
@@ -188,6 +189,7 @@
 	v := &vm{id: fmt.Sprintf("vm%d", i+1), ip: fmt.Sprintf("127.0.%d.%d", r.number, i+1), log: &syncBuffer{}}
 	v.callers = reserve(r.t, v.ip)
 	v.operator = reserve(r.t, v.ip)
+	v.metrics = reserve(r.t, v.ip)
 	inner := reserve(r.t, v.ip)
 	v.link = thstand.NewLink(listen(r.t, "127.0.0.1"), inner)
 	r.t.Cleanup(v.link.Close)
@@ -198,7 +200,7 @@
 		seeds = append(seeds, o.link.Address())
 	}
 	v.settings = filepath.Join(r.dir, v.id+".toml")
-	text := fmt.Sprintf(settingsFormat, v.id, v.ip, string(rune('a'+i%3)), v.callers, inner, v.link.Address(), v.operator,
+	text := fmt.Sprintf(settingsFormat, v.id, v.ip, string(rune('a'+i%3)), v.callers, inner, v.link.Address(), v.operator, v.metrics,
 		v.store.Address(), platformCredential, peerCredential, quoted(seeds), operatorCredential)
 	assert.NilError(r.t, os.WriteFile(v.settings, []byte(text), 0o600))
 	r.vms = append(r.vms, v)
@@ -360,6 +362,7 @@
 peers = %q
 peersAdvertised = %q
 operators = %q
+metrics = %q
 
 [platform]
 address = %q
--- a/io/thvm/vm.go
+++ b/io/thvm/vm.go
@@ -17,9 +17,11 @@
 	"tamarackhollow/core/thsettings"
 	"tamarackhollow/io/thagree"
 	"tamarackhollow/io/thbalance"
+	"tamarackhollow/io/thburns"
 	"tamarackhollow/io/thcaller"
 	"tamarackhollow/io/thclaims"
 	"tamarackhollow/io/thgrant"
+	"tamarackhollow/io/thmetrics"
 	"tamarackhollow/io/thoperator"
 	"tamarackhollow/io/thplatform"
 	"tamarackhollow/io/thpool"
@@ -52,11 +54,15 @@
 	callers   *thcaller.Server
 	peers     *thwire.Server
 	operators *thwire.Server
+	burns     *thburns.Burns
+	seen      *thmetrics.Requests
+	metrics   *thmetrics.Server
 	listeners listeners
 	stopping  atomic.Bool
 }
 
-type listeners struct{ callers, peers, operators net.Listener }
+// listeners are where the VM listens; metrics is nil if they are not served.
+type listeners struct{ callers, peers, operators, metrics net.Listener }
 
 // Start makes a VM of the settings and has it join. It takes callers as soon
 // as it has a configuration.
@@ -88,6 +94,12 @@
 	if v.listeners.operators, err = net.Listen("tcp", l.Operators); err != nil {
 		return therror.Wrap(therror.Internal, err, "listener for operators")
 	}
+	if l.Metrics == "" {
+		return nil
+	}
+	if v.listeners.metrics, err = net.Listen("tcp", l.Metrics); err != nil {
+		return therror.Wrap(therror.Internal, err, "listener for metrics")
+	}
 	return nil
 }
 
@@ -124,12 +136,18 @@
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
 	v.claims = thclaims.New(thclaims.Options{Platform: v.platform, Clock: v.clock, Log: v.log, Self: v.self})
+	v.burns = thburns.New(thburns.Options{
+		Self: v.self, Config: v.agreement.Config, Roster: v.agreement.Roster, Platform: v.platform,
+		Client: wire, Clock: v.clock, Log: v.log,
+	})
+	v.seen = thmetrics.NewRequests()
 	v.callers = thcaller.New(thcaller.Options{
 		Config: v.agreement.Config, CheckFresh: v.agreement.CheckFresh, Limiter: v.limiter, Runner: v,
-		Clock: v.clock, Ready: v.agreement.Ready, MaxBodyBytes: t.Requests.MaxBody(),
+		Clock: v.clock, Ready: v.agreement.Ready, Record: v.record, MaxBodyBytes: t.Requests.MaxBody(),
 		IDPrefix: v.self.ID + "-" + strconv.FormatUint(v.self.Incarnation, 36),
 	})
 	v.registerPeers(wire)
+	v.metrics = thmetrics.NewServer(v.registry(wire))
 }
 
 func (v *VM) registerPeers(wire *thwire.Client) {
@@ -138,8 +156,9 @@
 	v.limiter.Register(v.peers)
 	v.balance.Register(v.peers)
 	v.guard.Register(v.peers)
+	v.burns.Register(v.peers)
 	v.operators = &thwire.Server{Credential: v.settings.Operators.Credential, Log: v.log}
-	o := &thoperator.Server{Fleet: fleet{v}, Peers: wire}
+	o := &thoperator.Server{Fleet: fleet{v}, Peers: wire, Burn: v.burns.Report}
 	o.Register(v.operators)
 	o.RegisterPeers(v.peers)
 }
@@ -161,6 +180,10 @@
 	v.claims.Start(v.pool)
 	v.sender.Start(v.pool)
 	v.guard.Start(v.pool)
+	v.burns.Start(v.pool)
+	if v.listeners.metrics != nil {
+		go func() { _ = v.metrics.Serve(v.listeners.metrics) }()
+	}
 	go func() { _ = v.callers.Serve(v.listeners.callers) }()
 }
 
@@ -176,10 +199,12 @@
 	limit, cancel := context.WithTimeout(ctx, v.settings.Drain.Limit())
 	defer cancel()
 	err := v.callers.Shutdown(limit)
+	_ = v.burns.Leave(limit)
 	_ = v.claims.Leave(limit)
 	_ = v.limiter.Leave(limit)
 	_ = v.agreement.Leave(limit)
 	_ = v.operators.Shutdown()
+	_ = v.metrics.Shutdown()
 	_ = v.peers.Shutdown()
 	v.pool.Close()
 	v.sender.Close()
--- a/io/thwire/client.go
+++ b/io/thwire/client.go
@@ -35,8 +35,9 @@
 
 // Client makes calls. Make one with NewClient.
 type Client struct {
-	id   Identity
-	http fasthttp.Client
+	id      Identity
+	http    fasthttp.Client
+	traffic traffic
 }
 
 // NewClient returns a client that never repeats a call by itself.
@@ -92,12 +93,14 @@
 		deadline = time.Now().Add(defaultCallTimeout)
 	}
 	if err := c.http.DoDeadline(q, r, deadline); err != nil {
+		c.traffic.note(len(data), 0, 0, true)
 		// After a timeout fasthttp may still hold the response, so it is left
 		// to the garbage collector.
 		return nil, transportError(err, path)
 	}
 	defer fasthttp.ReleaseRequest(q)
 	defer fasthttp.ReleaseResponse(r)
+	c.traffic.note(len(data), len(r.Body()), len(q.Header.Header())+len(r.Header.Header()), r.StatusCode() != fasthttp.StatusOK)
 	if r.StatusCode() != fasthttp.StatusOK {
 		return nil, readError(r, path)
 	}
--- a/io/thwire/server.go
+++ b/io/thwire/server.go
@@ -47,6 +47,7 @@
 	routes  map[string]func(*fasthttp.RequestCtx, Sender)
 	http    *fasthttp.Server
 	dropped sync.Map
+	traffic traffic
 }
 
 // errorBody is a refusal on the wire.
@@ -123,6 +124,12 @@
 }
 
 func (s *Server) serve(c *fasthttp.RequestCtx) {
+	s.answer(c)
+	failed := c.Response.StatusCode() != fasthttp.StatusOK
+	s.traffic.note(len(c.Response.Body()), len(c.PostBody()), len(c.Request.Header.RawHeaders()), failed)
+}
+
+func (s *Server) answer(c *fasthttp.RequestCtx) {
 	from := Sender{
 		ID:      string(c.Request.Header.Peek(headerFrom)),
 		Address: c.RemoteIP().String(),
--- /dev/null
+++ b/io/thwire/stats.go
@@ -0,0 +1,42 @@
+package thwire
+
+import "sync/atomic"
+
+// Stats count what went over a client or server. Bytes are those of bodies,
+// without the headers.
+type Stats struct {
+	Calls       uint64 `json:"calls"`
+	Failed      uint64 `json:"failed"`
+	BytesSent   uint64 `json:"bytesSent"`
+	BytesHeard  uint64 `json:"bytesHeard"`
+	HeaderBytes uint64 `json:"headerBytes"`
+}
+
+// traffic counts for Stats. The zero traffic is ready.
+type traffic struct {
+	calls, failed, sent, heard, headers atomic.Uint64
+}
+
+func (t *traffic) stats() Stats {
+	return Stats{
+		Calls: t.calls.Load(), Failed: t.failed.Load(),
+		BytesSent: t.sent.Load(), BytesHeard: t.heard.Load(), HeaderBytes: t.headers.Load(),
+	}
+}
+
+// note counts one call with the sizes of its bodies and headers.
+func (t *traffic) note(sent, heard, headers int, failed bool) {
+	t.calls.Add(1)
+	t.sent.Add(uint64(sent))
+	t.heard.Add(uint64(heard))
+	t.headers.Add(uint64(headers))
+	if failed {
+		t.failed.Add(1)
+	}
+}
+
+// Stats returns what the client has sent and heard.
+func (c *Client) Stats() Stats { return c.traffic.stats() }
+
+// Stats returns what the server has sent and heard.
+func (s *Server) Stats() Stats { return s.traffic.stats() }
