throster: bound what a peer's answer may claim

An age near the largest number overflowed when it was counted back, which put the moment up to which the VM knew everything into the future; and a peer's accepted version was believed beyond the version that the answer itself reached.

Ruled out: dropping such answers whole. The credential makes their sender a peer, so the rest of the answer is worth as much as any other.

Change: an age of FreshFor or more renews nothing, and accepted counts up to the answer's version at most. Counting who has a version takes the seats as they stand for the roster in force.

--- a/core/throster/accept.go
+++ b/core/throster/accept.go
@@ -35,6 +35,14 @@
 // gone for good: those will never tell anybody of an older one.
 func (n *Node) acknowledged(r Roster, version uint64) int {
 	count := 0
+	if r.Version() == n.Roster().Version() {
+		for _, s := range n.seats {
+			if s.acked >= version {
+				count++
+			}
+		}
+		return count
+	}
 	for _, v := range r.VMs() {
 		i, ok := n.Roster().index(v.ID)
 		gone := !ok || n.Roster().VMs()[i].Incarnation > v.Incarnation
--- a/core/throster/exchange.go
+++ b/core/throster/exchange.go
@@ -98,12 +98,12 @@
 		return false
 	}
 	n.learnOverrides(a)
-	if a.AsOfMillis >= 0 {
+	if a.AsOfMillis >= 0 && a.AsOfMillis < FreshFor.Milliseconds() {
 		n.know(sent.Add(-time.Duration(a.AsOfMillis) * time.Millisecond))
 	}
 	n.heardFrom(sent, a)
 	n.mergeSeats(sent, a)
-	n.acceptedUpTo(a.Accepted)
+	n.acceptedUpTo(min(a.Accepted, a.Version))
 	n.settle()
 	n.countMajority()
 	return true
