--- a/core/thconfig/config.go
+++ b/core/thconfig/config.go
@@ -227,12 +227,13 @@
 	if _, ok := c.customers.get(name); !ok {
 		return c, therror.New(therror.ChangeInvalid, "customer %s: no such customer", name)
 	}
-	for _, k := range c.keys.sorted() {
+	all := c.keys
+	all.each(func(id string, k Key) {
 		if k.Customer == name {
-			c.keys = c.keys.without(k.ID)
-			c.withdrawn = c.withdrawn.with(k.ID, struct{}{})
+			c.keys = c.keys.without(id)
+			c.withdrawn = c.withdrawn.with(id, struct{}{})
 		}
-	}
+	})
 	c.customers = c.customers.without(name)
 	return c, nil
 }
--- a/core/thconfig/proposal.go
+++ b/core/thconfig/proposal.go
@@ -17,7 +17,8 @@
 // It fails with ChangeConflict if another operator's change came first or the
 // ID was used for another change, and with ChangeInvalid if the change does
 // not check. A failure says that the proposal is not stored and never will be
-// by an earlier try, because that try's write requires a head that has passed.
+// by an earlier try of the same proposal, because that try's write requires a
+// head that has passed.
 func (p Proposal) Next(c Config, earlier *Record) (r Record, store bool, err error) {
 	if earlier != nil {
 		if p.Change != nil && !SameChange(earlier.Change, p.Change) {
--- a/core/thconfig/shardedmap.go
+++ b/core/thconfig/shardedmap.go
@@ -56,6 +56,18 @@
 	return shardedMap[V]{parts: &parts}
 }
 
+// each calls the function with each entry, in no order.
+func (m shardedMap[V]) each(f func(string, V)) {
+	if m.parts == nil {
+		return
+	}
+	for _, p := range m.parts {
+		for name, v := range p {
+			f(name, v)
+		}
+	}
+}
+
 func (m shardedMap[V]) sortedNames() []string {
 	names := []string{}
 	if m.parts == nil {
