--- a/io/thagree/agreement_test.go
+++ b/io/thagree/agreement_test.go
@@ -177,3 +177,30 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(rows), 0)
 }
+
+// TestSnapshotCarriesAVMPastPrunedChanges lets a VM begin after the changes
+// that made the configuration have gone from the table.
+func TestSnapshotCarriesAVMPastPrunedChanges(t *testing.T) {
+	ctx := context.Background()
+	var platform thstoretest.Fake
+	vms := startFleet(t, &platform, 1)
+	for i := range 250 {
+		_, err := vms[0].Apply(ctx, fmt.Sprint(i), 0, template(fmt.Sprintf("t%d", i)))
+		assert.NilError(t, err)
+	}
+	eventually(t, "a snapshot", func() bool {
+		row, err := platform.ReadRow(ctx, "config/snapshot")
+		return err == nil && row.Version > 0
+	})
+	var deletes []thstore.Write
+	for v := range 200 {
+		deletes = append(deletes, thstore.Write{Key: fmt.Sprintf("config/change/%016d", v+1), Delete: true})
+	}
+	assert.NilError(t, platform.Commit(ctx, thstore.Transaction{Writes: deletes}))
+	vms[0].stop()
+	m := startVM(t, &platform, "vm1", 1)
+	eventually(t, "the new VM", m.Ready)
+	assert.Assert(t, m.Config().Version() >= 251)
+	_, ok := m.Config().Template("t0")
+	assert.Assert(t, ok)
+}
--- a/io/thagree/follow.go
+++ b/io/thagree/follow.go
@@ -42,24 +42,28 @@
 	return h, nil
 }
 
-// catchUp loads the stored changes up to the version.
+// catchUp loads the stored changes up to the version, and a snapshot first
+// where the changes do not reach back far enough.
 func (a *Agreement) catchUp(ctx context.Context, version uint64) error {
 	if a.Config().Version() == 0 && version > 0 {
-		c, err := a.chain.snapshot(ctx)
-		if err != nil {
+		if err := a.loadSnapshot(ctx); err != nil {
 			return err
 		}
-		a.mu.Lock()
-		a.takeSnapshot(c, []throster.Roster{c.Roster()})
-		a.mu.Unlock()
 	}
 	for a.Config().Version() < version {
-		rs, err := a.chain.records(ctx, a.Config().Version())
+		next := a.Config().Version() + 1
+		rs, err := a.chain.records(ctx, next-1)
 		if err != nil {
 			return err
 		}
-		if len(rs) == 0 {
-			return therror.New(therror.StoreUnavailable, "the store lacks change %d", a.Config().Version()+1)
+		if len(rs) == 0 || rs[0].Version > next {
+			if err := a.loadSnapshot(ctx); err != nil {
+				return err
+			}
+			if a.Config().Version() < next {
+				return therror.New(therror.StoreUnavailable, "the store lacks change %d", next)
+			}
+			continue
 		}
 		a.mu.Lock()
 		err = a.takeRecords(rs)
@@ -70,3 +74,18 @@
 	}
 	return nil
 }
+
+// loadSnapshot moves to the stored snapshot if it is newer. It is of an
+// accepted version, so its roster is all that is needed of the past.
+func (a *Agreement) loadSnapshot(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), snapshotTimeout)
+	defer cancel()
+	c, err := a.chain.snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.takeSnapshot(c, []throster.Roster{c.Roster()})
+	return nil
+}
--- a/io/thagree/peers.go
+++ b/io/thagree/peers.go
@@ -99,10 +99,10 @@
 	q := exchangeQuestion{Question: a.node.Ask(), Records: records}
 	a.mu.Unlock()
 	q.Brief = len(records) > 0
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	sent := a.clock.Now()
-	ans, err := thwire.Call[exchangeQuestion, exchangeAnswer](ctx, a.client, v.PeerAddress, pathExchange, q)
+	ans, err := thwire.Call[exchangeQuestion, exchangeAnswer](callCtx, a.client, v.PeerAddress, pathExchange, q)
 	if err == nil && ans.TooOld {
 		err = a.loadFromPeer(ctx, v.PeerAddress)
 	}
@@ -123,6 +123,8 @@
 }
 
 func (a *Agreement) loadFromPeer(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
 	s, err := thwire.Call[snapshotQuestion, snapshotAnswer](ctx, a.client, address, pathSnapshot, snapshotQuestion{})
 	if err != nil {
 		return err
--- a/io/thagree/snapshot.go
+++ b/io/thagree/snapshot.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"time"
 )
 
-// snapshotEvery is how many versions lie between two stored snapshots.
-const snapshotEvery = 200
+const (
+	// snapshotEvery is how many versions lie between two stored snapshots.
+	snapshotEvery = 200
+	// snapshotTimeout bounds the loading or storing of a snapshot, which is
+	// megabytes large.
+	snapshotTimeout = 10 * time.Second
+)
 
 // snapshotDue reports whether this VM is to store a snapshot now; a.mu is
 // held. Only accepted versions are stored, so that a VM that begins with one
@@ -21,8 +27,11 @@
 }
 
 func (a *Agreement) storeSnapshot(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	// A failure is made up for by the next one.
-	_ = a.chain.putSnapshot(ctx, a.Config())
+	c := a.Config()
+	// A failure of either is made up for by the next one.
+	if err := a.chain.putSnapshot(ctx, c); err == nil {
+		_ = a.chain.prune(ctx, c.Version())
+	}
 }
--- a/io/thagree/store.go
+++ b/io/thagree/store.go
@@ -20,6 +20,13 @@
 	prefixJoin    = "roster/join/"
 	objectPrefix  = "config/snapshot/"
 	recordsAtOnce = 200
+
+	// snapshotObjects is how many objects the snapshots take turns in, so that
+	// a reader of the one before is not overtaken.
+	snapshotObjects = 4
+	// keptChanges is how many changes stay in the table behind a snapshot. A
+	// change id can be read back for as long.
+	keptChanges = 10000
 )
 
 // headRow is the last version and its digest.
@@ -165,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	name := fmt.Sprintf("%s%016d", objectPrefix, n.Version())
+	name := fmt.Sprintf("%s%d", objectPrefix, n.Version()/snapshotEvery%snapshotObjects)
 	if err := c.platform.PutObject(ctx, name, data); err != nil {
 		return err
 	}
@@ -176,6 +183,26 @@
 	})
 }
 
+// prune deletes some of the changes that lie far behind the snapshot.
+func (c chain) prune(ctx context.Context, snapshot uint64) error {
+	rs, err := c.records(ctx, 0)
+	if err != nil {
+		return err
+	}
+	var t thstore.Transaction
+	for _, r := range rs {
+		if r.Version+keptChanges < snapshot {
+			t.Writes = append(t.Writes,
+				thstore.Write{Key: changeKey(r.Version), Delete: true},
+				thstore.Write{Key: prefixID + r.ChangeID, Delete: true})
+		}
+	}
+	if len(t.Writes) == 0 {
+		return nil
+	}
+	return c.platform.Commit(ctx, t)
+}
+
 func changeKey(version uint64) string { return fmt.Sprintf("%s%016d", prefixChange, version) }
 
 // readRow reads a row into v and returns the row's version.
