throute: prove floor, fairness, repeats and truth of refusals by properties

Cause: the promises had no proof, and two were false for a sender that says an answered request was never sent: it was repeated although not safe to, and a refusal said notRun (found by TestUnsafeRequestRunsOnce after 22 draws and by TestRefusalIsTrue at the first). Change: an answer proves that a request ran; a refusal after an attempt that may have run never says notRun. Active checks, shared out by chance, are heard for load and leaving only. Properties for set, pick, queue, budget, subsets. Ruled out: checkers by rendezvous, since a VM outside a target's users would have to compute all others' subsets; by chance costs the same.

--- a/core/throute/balancer.go
+++ b/core/throute/balancer.go
@@ -109,6 +109,9 @@
 	return ns
 }
 
+// Service returns the service as the configuration has it.
+func (b *Balancer[W]) Service() thconfig.Service { return b.spec }
+
 // Set returns the set that picks are made from.
 func (b *Balancer[W]) Set() Set { return b.set }
 
--- a/core/throute/retry.go
+++ b/core/throute/retry.go
@@ -78,7 +78,8 @@
 }
 
 // NotRun reports whether the attempt surely did not run the request: no byte
-// of it left, or the target says that it shed it.
+// of it left, or the target says that it shed it. An answer of any other kind
+// shows that it ran, whatever the attempt says of what was sent.
 func NotRun(q *threquest.Request, a threquest.Attempt) bool {
 	if a.Err != nil {
 		return !a.Sent
@@ -97,7 +98,7 @@
 		return Repeat{Pause: shedPause << min(n-1, maxShedAttempts), Cost: failureShare / shedShare}
 	case a.Err == nil && (a.Answer == nil || !isServerFailure(a.Answer.Status)):
 		return Deliver{}
-	case n >= maxFailureAttempts || a.Sent && !q.RepeatSafe():
+	case n >= maxFailureAttempts || !NotRun(q, a) && !q.RepeatSafe():
 		return giveUp(a)
 	case therror.Is(a.Err, therror.CallerGone):
 		return giveUp(a)
--- a/core/throute/settle.go
+++ b/core/throute/settle.go
@@ -13,9 +13,9 @@
 // The headers by which targets speak of themselves in any answer.
 const (
 	// HeaderLoad holds the number of requests that the target has in hand.
-	HeaderLoad = "Target-Load"
+	HeaderLoad = "Tamarack-Target-Load"
 	// HeaderState holds StateLeaving once the target takes no new work.
-	HeaderState = "Target-State"
+	HeaderState = "Tamarack-Target-State"
 	// StateLeaving is a leaving target's HeaderState.
 	StateLeaving = "leaving"
 )
@@ -113,23 +113,3 @@
 	b.notify(thevent.TargetLeaving, thevent.F("target", g.address))
 	b.rebuild(now)
 }
-
-// Check takes in the answer to an active check. It is heard for what the
-// target says of itself; that it claims to be well or ill counts for nothing,
-// because requests show better. A target that nobody sends requests to and
-// that cannot be reached counts as failing.
-func (b *Balancer[W]) Check(address string, a threquest.Attempt) {
-	for _, g := range b.targets {
-		if g.address != address {
-			continue
-		}
-		b.hear(a.Ended, g, a.Answer)
-		quiet := g.row.Sample(a.Ended).Recent().Requests < quietRequests
-		if a.Err != nil && !a.Sent && quiet {
-			g.row.Observe(a.Ended, thhealth.Failed, 0)
-		}
-	}
-}
-
-// quietRequests is below which a target counts as getting no requests.
-const quietRequests = 1
--- a/core/throute/target.go
+++ b/core/throute/target.go
@@ -24,6 +24,9 @@
 	busyUntil thclock.Instant
 	// nextTrial is when an ejected target may get the next trial request.
 	nextTrial thclock.Instant
+	// checked and nextCheck are when this VM checked the target and will again.
+	checked, nextCheck thclock.Instant
+
 	inFlight  int
 	peersBusy float64
 	reported  float64
--- a/core/throute/try.go
+++ b/core/throute/try.go
@@ -50,7 +50,7 @@
 	if !t.mayHaveRun || therror.KindOf(err).Answer().Outcome != therror.NotRun {
 		return err
 	}
-	if t.last != nil {
+	if t.last != nil && therror.KindOf(t.last).Answer().Outcome != therror.NotRun {
 		return t.last
 	}
 	return therror.Wrap(therror.AnswerLost, err, "an earlier attempt failed")
--- a/io/thbalance/control.go
+++ b/io/thbalance/control.go
@@ -41,6 +41,7 @@
 func (f *Forwarder) Start(p *thpool.Pool) {
 	p.Every(judgeEvery, nil, func(context.Context) { f.judge() })
 	p.Every(exchangeEvery, nil, f.exchange)
+	p.Every(checkEvery, nil, func(ctx context.Context) { f.check(ctx, p) })
 }
 
 // judge takes in the configuration and decides each target's state.
