--- a/io/thvm/vm.go
+++ b/io/thvm/vm.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"tamarackhollow/core/thburn"
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
@@ -51,17 +52,18 @@
 	sender    *thtarget.Client
 	guard     *thquarantines.Guard
 	claims    *thclaims.Claims
+	burns     *thburns.Burns
+	requests  *thmetrics.Requests
+	metrics   *thmetrics.Server
 	callers   *thcaller.Server
+	wire      *thwire.Client
 	peers     *thwire.Server
 	operators *thwire.Server
-	burns     *thburns.Burns
-	seen      *thmetrics.Requests
-	metrics   *thmetrics.Server
 	listeners listeners
 	stopping  atomic.Bool
 }
 
-// listeners are where the VM listens; metrics is nil if they are not served.
+// listeners are a VM's; metrics is nil if none are served.
 type listeners struct{ callers, peers, operators, metrics net.Listener }
 
 // Start makes a VM of the settings and has it join. It takes callers as soon
@@ -119,6 +121,7 @@
 	v.platform = thplatform.New(thwire.NewClient(identity), t.Platform.Address, v.log)
 	identity.Credential = t.Peers.Credential
 	wire := thwire.NewClient(identity)
+	v.wire = wire
 
 	v.agreement = thagree.New(thagree.Options{
 		Self: v.self, Platform: v.platform, Client: wire, Clock: v.clock, Log: v.log, Seeds: t.Peers.Seeds,
@@ -135,19 +138,22 @@
 		Self: v.self, Roster: v.agreement.Roster, Config: v.agreement.Config, Sender: v.guard, Blame: v.guard,
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
-	v.claims = thclaims.New(thclaims.Options{Platform: v.platform, Clock: v.clock, Log: v.log, Self: v.self})
+	v.claims = thclaims.New(thclaims.Options{
+		Platform: v.platform, Clock: v.clock, Log: v.log, Self: v.self,
+		Peers: thclaims.NewPeers(wire), Roster: v.agreement.Roster,
+	})
 	v.burns = thburns.New(thburns.Options{
 		Self: v.self, Config: v.agreement.Config, Roster: v.agreement.Roster, Platform: v.platform,
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
-	v.seen = thmetrics.NewRequests()
+	v.requests = thmetrics.NewRequests()
+	v.metrics = thmetrics.NewServer(v.registry())
 	v.callers = thcaller.New(thcaller.Options{
 		Config: v.agreement.Config, CheckFresh: v.agreement.CheckFresh, Limiter: v.limiter, Runner: v,
-		Clock: v.clock, Ready: v.agreement.Ready, Record: v.record, MaxBodyBytes: t.Requests.MaxBody(),
+		Clock: v.clock, Record: v.record, Ready: v.agreement.Ready, MaxBodyBytes: t.Requests.MaxBody(),
 		IDPrefix: v.self.ID + "-" + strconv.FormatUint(v.self.Incarnation, 36),
 	})
 	v.registerPeers(wire)
-	v.metrics = thmetrics.NewServer(v.registry(wire))
 }
 
 func (v *VM) registerPeers(wire *thwire.Client) {
@@ -156,6 +162,7 @@
 	v.limiter.Register(v.peers)
 	v.balance.Register(v.peers)
 	v.guard.Register(v.peers)
+	v.claims.Register(v.peers)
 	v.burns.Register(v.peers)
 	v.operators = &thwire.Server{Credential: v.settings.Operators.Credential, Log: v.log}
 	o := &thoperator.Server{Fleet: fleet{v}, Peers: wire, Burn: v.burns.Report}
@@ -171,6 +178,12 @@
 	return v.claims.Run(ctx, q, v.balance.Forward)
 }
 
+// record counts what a caller saw.
+func (v *VM) record(o thburn.Observation, added time.Duration) {
+	v.burns.Record(o)
+	v.requests.Record(o, added)
+}
+
 func (v *VM) serve() {
 	v.peers.Start(v.listeners.peers)
 	v.operators.Start(v.listeners.operators)
@@ -199,13 +212,13 @@
 	limit, cancel := context.WithTimeout(ctx, v.settings.Drain.Limit())
 	defer cancel()
 	err := v.callers.Shutdown(limit)
-	_ = v.burns.Leave(limit)
 	_ = v.claims.Leave(limit)
 	_ = v.limiter.Leave(limit)
+	_ = v.burns.Leave(limit)
 	_ = v.agreement.Leave(limit)
 	_ = v.operators.Shutdown()
-	_ = v.metrics.Shutdown()
 	_ = v.peers.Shutdown()
+	_ = v.metrics.Shutdown()
 	v.pool.Close()
 	v.sender.Close()
 	v.log.Log(thevent.ProcessStopped)
