--- a/io/thcommand/page.go
+++ b/io/thcommand/page.go
@@ -78,7 +78,7 @@
 		Time: now.UTC().Format("2006-01-02 15:04:05 MST"), Worst: worstServed(r.Worst), WithinRate: r.WithinRate,
 		Missing: len(r.Missing), Parts: thburn.Parts, LeftOut: r.LeftOut, Paging: r.Paging(),
 		Services:  drawChart(r.Services, func(row thburn.Row) string { return row.Service }),
-		Customers: drawChart(alerting(r.Rows), func(row thburn.Row) string { return orOpen(row.Customer) + ", " + row.Service }),
+		Customers: drawChart(burning(r.Rows), func(row thburn.Row) string { return orOpen(row.Customer) + ", " + row.Service }),
 	}
 	for _, row := range r.Rows {
 		c := hourOf(row)
@@ -93,9 +93,23 @@
 
 const mostDrawn = 12
 
-// alerting returns the rows to draw: the fastest burns, which come first.
-func alerting(rows []thburn.Row) []thburn.Row {
-	return rows[:min(len(rows), mostDrawn)]
+// burning returns the rows to draw: the fastest burns, which come first.
+func burning(rows []thburn.Row) []thburn.Row {
+	for i, r := range rows {
+		if i == mostDrawn || !burns(r) {
+			return rows[:i]
+		}
+	}
+	return rows
+}
+
+func burns(row thburn.Row) bool {
+	for _, w := range row.Windows {
+		if w.Burn > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 func isPaging(row thburn.Row) bool {
