--- a/e2e/report_test.go
+++ b/e2e/report_test.go
@@ -60,11 +60,11 @@
 			Refused  map[string]uint64 `json:"refused"`
 		} `json:"requests"`
 		Agreement struct {
-			Fresh   bool   `json:"fresh"`
-			Version uint64 `json:"version"`
+			FreshMillis int64  `json:"freshMillis"`
+			Version     uint64 `json:"version"`
 		} `json:"agreement"`
 	}
 	assert.NilError(t, json.Unmarshal(data, &m), string(data))
 	assert.Assert(t, m.Requests.Answered >= 1 && m.Requests.Refused["keyUnknown"] >= 1, string(data))
-	assert.Assert(t, m.Agreement.Fresh && m.Agreement.Version > 0, string(data))
+	assert.Assert(t, m.Agreement.FreshMillis > 0 && m.Agreement.Version > 0, string(data))
 }
