--- a/e2e/kill_test.go
+++ b/e2e/kill_test.go
@@ -25,7 +25,7 @@
 	r := newRig(t, 3, 6)
 	key := r.prepare(10000, 10000)
 	for _, target := range r.targets {
-		target.Behave(thstand.TargetBehaviour{DiesOf: "deadly", DownMillis: down})
+		target.Behave(thstand.TargetBehaviour{CrashOn: "deadly", CrashMillis: down})
 	}
 	failed := 0
 	for i := range 15 {
@@ -43,7 +43,7 @@
 	}
 	deaths := 0
 	for _, target := range r.targets {
-		deaths += target.Deaths()
+		deaths += target.Crashes()
 	}
 	assert.Assert(t, deaths == 3 || deaths == 4, "%d targets died", deaths)
 	assert.Equal(t, failed, 0, "other requests failed")
--- a/io/thstand/target.go
+++ b/io/thstand/target.go
@@ -1,13 +1,18 @@
 package thstand
 
 import (
+	"bytes"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"tamarackhollow/core/throute"
+
 	"github.com/valyala/fasthttp"
 )
 
@@ -25,14 +30,15 @@
 	// DropShare is the share of requests, 0 to 1, whose connection is closed
 	// after they ran.
 	DropShare float64
+	// CrashOn crashes the target when a request's body contains it; empty never
+	// does. The target comes back after CrashMillis.
+	CrashOn string
+	// CrashMillis is how long a crashed target is gone, in milliseconds.
+	CrashMillis int
 	// Sick makes the health endpoint say so.
 	Sick bool
 	// Leaving makes the health endpoint and every answer say so.
 	Leaving bool
-	// DiesOf is a body that the target dies of; empty is none.
-	DiesOf string
-	// DownMillis is how long a target that died refuses connections.
-	DownMillis int
 }
 
 // Run is one request that a target ran.
@@ -55,14 +61,13 @@
 	http    *fasthttp.Server
 
 	mu        sync.Mutex
-	listener  net.Listener
+	listener  *openListener
+	closed    bool
+	crashes   int
 	behaviour TargetBehaviour
 	random    *rand.Rand
 	running   int
 	runs      []Run
-	open      []net.Conn
-	deaths    int
-	closed    bool
 }
 
 // PathHealth is the health and load endpoint.
@@ -76,22 +81,36 @@
 
 // StartTarget serves on the listener until Close.
 func StartTarget(l net.Listener, b TargetBehaviour, seed uint64) *Target {
-	t := &Target{listener: l, address: l.Addr().String(), behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
+	t := &Target{address: l.Addr().String(), behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
 	t.http = &fasthttp.Server{
 		Handler:               t.handle,
 		MaxRequestBodySize:    64 << 20,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		Logger:                silent{},
-		ConnState:             t.track,
 	}
-	go func() { _ = t.http.Serve(l) }()
+	t.open(l)
 	return t
 }
 
+func (t *Target) open(l net.Listener) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := &openListener{Listener: l}
+	t.listener = o
+	go func() { _ = t.http.Serve(o) }()
+}
+
 // Address is where the target listens.
 func (t *Target) Address() string { return t.address }
 
+// Crashes returns how often the target has crashed.
+func (t *Target) Crashes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashes
+}
+
 // Behave sets the behaviour from now on.
 func (t *Target) Behave(b TargetBehaviour) {
 	t.mu.Lock()
@@ -110,8 +129,88 @@
 func (t *Target) Close() {
 	t.mu.Lock()
 	t.closed = true
+	l := t.listener
+	t.mu.Unlock()
+	l.kill()
+}
+
+// crash closes every connection and the listener, and comes back later.
+func (t *Target) crash(gone time.Duration) {
+	t.mu.Lock()
+	t.crashes++
+	l := t.listener
 	t.mu.Unlock()
-	_ = t.http.Shutdown()
+	_ = l.Close()
+	fd, err := reservePort(l.Addr())
+	l.kill()
+	if err == nil {
+		time.AfterFunc(gone, func() { t.restart(fd) })
+	}
+}
+
+// reservePort binds the address without listening, so that connections are
+// refused and no other test's listener takes it meanwhile.
+func reservePort(address net.Addr) (int, error) {
+	a, ok := address.(*net.TCPAddr)
+	if !ok {
+		return 0, net.InvalidAddrError(address.String())
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, err
+	}
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return 0, err
+	}
+	return fd, syscall.Bind(fd, &syscall.SockaddrInet4{Port: a.Port, Addr: [4]byte(a.IP.To4())})
+}
+
+func (t *Target) restart(fd int) {
+	f := os.NewFile(uintptr(fd), "target")
+	defer func() { _ = f.Close() }()
+	t.mu.Lock()
+	closed := t.closed
+	t.mu.Unlock()
+	if closed || syscall.Listen(fd, syscall.SOMAXCONN) != nil {
+		return
+	}
+	if l, err := net.FileListener(f); err == nil {
+		t.open(l)
+	}
+}
+
+// openListener knows its connections, so that they can be cut together.
+type openListener struct {
+	net.Listener
+
+	mu     sync.Mutex
+	conns  []net.Conn
+	killed bool
+}
+
+// Accept returns the next connection.
+func (o *openListener) Accept() (net.Conn, error) {
+	c, err := o.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.conns = append(o.conns, c)
+	if o.killed {
+		_ = c.Close()
+	}
+	return c, nil
+}
+
+func (o *openListener) kill() {
+	_ = o.Close()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.killed = true
+	for _, c := range o.conns {
+		_ = c.Close()
+	}
 }
 
 func (t *Target) handle(c *fasthttp.RequestCtx) {
@@ -126,8 +225,8 @@
 	}
 	time.Sleep(time.Duration(b.LatencyMillis) * time.Millisecond)
 	t.end()
-	if b.DiesOf != "" && string(c.PostBody()) == b.DiesOf {
-		t.die(time.Duration(b.DownMillis) * time.Millisecond)
+	if b.CrashOn != "" && bytes.Contains(c.PostBody(), []byte(b.CrashOn)) {
+		t.crash(time.Duration(b.CrashMillis) * time.Millisecond)
 		return
 	}
 	if drop {
@@ -138,9 +237,7 @@
 	if id := c.Request.Header.Peek("Tamarack-Request-Id"); len(id) > 0 {
 		c.Response.Header.SetBytesV("Tamarack-Request-Id", id)
 	}
-	if b.Leaving {
-		c.Response.Header.Set("Tamarack-Target-State", "leaving")
-	}
+	t.describe(c, b)
 	if fail {
 		c.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
@@ -149,6 +246,16 @@
 	c.SetBodyString("ran " + string(c.Method()) + " " + string(c.RequestURI()) + " " + strconv.Itoa(len(c.PostBody())))
 }
 
+// describe has the answer tell of the target's load and state.
+func (t *Target) describe(c *fasthttp.RequestCtx, b TargetBehaviour) {
+	t.mu.Lock()
+	c.Response.Header.Set(throute.HeaderLoad, strconv.Itoa(t.running))
+	t.mu.Unlock()
+	if b.Leaving {
+		c.Response.Header.Set(throute.HeaderState, throute.StateLeaving)
+	}
+}
+
 func (t *Target) begin(c *fasthttp.RequestCtx) (b TargetBehaviour, shed, fail, drop bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -178,14 +285,17 @@
 
 func (t *Target) health(c *fasthttp.RequestCtx) {
 	t.mu.Lock()
+	b := t.behaviour
 	h := health{Status: "ok", Load: t.running}
-	if t.behaviour.Sick {
-		h.Status = "sick"
+	t.mu.Unlock()
+	t.describe(c, b)
+	if b.Leaving {
+		h.Status = throute.StateLeaving
 	}
-	if t.behaviour.Leaving {
-		h.Status = "leaving"
+	if b.Sick {
+		h.Status = "sick"
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
-	t.mu.Unlock()
 	data, _ := json.Marshal(h)
 	c.SetContentType("application/json")
 	c.SetBody(data)
