thtarget: let targets read uploads slowly and answer them early

Cause: the kernel's bound on unacknowledged bytes counts a full receive window as silence. A target that read nothing of a 3 MiB upload for 4 s was cut off after 2 s, and so was one that answered a large request early and stayed open. Ruled out: a longer bound: a slow upload may take as long as its deadline. Change: the bound is lifted for requests above 8 KiB; a write that blocks looks for an early answer each 100 ms. Conclusion: a lost upload of this kind is gone; a long request on a connection that the network has lost costs its deadline.

--- a/io/thtarget/connection.go
+++ b/io/thtarget/connection.go
@@ -13,6 +13,9 @@
 // buffer of a connection takes at once, so that its write needs no deadline.
 const maxUnboundedWrite = 8 << 10
 
+// writeSlice is how often a write that blocks looks for an early answer.
+const writeSlice = 100 * time.Millisecond
+
 // connection is one connection to a target. While it is idle it holds no buffers.
 type connection struct {
 	net.Conn
@@ -24,20 +27,22 @@
 	written, got int
 	// readErr is the last error of the network.
 	readErr error
-	// end closes the connection; it is made once, for context.AfterFunc.
-	end func()
+	// abort closes the connection; it is made once, for context.AfterFunc.
+	abort func()
 	// peek asks the socket for a byte without waiting; it is made once.
 	peek  func(fd uintptr) bool
 	quiet bool
 	// extend is the read deadline from the first byte on, if it is a later one.
 	extend time.Time
-	// bounded is whether a write deadline is set.
+	// bounded is whether the request under way is long enough to block.
 	bounded bool
+	// end is when the exchange ends at the latest.
+	end time.Time
 }
 
 func newConnection(nc net.Conn) *connection {
 	n := &connection{Conn: nc}
-	n.end = n.close
+	n.abort = n.close
 	n.peek = n.peekSocket
 	if s, ok := nc.(syscall.Conn); ok {
 		n.raw, _ = s.SyscallConn()
@@ -54,21 +59,53 @@
 		n.extend = end
 	}
 	_ = n.SetReadDeadline(firstByte)
-	if size > maxUnboundedWrite {
-		_ = n.SetWriteDeadline(end)
-	} else if n.bounded {
-		_ = n.SetWriteDeadline(time.Time{})
+	n.end = end
+	if bounded := size > maxUnboundedWrite; bounded != n.bounded {
+		n.bounded = bounded
+		n.setBounded()
+	}
+}
+
+// setBounded prepares the socket for long writes or for short ones. A target
+// that reads a long write slowly acknowledges nothing for a while, which is
+// no sign of a connection that has gone silent.
+func (n *connection) setBounded() {
+	_ = n.SetWriteDeadline(time.Time{})
+	if n.raw != nil {
+		_ = n.raw.Control(func(fd uintptr) { limitUnacknowledged(int(fd), !n.bounded) })
 	}
-	n.bounded = size > maxUnboundedWrite
 }
 
 func (n *connection) close() { _ = n.Close() }
 
-// Write counts what the kernel took.
+// Write counts what the kernel took. A long write is given up when the target
+// answers or closes before it has read all.
 func (n *connection) Write(b []byte) (int, error) {
-	w, err := n.Conn.Write(b)
-	n.written += w
-	return w, err
+	if !n.bounded {
+		w, err := n.Conn.Write(b)
+		n.written += w
+		return w, err
+	}
+	for all := 0; ; {
+		now := time.Now()
+		_ = n.SetWriteDeadline(earlier(now.Add(writeSlice), n.end))
+		w, err := n.Conn.Write(b[all:])
+		all += w
+		n.written += w
+		switch {
+		case !isTimeout(err) || !time.Now().Before(n.end):
+			return all, err
+		case !n.usable():
+			return all, errEarly
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // Read counts what came and keeps the network's own error, which the HTTP
--- a/io/thtarget/exchange.go
+++ b/io/thtarget/exchange.go
@@ -23,7 +23,7 @@
 	maxInterim = 8
 	// earlyAnswerWait is how long to look for an answer after the target has
 	// stopped taking the request.
-	earlyAnswerWait = 100 * time.Millisecond
+	earlyAnswerWait = time.Second
 	// silenceShare is the part of the time left that a silent connection may
 	// cost, so that another attempt still has time.
 	silenceShare = 2
@@ -35,6 +35,7 @@
 	errSwitched       = errors.New("the target switched protocols")
 	errInterim        = errors.New("too many interim answers")
 	errNotOurs        = errors.New("the answer carries another request's correlation ID")
+	errEarly          = errors.New("the target answered or closed before it had the request")
 	errTooLarge       = errors.New("the answer is larger than the limit")
 )
 
@@ -79,7 +80,7 @@
 	a.Reused = n.served > 0
 	wall := time.Now()
 	n.begin(wall.Add(firstByteWait(p, a, q, left, rest(now, q.Deadline))), wall.Add(left), requestSize(q))
-	stop := context.AfterFunc(ctx, n.end)
+	stop := context.AfterFunc(ctx, n.abort)
 	answer, keep, err := c.talk(p, n, a, q, left)
 	if !stop() {
 		keep = false
--- a/io/thtarget/script_test.go
+++ b/io/thtarget/script_test.go
@@ -29,6 +29,8 @@
 	peers    []net.Conn
 	script   func(s *scripted, c *peer)
 	done     sync.WaitGroup
+	// ended is closed when the test is over.
+	ended chan struct{}
 }
 
 // peer is the target's end of one connection.
@@ -44,11 +46,12 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &scripted{listener: l, runs: map[string]int{}, script: script}
+	s := &scripted{listener: l, runs: map[string]int{}, script: script, ended: make(chan struct{})}
 	s.done.Add(1)
 	go s.accept()
 	t.Cleanup(func() {
 		_ = l.Close()
+		close(s.ended)
 		s.mu.Lock()
 		for _, c := range s.peers {
 			_ = c.Close()
--- a/io/thtarget/socket_other.go
+++ b/io/thtarget/socket_other.go
@@ -5,3 +5,5 @@
 import "syscall"
 
 func controlSocket(_, _ string, _ syscall.RawConn) error { return nil }
+
+func limitUnacknowledged(int, bool) {}
