--- a/io/thquarantines/guard_test.go
+++ b/io/thquarantines/guard_test.go
@@ -34,7 +34,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	m := thstand.StartTarget(l, thstand.TargetBehaviour{CrashOn: deadly, CrashMillis: int(downTime.Milliseconds())}, 1)
+	m := thstand.StartTarget(l, thstand.TargetBehaviour{DiesOf: deadly, DownMillis: int(downTime.Milliseconds())}, 1)
 	t.Cleanup(m.Close)
 	return m
 }
@@ -89,11 +89,11 @@
 	blamed := 0
 	for i := range 12 {
 		g, m := gs[i%len(gs)], targets[i%len(targets)]
-		before := m.Crashes()
+		before := m.Deaths()
 		a := g.Send(context.Background(), m.Address(), request(deadly))
 		assert.Assert(t, a.Err != nil)
 		if therror.Is(a.Err, therror.Quarantined) {
-			assert.Equal(t, m.Crashes(), before)
+			assert.Equal(t, m.Deaths(), before)
 			assert.Assert(t, !a.Sent)
 			continue
 		}
@@ -105,7 +105,7 @@
 	}
 	deaths := 0
 	for _, m := range targets {
-		deaths += m.Crashes()
+		deaths += m.Deaths()
 	}
 	assert.Equal(t, deaths, 3)
 	assert.Assert(t, blamed >= 2, "only %d deaths were put down to the request", blamed)
--- a/io/thwire/server.go
+++ b/io/thwire/server.go
@@ -48,6 +48,7 @@
 	routes  map[string]func(*fasthttp.RequestCtx, Sender)
 	http    *fasthttp.Server
 	dropped sync.Map
+	traffic traffic
 }
 
 // errorBody is a refusal on the wire.
@@ -125,6 +126,12 @@
 }
 
 func (s *Server) serve(c *fasthttp.RequestCtx) {
+	s.answer(c)
+	failed := c.Response.StatusCode() != fasthttp.StatusOK
+	s.traffic.note(len(c.Response.Body()), len(c.PostBody()), len(c.Request.Header.RawHeaders()), failed)
+}
+
+func (s *Server) answer(c *fasthttp.RequestCtx) {
 	from := Sender{
 		ID:      string(c.Request.Header.Peek(headerFrom)),
 		Address: c.RemoteIP().String(),
