--- a/core/thconfig/request_bench_test.go
+++ b/core/thconfig/request_bench_test.go
@@ -16,10 +16,9 @@
 			c := build(b, z)
 			text, _ := thconfig.NewKey("customer-00002", "key-00002", []byte("0123456789abcdef"))
 			path := c.Routes()[0].Prefix + "/a/b"
-			u, ok := c.Authenticate(text)
-			assert.Assert(b, ok)
 			for b.Loop() {
-				u, _ = c.Authenticate(text)
+				u, ok := c.Authenticate(text)
+				assert.Assert(b, ok)
 				r, _ := c.Route(path)
 				c.Allows(u, r)
 			}
--- a/e2e/report_test.go
+++ b/e2e/report_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
+	"strings"
 	"testing"
 
 	"tamarackhollow/core/thburn"
@@ -67,4 +69,34 @@
 	assert.NilError(t, json.Unmarshal(data, &m), string(data))
 	assert.Assert(t, m.Requests.Answered >= 1 && m.Requests.Refused["keyUnknown"] >= 1, string(data))
 	assert.Assert(t, m.Agreement.FreshMillis > 0 && m.Agreement.Version > 0, string(data))
+	checkMetricsDocumented(t, data)
+}
+
+// checkMetricsDocumented compares the served names with docs/METRICS.md.
+func checkMetricsDocumented(t *testing.T, served []byte) {
+	t.Helper()
+	page, err := os.ReadFile("../docs/METRICS.md")
+	assert.NilError(t, err)
+	var groups map[string]json.RawMessage
+	assert.NilError(t, json.Unmarshal(served, &groups))
+	names := map[string]bool{}
+	for group, data := range groups {
+		var fields map[string]json.RawMessage
+		if json.Unmarshal(data, &fields) != nil {
+			names[group] = true
+		}
+		for field := range fields {
+			names[group+"."+field] = true
+		}
+	}
+	for name := range names {
+		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), "docs/METRICS.md lacks %s", name)
+	}
+	for _, row := range strings.Split(string(page), "\n| `")[1:] {
+		first, _, _ := strings.Cut(row, " |")
+		for _, name := range strings.Split(first, ", ") {
+			name = strings.Trim(name, "`")
+			assert.Assert(t, names[name], "docs/METRICS.md lists %s, which is not served", name)
+		}
+	}
 }
