thsettings: drop the bound on callers' connections

Cause: nothing used the setting, and the HTTP library's own bound answers without the kind and promise that each refusal must carry.

--- a/core/thsettings/definition.go
+++ b/core/thsettings/definition.go
@@ -20,7 +20,6 @@
 	maxCredential     = 256
 	maxBodyBytesLimit = 1 << 30
 	maxMillis         = 24 * 60 * 60 * 1000
-	maxConnections    = 1 << 20
 	maxWorkers        = 4096
 )
 
@@ -43,7 +42,6 @@
 		{"peers.seeds", "other VMs' addresses for peers", &addressesValue{&s.Peers.Seeds}, false},
 		{"operators.credential", "credential of operators", &credentialValue{&s.Operators.Credential}, true},
 		{"requests.maxBodyBytes", "largest request body in bytes", &wholeValue[int]{&s.Requests.MaxBodyBytes, 1, maxBodyBytesLimit}, false},
-		{"requests.maxConnections", "most connections of callers", &wholeValue[int]{&s.Requests.MaxConnections, 1, maxConnections}, false},
 		{"drain.limitMillis", "longest wait for requests in flight, in milliseconds", &wholeValue[int]{&s.Drain.LimitMillis, 1, maxMillis}, false},
 		{"drain.noticeMillis", "time that a balancer gets to notice the stop, in milliseconds", &wholeValue[int]{&s.Drain.NoticeMillis, 1, maxMillis}, false},
 		{"workers.count", "most controllers that run at once", &wholeValue[int]{&s.Workers.Count, 1, maxWorkers}, false},
--- a/core/thsettings/settings.go
+++ b/core/thsettings/settings.go
@@ -57,8 +57,6 @@
 type Requests struct {
 	// MaxBodyBytes bounds a request's body; 0 means the default.
 	MaxBodyBytes int
-	// MaxConnections bounds the callers' connections; 0 means the default.
-	MaxConnections int
 }
 
 // Drain bounds a planned stop.
@@ -90,19 +88,15 @@
 }
 
 const (
-	defaultMaxBodyBytes   = 8 << 20
-	defaultMaxConnections = 20_000
-	defaultDrainLimit     = 60 * time.Second
-	defaultDrainNotice    = 2 * time.Second
-	defaultWorkers        = 32
+	defaultMaxBodyBytes = 8 << 20
+	defaultDrainLimit   = 60 * time.Second
+	defaultDrainNotice  = 2 * time.Second
+	defaultWorkers      = 32
 )
 
 // MaxBody returns MaxBodyBytes or its default.
 func (r Requests) MaxBody() int { return orDefault(r.MaxBodyBytes, defaultMaxBodyBytes) }
 
-// Connections returns MaxConnections or its default.
-func (r Requests) Connections() int { return orDefault(r.MaxConnections, defaultMaxConnections) }
-
 // Limit returns LimitMillis as a time span, or its default.
 func (d Drain) Limit() time.Duration {
 	return orDefault(time.Duration(d.LimitMillis)*time.Millisecond, defaultDrainLimit)
