thquarantine: count cuts where targets go on listening

Cause: a target whose parent process keeps the port refuses nothing when it dies, so that only cuts are seen, and those counted once a target: a service of five could lose all of them again and again. A connection that ended within an answer did not count at all. Ruled out: counting every cut: one target or path that cuts all connections would have any repeated request refused. Change: cuts all count once they concern three targets; a cut answer counts if its target then refuses connections.

--- a/core/thquarantine/suspect.go
+++ b/core/thquarantine/suspect.go
@@ -24,7 +24,10 @@
 	// than a death that the target's refusal of connections confirms.
 	weightCut   = 1
 	weightDeath = 2
-	enough      = 6
+	// fewTargets is the number of targets up to which unconfirmed cuts at the
+	// same target count once: they may be the target's or the path's doing.
+	fewTargets = 2
+	enough     = 6
 )
 
 // Death is one end of a target while it ran a request.
@@ -34,6 +37,9 @@
 	At time.Duration `json:"atWall"`
 	// Confirmed is set if the target refused connections right after.
 	Confirmed bool `json:"confirmed,omitempty"`
+	// Answering is set if the connection ended within an answer, which counts
+	// only if the death is confirmed: the answer may just have been wrong.
+	Answering bool `json:"answering,omitempty"`
 }
 
 // Suspect is what is known of one request that coincided with deaths. It is
@@ -54,6 +60,7 @@
 		if o.Target == d.Target && (o.At-d.At).Abs() < sameDeath {
 			ds[i].At = min(o.At, d.At)
 			ds[i].Confirmed = o.Confirmed || d.Confirmed
+			ds[i].Answering = o.Answering && d.Answering
 			s.Deaths = ds
 			return s
 		}
@@ -98,21 +105,27 @@
 	return s.Deaths[i:]
 }
 
-// weight sums up the deaths that count. Unconfirmed cuts at the same target
-// are one.
+// weight sums up the deaths that count.
 func (s Suspect) weight() int {
-	sum := 0
-	var cut []string
+	deaths, cuts := 0, 0
+	var targets []string
 	for _, d := range s.counted() {
 		switch {
 		case d.Confirmed:
-			sum += weightDeath
-		case !slices.Contains(cut, d.Target):
-			sum += weightCut
-			cut = append(cut, d.Target)
+			deaths++
+		case d.Answering:
+			continue
+		default:
+			cuts++
 		}
+		if !slices.Contains(targets, d.Target) {
+			targets = append(targets, d.Target)
+		}
+	}
+	if len(targets) <= fewTargets {
+		cuts = min(cuts, len(targets))
 	}
-	return sum
+	return deaths*weightDeath + cuts*weightCut
 }
 
 // HeldUntil returns when the request may be tried again, by the wall clock;
--- a/core/thquarantine/table.go
+++ b/core/thquarantine/table.go
@@ -26,9 +26,10 @@
 // Len returns the number of suspects.
 func (t *Table) Len() int { return len(t.suspects) }
 
-// Cut takes in that the connection to the target ended while it ran the request.
-func (t *Table) Cut(now thclock.Instant, k Key, target string) {
-	t.set(now, t.get(k).WithDeath(Death{Target: target, At: now.Wall}))
+// Cut takes in that the connection to the target ended while it ran the
+// request, or, if answering is set, while it answered.
+func (t *Table) Cut(now thclock.Instant, k Key, target string, answering bool) {
+	t.set(now, t.get(k).WithDeath(Death{Target: target, At: now.Wall, Answering: answering}))
 }
 
 // Refused takes in that the target refuses connections, and reports whether
--- a/io/thquarantines/guard.go
+++ b/io/thquarantines/guard.go
@@ -138,7 +138,9 @@
 			g.answered(q)
 		}
 	case a.Sent && therror.Is(a.Err, therror.AnswerLost):
-		g.cut(q, a.Target)
+		g.cut(q, a.Target, false)
+	case a.Sent && therror.Is(a.Err, therror.AnswerBroken):
+		g.cut(q, a.Target, true)
 	case refused(a.Err):
 		g.refused(a.Target)
 	}
@@ -149,12 +151,12 @@
 
 func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
-func (g *Guard) cut(q *threquest.Request, target string) {
+func (g *Guard) cut(q *threquest.Request, target string, answering bool) {
 	now := g.options.Clock.Now()
 	k := thquarantine.KeyOf(q)
 	g.mu.Lock()
 	before := g.table.Held(now, k)
-	g.table.Cut(now, k, target)
+	g.table.Cut(now, k, target, answering)
 	if len(g.probes) < maxProbes {
 		g.probes = append(g.probes, probe{target, now.Add(probeFor)})
 	}
