throute: keep large customers and storms from holding up the others

Change: customers with nothing under way go first, have one turn beyond the window and a reserve of the budget; shed answers cost the budget a fifth of a repeat; requests with too little time left are refused rather than sent.

--- a/core/throute/balancer.go
+++ b/core/throute/balancer.go
@@ -29,10 +29,14 @@
 	window    Window
 	queue     Queue[W]
 	inFlight  int
-	vms       int
-	shrunk    thclock.Instant
-	holding   bool
-	notices   []Notice
+	// turns counts the requests in flight by customer.
+	turns map[string]int
+	// turnTime is the mean time of the last turns.
+	turnTime time.Duration
+	vms      int
+	shrunk   thclock.Instant
+	holding  bool
+	notices  []Notice
 }
 
 // Notice is an event to be logged.
@@ -116,15 +120,35 @@
 func (b *Balancer[W]) Set() Set { return b.set }
 
 // EnterNow gives a request its turn at once, and returns false if it has to
-// wait.
-func (b *Balancer[W]) EnterNow() bool {
-	if b.inFlight >= b.window.Size() || b.queue.Len() > 0 {
+// wait. One turn beyond the window is kept for customers that have no other
+// request under way, so that a customer with many cannot hold them up.
+func (b *Balancer[W]) EnterNow(q *threquest.Request) bool {
+	size := b.window.Size()
+	switch {
+	case b.inFlight < size && b.queue.Len() == 0:
+	case b.inFlight <= size && b.turns[q.Customer.Name] == 0 && b.queue.Waiting(q.Customer.Name) == 0:
+	default:
 		return false
 	}
-	b.inFlight++
+	b.begin(q.Customer.Name)
 	return true
 }
 
+func (b *Balancer[W]) begin(customer string) {
+	b.inFlight++
+	if b.turns == nil {
+		b.turns = make(map[string]int)
+	}
+	b.turns[customer]++
+}
+
+func (b *Balancer[W]) finish(customer string) {
+	b.inFlight--
+	if b.turns[customer]--; b.turns[customer] <= 0 {
+		delete(b.turns, customer)
+	}
+}
+
 // Wait queues the request under the handle, or refuses it if it cannot be
 // served in time. Requests that lose their place in the queue to it are
 // returned.
@@ -149,9 +173,16 @@
 
 func (b *Balancer[W]) expectedWait(customer string) time.Duration {
 	ahead := float64(b.queue.Ahead(customer))
-	return time.Duration(ahead * float64(b.reference.Median()) / float64(b.window.Size()))
+	return time.Duration(ahead*float64(b.turnTime)/float64(b.window.Size())) + b.leastTime()
 }
 
+// leastTime is how long an answer takes at the least, about. A request with
+// less time left is refused rather than run for nothing.
+func (b *Balancer[W]) leastTime() time.Duration { return b.reference.Median() * 3 / 2 }
+
+// turnMemory is how many turns their mean time remembers.
+const turnMemory = 32
+
 // Cancel takes a waiting request out of the queue, and returns false if its
 // turn has come or it was refused already.
 func (b *Balancer[W]) Cancel(q *threquest.Request, w W) bool {
@@ -161,19 +192,21 @@
 // Leave ends a request's turn, which took the given time. It returns those
 // whose turn has come and those whose deadline passed while they waited.
 func (b *Balancer[W]) Leave(now thclock.Instant, q *threquest.Request, took time.Duration) (turns, expired []W) {
-	b.inFlight--
+	b.finish(q.Customer.Name)
+	b.turnTime += (took - b.turnTime) / turnMemory
+	late := now.Add(b.leastTime())
 	if m := b.reference.Median(); m > 0 && b.queue.Len() > 0 {
 		b.queue.Charge(q.Customer.Name, float64(took)/float64(m)-1)
 	}
 	for b.inFlight < b.window.Size() && b.queue.Len() > 0 {
-		next, late, ok := b.queue.Pop(now)
-		for _, e := range late {
+		next, overdue, ok := b.queue.Pop(late)
+		for _, e := range overdue {
 			expired = append(expired, e.Item)
 		}
 		if !ok {
 			break
 		}
-		b.inFlight++
+		b.begin(next.Customer)
 		turns = append(turns, next.Item)
 	}
 	return turns, expired
@@ -191,8 +224,11 @@
 func (l *loads) Tried(i int) bool   { return l.t.triedTarget(l.targets[i]) }
 
 // Pick chooses the target of the next attempt. It fails with NoTarget if every
-// target is leaving.
+// target is leaving, and with QueueTimeout if too little time is left.
 func (b *Balancer[W]) Pick(now thclock.Instant, t *Try) (address string, err error) {
+	if now.Add(b.leastTime()).Passed(t.Request.Deadline) {
+		return "", therror.New(therror.QueueTimeout, "too little time is left for an answer")
+	}
 	g := b.trial(now, t)
 	t.trial = g != nil
 	if g == nil {
--- a/core/throute/bench_test.go
+++ b/core/throute/bench_test.go
@@ -1,6 +1,7 @@
 package throute_test
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -28,6 +29,7 @@
 	name   string
 	faults func(targets int) map[int]fault
 	length time.Duration
+	surge  surge
 }
 
 func one(f fault) func(int) map[int]fault {
@@ -51,29 +53,34 @@
 
 func scenarios() []scenario {
 	return []scenario{
-		{"none", one(fault{}), 5 * time.Minute},
-		{"slow3", one(fault{slow: 3}), ordinary},
-		{"slow10", one(fault{slow: 10}), ordinary},
-		{"fail5", one(fault{fail: 0.05}), ordinary},
-		{"fail50", one(fault{fail: 0.5}), ordinary},
-		{"wrong20", one(fault{wrong: 0.2}), ordinary},
-		{"frozen", one(fault{frozen: true}), ordinary},
-		{"flap1s", one(fault{fail: 0.8, period: time.Second}), ordinary},
-		{"flap5s", one(fault{fail: 0.8, period: 5 * time.Second}), ordinary},
-		{"flap20s", one(fault{slow: 10, period: 20 * time.Second}), 2 * ordinary},
-		{"lyingload", one(fault{lyLoad: true}), ordinary},
-		{"path", one(fault{fail: 0.8, onlyVM: 1}), ordinary},
-		{"pathslow", one(fault{slow: 10, onlyVM: 1}), ordinary},
-		{"wholeslow2", whole(fault{slow: 2}), ordinary},
-		{"wholefail", whole(fault{fail: 0.3}), ordinary},
-		{"two", func(int) map[int]fault { return map[int]fault{1: {slow: 10}, 3: {fail: 0.5}} }, ordinary},
-		{"most", func(n int) map[int]fault {
+		{name: "none", faults: one(fault{}), length: 5 * time.Minute},
+		{name: "slow3", faults: one(fault{slow: 3}), length: ordinary},
+		{name: "slow10", faults: one(fault{slow: 10}), length: ordinary},
+		{name: "fail5", faults: one(fault{fail: 0.05}), length: ordinary},
+		{name: "fail50", faults: one(fault{fail: 0.5}), length: ordinary},
+		{name: "wrong20", faults: one(fault{wrong: 0.2}), length: ordinary},
+		{name: "frozen", faults: one(fault{frozen: true}), length: ordinary},
+		{name: "flap1s", faults: one(fault{fail: 0.8, period: time.Second}), length: ordinary},
+		{name: "flap5s", faults: one(fault{fail: 0.8, period: 5 * time.Second}), length: ordinary},
+		{name: "flap20s", faults: one(fault{slow: 10, period: 20 * time.Second}), length: 2 * ordinary},
+		{name: "lyingload", faults: one(fault{lyLoad: true}), length: ordinary},
+		{name: "path", faults: one(fault{fail: 0.8, onlyVM: 1}), length: ordinary},
+		{name: "pathslow", faults: one(fault{slow: 10, onlyVM: 1}), length: ordinary},
+		{name: "wholeslow2", faults: whole(fault{slow: 2}), length: ordinary},
+		{name: "wholefail", faults: whole(fault{fail: 0.3}), length: ordinary},
+		{name: "two", faults: func(int) map[int]fault { return map[int]fault{1: {slow: 10}, 3: {fail: 0.5}} }, length: ordinary},
+		{name: "most", length: ordinary, faults: func(n int) map[int]fault {
 			m := map[int]fault{}
 			for i := range n*2/3 + 1 {
 				m[i] = fault{fail: 0.5}
 			}
 			return m
-		}, ordinary},
+		}},
+		{name: "silent", faults: whole(fault{silent: 2}), length: ordinary},
+		{name: "leaving", faults: one(fault{leaving: true}), length: ordinary},
+		{name: "storm", faults: one(fault{}), length: ordinary, surge: surge{factor: 5, length: 10 * time.Second, resend: true}},
+		{name: "stormsick", faults: one(fault{fail: 0.5}), length: ordinary, surge: surge{factor: 5, length: 10 * time.Second, resend: true}},
+		{name: "crowd", faults: one(fault{}), length: ordinary, surge: surge{factor: 4, length: ordinary, one: true}},
 	}
 }
 
@@ -111,6 +118,7 @@
 		wg.Go(func() {
 			w := ws[i%len(ws)]
 			x := newWorld(w, uint64(i+1), s.faults(w.targets), onset, ours)
+			x.surge = s.surge
 			results[i] = x.run(s.length)
 		})
 	}
@@ -121,3 +129,39 @@
 	}
 	return sum
 }
+
+// BenchmarkSettings plays a few faults under three health policies, to show
+// what each costs.
+func BenchmarkSettings(b *testing.B) {
+	policies := []struct {
+		name   string
+		health thconfig.HealthPolicy
+	}{
+		{"careful", thconfig.HealthPolicy{SlowFactor: 3, FailureShare: 0.03, Evidence: 8, HoldMillis: 3000}},
+		{"default", thconfig.HealthPolicy{}},
+		{"eager", thconfig.HealthPolicy{SlowFactor: 2, FailureShare: 0.005, Evidence: 3, HoldMillis: 10000}},
+	}
+	chosen := []string{"none", "slow3", "fail5", "fail50", "path", "wholeslow2", "wholefail", "stormsick"}
+	for _, user := range []struct {
+		name      string
+		workloads []workload
+	}{{"nyabugogo", nyabugogo()}, {"teifi", teifi()}} {
+		for _, s := range scenarios() {
+			if !slices.Contains(chosen, s.name) {
+				continue
+			}
+			for _, p := range policies {
+				ws := slices.Clone(user.workloads)
+				for i := range ws {
+					ws[i].health = p.health
+				}
+				b.Run(user.name+"/"+s.name+"/"+p.name, func(b *testing.B) {
+					for b.Loop() {
+						r := play(ws, s, true)
+						r.report(b)
+					}
+				})
+			}
+		}
+	}
+}
--- a/core/throute/faketarget_test.go
+++ b/core/throute/faketarget_test.go
@@ -60,13 +60,18 @@
 			}
 		})
 	}
-	x.after(x.delay(c.vm, g), func() { x.take(g, w) })
+	silent := x.now >= x.onset && c.vm.silent[g.index] > 0
+	if silent {
+		c.vm.silent[g.index]--
+	} else {
+		x.after(x.delay(c.vm, g), func() { x.take(g, w) })
+	}
 	x.after(patience, func() {
 		if settled {
 			return
 		}
 		w.canceled = true
-		settle(threquest.Attempt{Err: therror.New(therror.AnswerLate, "")})
+		settle(threquest.Attempt{Err: therror.New(therror.AnswerLate, ""), Reused: silent})
 	})
 }
 
@@ -78,6 +83,10 @@
 	return threquest.Header{Name: throute.HeaderLoad, Value: strconv.Itoa(load)}
 }
 
+// leavingBy is when a target that said that it is leaving is to get no more
+// new work.
+const leavingBy = 3 * time.Second
+
 func (x *world) take(g *fakeTarget, w *work) {
 	if w.canceled {
 		return
@@ -99,7 +108,9 @@
 
 func (x *world) start(g *fakeTarget, w *work) {
 	g.running++
-	g.served++
+	if x.faults[g.index].leaving && x.now > x.onset+leavingBy {
+		x.result.lateWork++
+	}
 	w.started = true
 	f := x.faultOf(g, w.c.vm)
 	took := x.lognormal()
@@ -172,7 +183,7 @@
 	return n
 }
 
-func (n *naive) EnterNow() bool {
+func (n *naive) EnterNow(*threquest.Request) bool {
 	if n.inFlight >= n.slots {
 		return false
 	}
@@ -251,7 +262,7 @@
 	return throute.Deliver{}
 }
 
-func (n *naive) Again(throute.Repeat) bool { return true }
+func (n *naive) Again(*threquest.Request, throute.Repeat) bool { return true }
 
 func (n *naive) Set() throute.Set {
 	cs := make([]throute.Candidate, len(n.addresses))
--- a/core/throute/queue.go
+++ b/core/throute/queue.go
@@ -36,7 +36,10 @@
 // others send. The zero Queue is empty.
 type Queue[T any] struct {
 	lines map[string]*line[T]
-	// round holds the customers with requests waiting, the next one first.
+	// sparse holds the customers that had nothing waiting until lately. They go
+	// first, for one quantum, so that few requests hardly wait for many.
+	sparse []*line[T]
+	// round holds the others, the next one first.
 	round []*line[T]
 	size  int
 }
@@ -78,8 +81,12 @@
 	}
 	l := q.line(w.Customer)
 	if !l.inRound {
-		q.round = append(q.round, l)
 		l.fresh, l.inRound = true, true
+		if l.credit < 0 {
+			q.round = append(q.round, l)
+		} else {
+			q.sparse = append(q.sparse, l)
+		}
 	}
 	l.waiting = append(l.waiting, w)
 	q.size++
@@ -100,8 +107,9 @@
 
 func (q *Queue[T]) longest() *line[T] {
 	var longest *line[T]
-	for _, l := range q.round {
-		if longest == nil || len(l.waiting) > len(longest.waiting) {
+	for _, l := range q.lines {
+		if longest == nil || len(l.waiting) > len(longest.waiting) ||
+			len(l.waiting) == len(longest.waiting) && l.customer < longest.customer {
 			longest = l
 		}
 	}
@@ -110,8 +118,8 @@
 
 // Pop takes out the next request, and with it those found past their deadline.
 func (q *Queue[T]) Pop(now thclock.Instant) (next Waiting[T], expired []Waiting[T], ok bool) {
-	for len(q.round) > 0 {
-		l := q.round[0]
+	for len(q.sparse)+len(q.round) > 0 {
+		l := q.head()
 		for len(l.waiting) > 0 && now.Passed(l.waiting[0].Deadline) {
 			expired = append(expired, q.shift(l))
 		}
@@ -125,18 +133,35 @@
 		}
 		if c := l.waiting[0].cost(); l.credit >= min(c, quantum) {
 			l.credit = max(l.credit-c, -maxDebt)
-			next = q.shift(l)
-			if len(l.waiting) == 0 {
-				q.retire(l)
-			}
-			return next, expired, true
+			return q.shift(l), expired, true
 		}
-		q.round = append(q.round[1:], l)
-		l.fresh = true
+		q.rotate(l)
 	}
 	return next, expired, false
 }
 
+func (q *Queue[T]) head() *line[T] {
+	if len(q.sparse) > 0 {
+		return q.sparse[0]
+	}
+	return q.round[0]
+}
+
+// rotate ends the customer's turn: it is now at the end of the round.
+func (q *Queue[T]) rotate(l *line[T]) {
+	q.dropHead()
+	q.round = append(q.round, l)
+	l.fresh = true
+}
+
+func (q *Queue[T]) dropHead() {
+	if len(q.sparse) > 0 {
+		q.sparse = q.sparse[1:]
+		return
+	}
+	q.round = q.round[1:]
+}
+
 func (q *Queue[T]) shift(l *line[T]) Waiting[T] {
 	w := l.waiting[0]
 	l.waiting = l.waiting[1:]
@@ -144,15 +169,20 @@
 	return w
 }
 
-// retire takes the customer at the head out of the round. Its debt is kept
-// while others wait, so that leaving the queue is no way out of it.
+// retire takes the customer at the head out, once nothing of it waits. One
+// that was just served as sparse has to go through the round first, so that
+// coming back soon is no way to stay ahead. A debt is kept while others wait.
 func (q *Queue[T]) retire(l *line[T]) {
-	q.round = q.round[1:]
+	if len(q.sparse) > 0 && len(q.round) > 0 {
+		q.rotate(l)
+		return
+	}
+	q.dropHead()
 	l.inRound = false
 	if l.credit >= 0 {
 		delete(q.lines, l.customer)
 	}
-	if len(q.round) == 0 {
+	if len(q.sparse)+len(q.round) == 0 {
 		clear(q.lines)
 	}
 }
@@ -189,6 +219,12 @@
 func (q *Queue[T]) Ahead(customer string) int {
 	own := q.Waiting(customer)
 	ahead := 0
+	for _, l := range q.sparse {
+		ahead += min(len(l.waiting), own+1)
+	}
+	if own == 0 {
+		return ahead
+	}
 	for _, l := range q.round {
 		ahead += min(len(l.waiting), own+1)
 	}
--- a/core/throute/result_test.go
+++ b/core/throute/result_test.go
@@ -27,6 +27,7 @@
 	detections  []time.Duration
 	missed      int
 	falseOnes   int
+	lateWork    int     // requests to a target that had long said it was leaving
 	capacity    float64 // the least open share of targets that any VM had
 }
 
@@ -42,6 +43,11 @@
 		x.result.latencies = hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 2)
 	}
 	took := x.now - c.begun
+	if err != nil && x.surge.resend && c.resent < resends {
+		x.after(resendAfter, func() {
+			x.requestAgain(x.vms[x.rng.IntN(len(x.vms))], int(c.q.Customer.Name[0]-'0'), c.q.Method, c.resent+1)
+		})
+	}
 	switch {
 	case err == nil:
 		_ = x.result.latencies.RecordValue(took.Microseconds())
@@ -55,6 +61,11 @@
 	}
 }
 
+const (
+	resends     = 3
+	resendAfter = 100 * time.Millisecond
+)
+
 // watch notes which targets the VM has ejected.
 func (x *world) watch(v *fakeVM) {
 	open := make([]bool, len(x.targets))
@@ -66,7 +77,7 @@
 		if open[i] {
 			count++
 		}
-		if open[i] || !v.open[i] {
+		if open[i] || !v.open[i] || x.faults[i].leaving {
 			continue
 		}
 		if x.culprit(v, i) {
@@ -87,7 +98,7 @@
 	if x.wholeService() {
 		return false
 	}
-	if f == (fault{}) || f.lyLoad || x.now < x.onset {
+	if f == (fault{}) || f.lyLoad || f.silent > 0 || f.leaving || x.now < x.onset {
 		return false
 	}
 	return f.onlyVM == 0 || f.onlyVM == v.index+1
@@ -135,6 +146,7 @@
 	r.failed += o.failed
 	r.detections = append(r.detections, o.detections...)
 	r.missed += o.missed
+	r.lateWork += o.lateWork
 	r.falseOnes += o.falseOnes
 	r.capacity = min(r.capacity, o.capacity)
 }
@@ -150,8 +162,16 @@
 // worst is the share of its requests that the worst-served customer got
 // answered well.
 func (r *result) worst() float64 {
+	return r.worstFrom(0)
+}
+
+// worstFrom is the same without the first, largest customers.
+func (r *result) worstFrom(first int) float64 {
 	worst := 1.0
 	for i, n := range r.asked {
+		if i < first {
+			continue
+		}
 		worst = math.Min(worst, float64(r.well[i])/float64(max(n, 1)))
 	}
 	return worst
@@ -176,6 +196,8 @@
 	b.ReportMetric(float64(r.failed)/float64(r.total())*100, "failed-%")
 	b.ReportMetric(float64(r.latencies.ValueAtQuantile(99))/1000, "p99-ms")
 	b.ReportMetric(r.worst()*100, "worst-%")
+	b.ReportMetric(r.worstFrom(1)*100, "worst-other-%")
+	b.ReportMetric(float64(r.lateWork), "late-work")
 	b.ReportMetric(r.capacity*100, "open-min-%")
 	b.ReportMetric(float64(r.sends)/float64(r.total()), "sends/req")
 	b.ReportMetric(2*(base64Growth*float64(r.cells)+callBytes*float64(r.calls))/r.hours/3600, "B/VM-s")
--- a/core/throute/retry.go
+++ b/core/throute/retry.go
@@ -19,7 +19,7 @@
 	failureShare = 0.2
 	// shedShare is how many repeats of shed requests one success pays for. A
 	// shed request costs its target next to nothing.
-	shedShare = 0.5
+	shedShare = 1.0
 	// budgetStart is the credit, in repeats, of a service without successes.
 	budgetStart = 3
 	// budgetMax bounds the saved-up credit, in repeats.
@@ -36,9 +36,9 @@
 }
 
 // WithRepeat returns the budget after one repeat that costs the given share of
-// a whole one, and false if there is no credit left for it.
-func (b Budget) WithRepeat(cost float64) (Budget, bool) {
-	if budgetStart+b.earned-b.spent < cost {
+// a whole one, and false if that would leave less credit than the reserve.
+func (b Budget) WithRepeat(cost, reserve float64) (Budget, bool) {
+	if budgetStart+b.earned-b.spent < cost+reserve {
 		return b, false
 	}
 	b.spent += cost
--- a/core/throute/retry_test.go
+++ b/core/throute/retry_test.go
@@ -57,7 +57,7 @@
 				continue
 			}
 			var ok bool
-			if b, ok = b.WithRepeat(1); ok {
+			if b, ok = b.WithRepeat(1, 0); ok {
 				repeats++
 			}
 			assert.Assert(t, float64(repeats) <= 3+0.2*float64(successes)+1e-6)
--- a/core/throute/settle.go
+++ b/core/throute/settle.go
@@ -29,20 +29,28 @@
 	t.Note(a)
 	b.observe(now, g, t, a, blamed)
 	d := AfterAttempt(t.Request, a, t.count)
-	if r, again := d.(Repeat); again && r.Pause == 0 && !b.Again(r) {
+	if r, again := d.(Repeat); again && r.Pause == 0 && !b.Again(t.Request, r) {
 		return giveUp(a)
 	}
 	return d
 }
 
 // Again takes a repeat from the budget, and returns false while there is no
-// credit for it.
-func (b *Balancer[W]) Again(r Repeat) bool {
-	budget, ok := b.budget.WithRepeat(r.Cost)
+// credit for it. A part of the budget is kept for customers that have nothing
+// else under way.
+func (b *Balancer[W]) Again(q *threquest.Request, r Repeat) bool {
+	reserve := 0.0
+	if b.turns[q.Customer.Name] > 1 || b.queue.Waiting(q.Customer.Name) > 0 {
+		reserve = sparseReserve
+	}
+	budget, ok := b.budget.WithRepeat(r.Cost, reserve)
 	b.budget = budget
 	return ok
 }
 
+// sparseReserve is in repeats.
+const sparseReserve = 1.5
+
 // observe takes in what the attempt shows of the target and of the service.
 func (b *Balancer[W]) observe(now thclock.Instant, g *target, t *Try, a threquest.Attempt, blamed bool) {
 	took := a.Ended.Sub(a.Began)
--- a/core/throute/world_test.go
+++ b/core/throute/world_test.go
@@ -17,14 +17,14 @@
 
 // balancer is what the measured policy and the naive one have in common.
 type balancer interface {
-	EnterNow() bool
+	EnterNow(q *threquest.Request) bool
 	Wait(now thclock.Instant, q *threquest.Request, w *call) ([]*call, error)
 	Leave(now thclock.Instant, q *threquest.Request, took time.Duration) (turns, expired []*call)
 	Cancel(q *threquest.Request, w *call) bool
 	Pick(now thclock.Instant, t *throute.Try) (string, error)
 	Patience(now thclock.Instant, t *throute.Try) time.Duration
 	Settle(t *throute.Try, a threquest.Attempt, blamed bool) throute.Decision
-	Again(r throute.Repeat) bool
+	Again(q *threquest.Request, r throute.Repeat) bool
 	Set() throute.Set
 }
 
@@ -60,6 +60,7 @@
 	lyLoad  bool // reports no load when it is full and the reverse
 	onlyVM  int  // 1 + the VM whose path has the fault; 0 is the target's own
 	leaving bool // says so in its answers
+	silent  int  // how many open connections of each VM have gone silent
 }
 
 func (f fault) active(since time.Duration) bool {
@@ -103,17 +104,28 @@
 	targets []*fakeTarget
 	onset   time.Duration
 	faults  []fault // by target
+	surge   surge
 	result  result
 }
 
+// surge is more requests than usual, from the onset on.
+type surge struct {
+	factor float64 // of the whole usual rate; 0 is none
+	length time.Duration
+	one    bool // by the largest customer alone
+	resend bool // callers send again what was refused or failed
+}
+
 type fakeVM struct {
 	index int
 	b     balancer
 	full  *throute.Balancer[*call] // nil for the naive one
 	key   uint32
 	open  []bool
-	pacer thhealth.Pacer
-	found []time.Duration // by target: when it was first ejected after the onset
+	// silent counts down the silent connections, by target.
+	silent []int
+	pacer  thhealth.Pacer
+	found  []time.Duration // by target: when it was first ejected after the onset
 }
 
 type fakeTarget struct {
@@ -121,7 +133,6 @@
 	address string
 	running int
 	waiting []*work
-	served  int
 }
 
 type work struct {
@@ -139,6 +150,7 @@
 	begun   time.Duration
 	turn    time.Duration
 	over    bool
+	resent  int
 	pending bool
 }
 
@@ -152,7 +164,10 @@
 		x.faults[i] = faults[i]
 	}
 	for i := range vmCount {
-		v := &fakeVM{index: i, key: uint32(i + 1), open: make([]bool, w.targets), found: make([]time.Duration, w.targets)}
+		v := &fakeVM{index: i, key: uint32(i + 1), open: make([]bool, w.targets), found: make([]time.Duration, w.targets), silent: make([]int, w.targets)}
+		for j := range v.silent {
+			v.silent[j] = x.faults[j].silent
+		}
 		place := throute.Place{ID: fmt.Sprint("vm", i), VMs: vmCount}
 		if ours {
 			v.full = throute.NewBalancer[*call](x.instant(), x.spec, place, rand.New(rand.NewPCG(seed, uint64(i))))
@@ -202,6 +217,9 @@
 		x.result.well = append(x.result.well, 0)
 	}
 	x.arrive()
+	if x.surge.factor > 0 {
+		x.after(x.onset, x.arriveMore)
+	}
 	for x.now < d {
 		e := heap.Pop(&x.queue).(event)
 		x.now = e.at
@@ -224,6 +242,22 @@
 	})
 }
 
+// arriveMore adds the surge's requests to the usual ones.
+func (x *world) arriveMore() {
+	if x.now > x.onset+x.surge.length {
+		return
+	}
+	gap := time.Duration(x.rng.ExpFloat64() / (x.rate() * x.surge.factor) * float64(time.Second))
+	x.after(gap, func() {
+		x.arriveMore()
+		customer := 0
+		if !x.surge.one {
+			customer = x.customer()
+		}
+		x.request(x.vms[x.rng.IntN(len(x.vms))], customer)
+	})
+}
+
 func (x *world) customer() int {
 	r := x.rng.Float64()
 	for i, s := range customerShares {
@@ -239,13 +273,18 @@
 	if x.rng.Float64() < 0.3 {
 		method = "POST"
 	}
+	x.requestAgain(v, customer, method, 0)
+}
+
+// requestAgain makes a request that was sent some times before.
+func (x *world) requestAgain(v *fakeVM, customer int, method string, resent int) {
 	now := x.instant()
-	c := &call{vm: v, begun: x.now, q: &threquest.Request{
+	c := &call{vm: v, begun: x.now, resent: resent, q: &threquest.Request{
 		Customer: thconfig.Customer{Name: fmt.Sprint(customer)}, Service: x.spec, Method: method, Deadline: now.Add(timeout),
 	}}
 	c.t.Request = c.q
 	x.result.asked[customer]++
-	if v.b.EnterNow() {
+	if v.b.EnterNow(c.q) {
 		x.begin(c)
 		return
 	}
@@ -320,7 +359,7 @@
 		return
 	}
 	x.after(r.Pause, func() {
-		if c.vm.b.Again(r) {
+		if c.vm.b.Again(c.q, r) {
 			x.attempt(c)
 			return
 		}
--- a/io/thbalance/forwarder.go
+++ b/io/thbalance/forwarder.go
@@ -176,7 +176,7 @@
 		case <-ctx.Done():
 			return ended(ctx)
 		}
-		if s.again(r) {
+		if s.again(q, r) {
 			return nil
 		}
 		t.Reset(r.Pause)
--- a/io/thbalance/service.go
+++ b/io/thbalance/service.go
@@ -41,7 +41,7 @@
 func (s *service) enter(ctx context.Context, q *threquest.Request) error {
 	now := s.f.Clock.Now()
 	s.mu.Lock()
-	if s.balancer.EnterNow() {
+	if s.balancer.EnterNow(q) {
 		s.mu.Unlock()
 		return nil
 	}
@@ -111,8 +111,8 @@
 	return d
 }
 
-func (s *service) again(r throute.Repeat) bool {
+func (s *service) again(q *threquest.Request, r throute.Repeat) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.balancer.Again(r)
+	return s.balancer.Again(q, r)
 }
