--- a/core/thhealth/classify.go
+++ b/core/thhealth/classify.go
@@ -15,6 +15,8 @@
 		switch {
 		case a.Answer != nil && failure(a.Answer.Status):
 			return Failed
+		case float64(took) > stalledFactor*float64(slowAfter):
+			return Stalled
 		case took > slowAfter:
 			return Slow
 		}
@@ -46,7 +48,7 @@
 	case a.Reused:
 		return Silent
 	}
-	return Failed
+	return Late
 }
 
 // failure reports whether a status is the target's own fault.
--- a/core/thhealth/policy.go
+++ b/core/thhealth/policy.go
@@ -9,7 +9,7 @@
 // The defaults of a HealthPolicy's zero fields.
 const (
 	DefaultSlowFactor   = 2.5
-	DefaultFailureShare = 0.03
+	DefaultFailureShare = 0.01
 	DefaultEvidence     = 4
 	DefaultHold         = 5 * time.Second
 )
@@ -44,3 +44,9 @@
 	}
 	return p
 }
+
+// suspecting is the policy by which more evidence is asked for.
+func (p Policy) suspecting() Policy {
+	p.Evidence = 1
+	return p
+}
--- a/core/throute/settle.go
+++ b/core/throute/settle.go
@@ -13,9 +13,9 @@
 // The headers by which targets speak of themselves in any answer.
 const (
 	// HeaderLoad holds the number of requests that the target has in hand.
-	HeaderLoad = "Target-Load"
+	HeaderLoad = "Tamarack-Target-Load"
 	// HeaderState holds StateLeaving once the target takes no new work.
-	HeaderState = "Target-State"
+	HeaderState = "Tamarack-Target-State"
 	// StateLeaving is a leaving target's HeaderState.
 	StateLeaving = "leaving"
 )
@@ -29,20 +29,28 @@
 	t.Note(a)
 	b.observe(now, g, t, a, blamed)
 	d := AfterAttempt(t.Request, a, t.count)
-	if r, again := d.(Repeat); again && r.Pause == 0 && !b.Again(r) {
+	if r, again := d.(Repeat); again && r.Pause == 0 && !b.Again(t.Request, r) {
 		return giveUp(a)
 	}
 	return d
 }
 
 // Again takes a repeat from the budget, and returns false while there is no
-// credit for it.
-func (b *Balancer[W]) Again(r Repeat) bool {
-	budget, ok := b.budget.WithRepeat(r.Cost)
+// credit for it. A part of the budget is kept for customers that have nothing
+// else under way.
+func (b *Balancer[W]) Again(q *threquest.Request, r Repeat) bool {
+	reserve := 0.0
+	if b.turns[q.Customer.Name] > 1 || b.queue.Waiting(q.Customer.Name) > 0 {
+		reserve = sparseReserve
+	}
+	budget, ok := b.budget.WithRepeat(r.Cost, reserve)
 	b.budget = budget
 	return ok
 }
 
+// sparseReserve is in repeats.
+const sparseReserve = 1.5
+
 // observe takes in what the attempt shows of the target and of the service.
 func (b *Balancer[W]) observe(now thclock.Instant, g *target, t *Try, a threquest.Attempt, blamed bool) {
 	took := a.Ended.Sub(a.Began)
@@ -56,7 +64,7 @@
 		o = thhealth.None
 	}
 	g.row.Observe(now, o, took)
-	if o != thhealth.Good && o != thhealth.Slow {
+	if o != thhealth.Good && o != thhealth.Slow && o != thhealth.Stalled {
 		return
 	}
 	if g.state.Phase == thhealth.Healthy || g.state.Phase == thhealth.Warming {
@@ -113,23 +121,3 @@
 	b.notify(thevent.TargetLeaving, thevent.F("target", g.address))
 	b.rebuild(now)
 }
-
-// Check takes in the answer to an active check. It is heard for what the
-// target says of itself; that it claims to be well or ill counts for nothing,
-// because requests show better. A target that nobody sends requests to and
-// that cannot be reached counts as failing.
-func (b *Balancer[W]) Check(address string, a threquest.Attempt) {
-	for _, g := range b.targets {
-		if g.address != address {
-			continue
-		}
-		b.hear(a.Ended, g, a.Answer)
-		quiet := g.row.Sample(a.Ended).Recent().Requests < quietRequests
-		if a.Err != nil && !a.Sent && quiet {
-			g.row.Observe(a.Ended, thhealth.Failed, 0)
-		}
-	}
-}
-
-// quietRequests is below which a target counts as getting no requests.
-const quietRequests = 1
--- a/core/throute/target.go
+++ b/core/throute/target.go
@@ -16,12 +16,17 @@
 	spec    thconfig.Target
 	row     thhealth.Row
 	state   thhealth.State
+	// suspect is whether more evidence is needed.
+	suspect bool
 	// leavingUntil is how long the target's own word that it leaves holds.
 	leavingUntil thclock.Instant
 	// busyUntil is set by a shed answer.
 	busyUntil thclock.Instant
 	// nextTrial is when an ejected target may get the next trial request.
 	nextTrial thclock.Instant
+	// checked and nextCheck are when this VM checked the target and will again.
+	checked, nextCheck thclock.Instant
+
 	inFlight  int
 	peersBusy float64
 	reported  float64
--- a/core/throute/try.go
+++ b/core/throute/try.go
@@ -14,6 +14,8 @@
 	count int
 	tried []*target
 	room  [4]*target
+	// trial is whether the attempt under way is the trial of an ejected target.
+	trial bool
 	// mayHaveRun is set by any attempt that is not known not to have run.
 	mayHaveRun bool
 	// last is the outcome of the latest such attempt.
@@ -48,7 +50,7 @@
 	if !t.mayHaveRun || therror.KindOf(err).Answer().Outcome != therror.NotRun {
 		return err
 	}
-	if t.last != nil {
+	if t.last != nil && therror.KindOf(t.last).Answer().Outcome != therror.NotRun {
 		return t.last
 	}
 	return therror.Wrap(therror.AnswerLost, err, "an earlier attempt failed")
--- a/e2e/request_test.go
+++ b/e2e/request_test.go
@@ -128,3 +128,34 @@
 	assert.Assert(t, failed <= silenced, "%d of 40 failed with %d silent connections", failed, silenced)
 	r.everywhere(key, http.StatusOK)
 }
+
+// TestLeavingTargetGetsNoNewWork marks a target as leaving in the three ways
+// that there are.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	ways := map[string]func(r *rig){
+		"configuration": func(r *rig) {
+			r.eventually("drained", func() bool {
+				_, err := r.operator(r.vms[0]).DrainTarget(t.Context(), "inventory", r.targets[0].Address())
+				return err == nil
+			})
+		},
+		"answers": func(r *rig) { r.targets[0].Behave(thstand.TargetBehaviour{Leaving: true}) },
+	}
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3, 3)
+			key := r.prepare(10000, 10000)
+			leave(r)
+			quiet := 0
+			before := len(r.targets[0].Runs())
+			r.eventually("no work for 50 requests in a row", func() bool {
+				assert.Equal(t, call(http.DefaultClient, r.vms[quiet%3], request{path: "/stock/1", key: key}).status, http.StatusOK)
+				quiet++
+				if n := len(r.targets[0].Runs()); n != before {
+					before, quiet = n, 0
+				}
+				return quiet >= 50
+			})
+		})
+	}
+}
--- a/io/thagree/agreement_test.go
+++ b/io/thagree/agreement_test.go
@@ -13,6 +13,7 @@
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/throster"
+	"tamarackhollow/core/thstore"
 	"tamarackhollow/core/thstore/thstoretest"
 	"tamarackhollow/io/thagree"
 	"tamarackhollow/io/thpool"
@@ -164,3 +165,42 @@
 	eventually(t, "the leaving", func() bool { return vms[0].Roster().Len() == 2 && vms[1].Roster().Len() == 2 })
 	assert.Assert(t, !vms[2].Ready())
 }
+
+func TestJoinerTakesOthersAlong(t *testing.T) {
+	var platform thstoretest.Fake
+	value := []byte(`{"id":"other","peerAddress":"127.0.0.1:1","zone":"a","incarnation":3}`)
+	assert.NilError(t, platform.Commit(context.Background(), thstore.Transaction{Writes: []thstore.Write{{Key: "roster/join/other", Value: value}}}))
+	m := startVM(t, &platform, "vm0", 1)
+	eventually(t, "both", func() bool { return m.Roster().Len() == 2 })
+	assert.Equal(t, m.Config().Version(), uint64(1))
+	rows, err := platform.ScanRows(context.Background(), "roster/join/", "", 10)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 0)
+}
+
+// TestSnapshotCarriesAVMPastPrunedChanges lets a VM begin after the changes
+// that made the configuration have gone from the table.
+func TestSnapshotCarriesAVMPastPrunedChanges(t *testing.T) {
+	ctx := context.Background()
+	var platform thstoretest.Fake
+	vms := startFleet(t, &platform, 1)
+	for i := range 250 {
+		_, err := vms[0].Apply(ctx, fmt.Sprint(i), 0, template(fmt.Sprintf("t%d", i)))
+		assert.NilError(t, err)
+	}
+	eventually(t, "a snapshot", func() bool {
+		row, err := platform.ReadRow(ctx, "config/snapshot")
+		return err == nil && row.Version > 0
+	})
+	var deletes []thstore.Write
+	for v := range 200 {
+		deletes = append(deletes, thstore.Write{Key: fmt.Sprintf("config/change/%016d", v+1), Delete: true})
+	}
+	assert.NilError(t, platform.Commit(ctx, thstore.Transaction{Writes: deletes}))
+	vms[0].stop()
+	m := startVM(t, &platform, "vm1", 1)
+	eventually(t, "the new VM", m.Ready)
+	assert.Assert(t, m.Config().Version() >= 251)
+	_, ok := m.Config().Template("t0")
+	assert.Assert(t, ok)
+}
--- a/io/thagree/follow.go
+++ b/io/thagree/follow.go
@@ -2,18 +2,12 @@
 
 import (
 	"context"
-	"time"
 
-	"tamarackhollow/core/thclock"
-	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/throster"
 )
 
-// joinEvery is how often a VM outside the roster tries to join it.
-const joinEvery = time.Second
-
 // readHead reads the store's head and moves up to it.
 func (a *Agreement) readHead(ctx context.Context) {
 	defer a.read()
@@ -48,24 +42,28 @@
 	return h, nil
 }
 
-// catchUp loads the stored changes up to the version.
+// catchUp loads the stored changes up to the version, and a snapshot first
+// where the changes do not reach back far enough.
 func (a *Agreement) catchUp(ctx context.Context, version uint64) error {
 	if a.Config().Version() == 0 && version > 0 {
-		c, err := a.chain.snapshot(ctx)
-		if err != nil {
+		if err := a.loadSnapshot(ctx); err != nil {
 			return err
 		}
-		a.mu.Lock()
-		a.takeSnapshot(c, []throster.Roster{c.Roster()})
-		a.mu.Unlock()
 	}
 	for a.Config().Version() < version {
-		rs, err := a.chain.records(ctx, a.Config().Version())
+		next := a.Config().Version() + 1
+		rs, err := a.chain.records(ctx, next-1)
 		if err != nil {
 			return err
 		}
-		if len(rs) == 0 {
-			return therror.New(therror.StoreUnavailable, "the store lacks change %d", a.Config().Version()+1)
+		if len(rs) == 0 || rs[0].Version > next {
+			if err := a.loadSnapshot(ctx); err != nil {
+				return err
+			}
+			if a.Config().Version() < next {
+				return therror.New(therror.StoreUnavailable, "the store lacks change %d", next)
+			}
+			continue
 		}
 		a.mu.Lock()
 		err = a.takeRecords(rs)
@@ -77,43 +75,17 @@
 	return nil
 }
 
-// joinDue reports whether to try to join now; a.mu is held.
-func (a *Agreement) joinDue(now thclock.Instant) bool {
-	v, ok := a.node.Roster().VM(a.self.ID)
-	if a.leaving || a.node.Full() || ok && v.Incarnation >= a.self.Incarnation || !now.Passed(a.nextJoin) {
-		return false
-	}
-	a.nextJoin = now.Add(joinEvery/2 + time.Duration(a.rng.Int64N(int64(joinEvery))))
-	return true
-}
-
-func (a *Agreement) join(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+// loadSnapshot moves to the stored snapshot if it is newer. It is of an
+// accepted version, so its roster is all that is needed of the past.
+func (a *Agreement) loadSnapshot(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), snapshotTimeout)
 	defer cancel()
-	v, err := a.store(ctx, "", 0, func(c thconfig.Config) (thconfig.Change, bool) {
-		old, ok := c.Roster().VM(a.self.ID)
-		return thconfig.ChangeMembers{Join: []throster.VM{a.self}}, !ok || old.Incarnation < a.self.Incarnation
-	})
-	if err != nil || v == 0 {
-		return
-	}
-	a.log.Log(thevent.RosterChanged, thevent.F("version", v), thevent.F("joined", a.self.ID))
-	_ = a.spread(ctx, v)
-}
-
-// Leave takes the VM out of the roster ahead of a planned stop.
-func (a *Agreement) Leave(ctx context.Context) error {
-	a.mu.Lock()
-	a.leaving = true
-	a.node.Leave()
-	a.mu.Unlock()
-	v, err := a.store(ctx, "", 0, func(c thconfig.Config) (thconfig.Change, bool) {
-		old, ok := c.Roster().VM(a.self.ID)
-		return thconfig.ChangeMembers{Leave: []throster.VM{old}}, ok && old.Incarnation == a.self.Incarnation
-	})
-	if err != nil || v == 0 {
+	c, err := a.chain.snapshot(ctx)
+	if err != nil {
 		return err
 	}
-	a.log.Log(thevent.RosterChanged, thevent.F("version", v), thevent.F("left", a.self.ID))
-	return a.spread(ctx, v)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.takeSnapshot(c, []throster.Roster{c.Roster()})
+	return nil
 }
--- a/io/thagree/store.go
+++ b/io/thagree/store.go
@@ -7,6 +7,7 @@
 
 	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
+	"tamarackhollow/core/throster"
 	"tamarackhollow/core/thstore"
 )
 
@@ -16,8 +17,16 @@
 	rowSnapshot   = "config/snapshot"
 	prefixChange  = "config/change/"
 	prefixID      = "config/id/"
+	prefixJoin    = "roster/join/"
 	objectPrefix  = "config/snapshot/"
 	recordsAtOnce = 200
+
+	// snapshotObjects is how many objects the snapshots take turns in, so that
+	// a reader of the one before is not overtaken.
+	snapshotObjects = 4
+	// keptChanges is how many changes stay in the table behind a snapshot. A
+	// change id can be read back for as long.
+	keptChanges = 10000
 )
 
 // headRow is the last version and its digest.
@@ -85,8 +94,8 @@
 	return rs, nil
 }
 
-// append stores the record right after the head.
-func (c chain) append(ctx context.Context, h head, r thconfig.Record) error {
+// append stores the record right after the head, along with other writes.
+func (c chain) append(ctx context.Context, h head, r thconfig.Record, also []thstore.Write) error {
 	change, err := json.Marshal(r)
 	if err != nil {
 		return err
@@ -95,14 +104,42 @@
 	id, _ := json.Marshal(idRow{Version: r.Version})
 	return c.platform.Commit(ctx, thstore.Transaction{
 		Conditions: []thstore.Condition{{Key: rowHead, Version: h.row}, {Key: prefixID + r.ChangeID}},
-		Writes: []thstore.Write{
+		Writes: append([]thstore.Write{
 			{Key: rowHead, Value: next},
 			{Key: changeKey(r.Version), Value: change},
 			{Key: prefixID + r.ChangeID, Value: id},
-		},
+		}, also...),
 	})
 }
 
+// askToJoin stores that the VM wants to join, for whoever joins next to take
+// it along.
+func (c chain) askToJoin(ctx context.Context, v throster.VM) error {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return c.platform.Commit(ctx, thstore.Transaction{Writes: []thstore.Write{{Key: prefixJoin + v.ID, Value: value}}})
+}
+
+// joining returns the VMs that want to join and the writes that take back what
+// they asked.
+func (c chain) joining(ctx context.Context) ([]throster.VM, []thstore.Write, error) {
+	rows, err := c.platform.ScanRows(ctx, prefixJoin, "", recordsAtOnce)
+	if err != nil {
+		return nil, nil, err
+	}
+	vms := make([]throster.VM, len(rows))
+	deletes := make([]thstore.Write, len(rows))
+	for i, row := range rows {
+		deletes[i] = thstore.Write{Key: row.Key, Delete: true}
+		if err := json.Unmarshal(row.Value, &vms[i]); err != nil {
+			return nil, nil, therror.Wrap(therror.MessageMalformed, err, "row %s", row.Key)
+		}
+	}
+	return vms, deletes, nil
+}
+
 // snapshot returns the newest stored snapshot, or the empty configuration.
 func (c chain) snapshot(ctx context.Context) (thconfig.Config, error) {
 	var s snapshotRow
@@ -135,7 +172,7 @@
 	if err != nil {
 		return err
 	}
-	name := fmt.Sprintf("%s%016d", objectPrefix, n.Version())
+	name := fmt.Sprintf("%s%d", objectPrefix, n.Version()/snapshotEvery%snapshotObjects)
 	if err := c.platform.PutObject(ctx, name, data); err != nil {
 		return err
 	}
@@ -146,6 +183,26 @@
 	})
 }
 
+// prune deletes some of the changes that lie far behind the snapshot.
+func (c chain) prune(ctx context.Context, snapshot uint64) error {
+	rs, err := c.records(ctx, 0)
+	if err != nil {
+		return err
+	}
+	var t thstore.Transaction
+	for _, r := range rs {
+		if r.Version+keptChanges < snapshot {
+			t.Writes = append(t.Writes,
+				thstore.Write{Key: changeKey(r.Version), Delete: true},
+				thstore.Write{Key: prefixID + r.ChangeID, Delete: true})
+		}
+	}
+	if len(t.Writes) == 0 {
+		return nil
+	}
+	return c.platform.Commit(ctx, t)
+}
+
 func changeKey(version uint64) string { return fmt.Sprintf("%s%016d", prefixChange, version) }
 
 // readRow reads a row into v and returns the row's version.
--- a/io/thbalance/forwarder.go
+++ b/io/thbalance/forwarder.go
@@ -66,6 +66,7 @@
 	seed     *rand.Rand
 	version  atomic.Uint64
 	vms      atomic.Int64
+	pacer    thhealth.Pacer
 }
 
 const defaultHealthPath = "/health"
@@ -145,6 +146,9 @@
 	if a.Ended == (thclock.Instant{}) {
 		a.Began, a.Ended = began, f.Clock.Now()
 	}
+	if a.Answer != nil {
+		a.Answer.Took = a.Ended.Sub(a.Began)
+	}
 	if a.Err == nil && a.Answer == nil {
 		a.Err = therror.New(therror.AnswerBroken, "target %s gave no answer", a.Target)
 	}
@@ -175,7 +179,7 @@
 		case <-ctx.Done():
 			return ended(ctx)
 		}
-		if s.again(r) {
+		if s.again(q, r) {
 			return nil
 		}
 		t.Reset(r.Pause)
--- a/io/thclaims/claims.go
+++ b/io/thclaims/claims.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"time"
 
 	"tamarackhollow/core/thclaim"
@@ -60,7 +61,7 @@
 // New returns claims without any pending.
 func New(o Options) *Claims {
 	c := &Claims{options: o}
-	c.store.commit = storeCommitter{o.Platform}.commit
+	c.store.commit = (&storeCommitter{platform: o.Platform, clock: o.Clock}).commit
 	c.store.clock = o.Clock
 	c.gatherer.claims = c
 	c.finisher.claims = c
@@ -95,13 +96,20 @@
 		return next(ctx, q)
 	}
 	m, action := thclaim.Begin(q, c.options.Self.ID, newToken(), c.options.Clock.Now())
+	if row, ok := c.finisher.ended(m.Key()); ok {
+		m, action = m.Found(c.options.Clock.Now(), row, nil)
+	}
+	var found *conflict
 	for {
 		switch a := action.(type) {
 		case thclaim.Write:
 			err := c.gatherer.write(m.Key(), a.Version, a.Claim.Encode(), a.Until)
+			found = nil
+			errors.As(err, &found)
 			m, action = m.Wrote(c.options.Clock.Now(), err)
 		case thclaim.Read:
-			r, err := c.read(ctx, m.Key(), a.Pause)
+			r, err := c.read(ctx, m.Key(), a.Pause, found)
+			found = nil
 			m, action = m.Found(c.options.Clock.Now(), r, err)
 		case thclaim.Send:
 			return c.run(ctx, q, a, next)
@@ -120,8 +128,12 @@
 	return hex.EncodeToString(b[:])
 }
 
-// read reads a claim's row, after a pause if the store has just failed.
-func (c *Claims) read(ctx context.Context, key string, pause bool) (thstore.Row, error) {
+// read reads a claim's row, unless the write's conflict has brought it, and
+// after a pause if the store has just failed.
+func (c *Claims) read(ctx context.Context, key string, pause bool, found *conflict) (thstore.Row, error) {
+	if found != nil {
+		return found.found, nil
+	}
 	if pause {
 		sleep(ctx, storePause)
 	}
@@ -145,7 +157,7 @@
 	switch {
 	case h == nil:
 	case h.Version == 0:
-		c.finisher.keep(*h)
+		c.finisher.keep(*h, false)
 	default:
 		c.finish(*h)
 	}
@@ -186,7 +198,7 @@
 // recorded returns a recorded answer whole.
 func (c *Claims) recorded(ctx context.Context, a thclaim.Answer) (*threquest.Answer, error) {
 	answer := &threquest.Answer{Status: a.Status, Headers: a.Headers, Body: a.Body, Target: a.Target}
-	if a.Object == "" {
+	if a.Object == "" || len(a.Body) > 0 {
 		return answer, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/io/thstand/target.go
+++ b/io/thstand/target.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"tamarackhollow/core/throute"
+
 	"github.com/valyala/fasthttp"
 )
 
@@ -29,6 +31,10 @@
 	Sick bool
 	// Leaving makes the health endpoint and every answer say so.
 	Leaving bool
+	// DiesOf is a body that the target dies of; empty is none.
+	DiesOf string
+	// DownMillis is how long a target that died refuses connections.
+	DownMillis int
 }
 
 // Run is one request that a target ran.
@@ -47,14 +53,18 @@
 
 // Target is a stand-in for a target. Make one with StartTarget.
 type Target struct {
-	listener net.Listener
-	http     *fasthttp.Server
+	address string
+	http    *fasthttp.Server
 
 	mu        sync.Mutex
+	listener  net.Listener
 	behaviour TargetBehaviour
 	random    *rand.Rand
 	running   int
 	runs      []Run
+	open      []net.Conn
+	deaths    int
+	closed    bool
 }
 
 // PathHealth is the health and load endpoint.
@@ -68,20 +78,21 @@
 
 // StartTarget serves on the listener until Close.
 func StartTarget(l net.Listener, b TargetBehaviour, seed uint64) *Target {
-	t := &Target{listener: l, behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
+	t := &Target{listener: l, address: l.Addr().String(), behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
 	t.http = &fasthttp.Server{
 		Handler:               t.handle,
 		MaxRequestBodySize:    64 << 20,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
 		Logger:                silent{},
+		ConnState:             t.track,
 	}
 	go func() { _ = t.http.Serve(l) }()
 	return t
 }
 
 // Address is where the target listens.
-func (t *Target) Address() string { return t.listener.Addr().String() }
+func (t *Target) Address() string { return t.address }
 
 // Behave sets the behaviour from now on.
 func (t *Target) Behave(b TargetBehaviour) {
@@ -98,7 +109,12 @@
 }
 
 // Close stops serving.
-func (t *Target) Close() { _ = t.http.Shutdown() }
+func (t *Target) Close() {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	_ = t.http.Shutdown()
+}
 
 func (t *Target) handle(c *fasthttp.RequestCtx) {
 	if string(c.Path()) == PathHealth {
@@ -112,6 +128,10 @@
 	}
 	time.Sleep(time.Duration(b.LatencyMillis) * time.Millisecond)
 	t.end()
+	if b.DiesOf != "" && string(c.PostBody()) == b.DiesOf {
+		t.die(time.Duration(b.DownMillis) * time.Millisecond)
+		return
+	}
 	if drop {
 		c.HijackSetNoResponse(true)
 		c.Hijack(func(conn net.Conn) { _ = conn.Close() })
@@ -120,9 +140,7 @@
 	if id := c.Request.Header.Peek("Tamarack-Request-Id"); len(id) > 0 {
 		c.Response.Header.SetBytesV("Tamarack-Request-Id", id)
 	}
-	if b.Leaving {
-		c.Response.Header.Set("Tamarack-Target-State", "leaving")
-	}
+	t.describe(c, b)
 	if fail {
 		c.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
@@ -131,6 +149,16 @@
 	c.SetBodyString("ran " + string(c.Method()) + " " + string(c.RequestURI()) + " " + strconv.Itoa(len(c.PostBody())))
 }
 
+// describe has the answer tell of the target's load and state.
+func (t *Target) describe(c *fasthttp.RequestCtx, b TargetBehaviour) {
+	t.mu.Lock()
+	c.Response.Header.Set(throute.HeaderLoad, strconv.Itoa(t.running))
+	t.mu.Unlock()
+	if b.Leaving {
+		c.Response.Header.Set(throute.HeaderState, throute.StateLeaving)
+	}
+}
+
 func (t *Target) begin(c *fasthttp.RequestCtx) (b TargetBehaviour, shed, fail, drop bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -160,14 +188,17 @@
 
 func (t *Target) health(c *fasthttp.RequestCtx) {
 	t.mu.Lock()
+	b := t.behaviour
 	h := health{Status: "ok", Load: t.running}
-	if t.behaviour.Sick {
-		h.Status = "sick"
+	t.mu.Unlock()
+	t.describe(c, b)
+	if b.Leaving {
+		h.Status = throute.StateLeaving
 	}
-	if t.behaviour.Leaving {
-		h.Status = "leaving"
+	if b.Sick {
+		h.Status = "sick"
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	}
-	t.mu.Unlock()
 	data, _ := json.Marshal(h)
 	c.SetContentType("application/json")
 	c.SetBody(data)
--- a/io/thwire/server.go
+++ b/io/thwire/server.go
@@ -13,6 +13,7 @@
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -47,6 +48,7 @@
 	routes  map[string]func(*fasthttp.RequestCtx, Sender)
 	http    *fasthttp.Server
 	dropped sync.Map
+	traffic traffic
 }
 
 // errorBody is a refusal on the wire.
@@ -99,6 +101,7 @@
 	}
 	s.http = &fasthttp.Server{
 		Handler:               s.serve,
+		ErrorHandler:          s.unreadable,
 		MaxRequestBodySize:    size,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
@@ -123,6 +126,12 @@
 }
 
 func (s *Server) serve(c *fasthttp.RequestCtx) {
+	s.answer(c)
+	failed := c.Response.StatusCode() != fasthttp.StatusOK
+	s.traffic.note(len(c.Response.Body()), len(c.PostBody()), len(c.Request.Header.RawHeaders()), failed)
+}
+
+func (s *Server) answer(c *fasthttp.RequestCtx) {
 	from := Sender{
 		ID:      string(c.Request.Header.Peek(headerFrom)),
 		Address: c.RemoteIP().String(),
@@ -141,6 +150,16 @@
 	f(c, from)
 }
 
+// unreadable refuses a call that is too large or is no HTTP.
+func (s *Server) unreadable(c *fasthttp.RequestCtx, err error) {
+	kind := therror.MessageMalformed
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		kind = therror.MessageTooLarge
+	}
+	s.drop(c, Sender{Address: c.RemoteIP().String()}, therror.Wrap(kind, err, "the call could not be read"))
+	c.SetConnectionClose()
+}
+
 // drop refuses a call and logs the first one from each source.
 func (s *Server) drop(c *fasthttp.RequestCtx, from Sender, err error) {
 	WriteError(c, err)
