thconfig, thlimit: tell new customers by versions

Cause: whether a customer was new followed from the configurations that a VM happened to look at, each 200 ms; a roster change and a new customer within one look made the customer wait the whole takeover wait.

Change: the configuration keeps the version at which a customer was created; a name that was removed before is never new. A customer is new while no roster came after it. A customer out of reach is logged once in 10 s.

Ruled out: newness against the roster of the whole tenure. A home that jumps over two rosters could miss that another was home when the customer came.

--- a/core/thconfig/config.go
+++ b/core/thconfig/config.go
@@ -19,6 +19,7 @@
 	templates   shardedMap[Template]
 	deployments shardedMap[Deployment]
 	customers   shardedMap[Customer]
+	created     shardedMap[uint64]
 	keys        shardedMap[Key]
 	withdrawn   shardedMap[struct{}]
 	services    shardedMap[Service]
@@ -46,6 +47,13 @@
 // Deployment returns a deployment by name.
 func (c Config) Deployment(name string) (Deployment, bool) { return c.deployments.get(name) }
 
+// CustomerSince returns the version that first had a customer of that name, or
+// zero if there is none or one of that name was removed before.
+func (c Config) CustomerSince(name string) uint64 {
+	v, _ := c.created.get(name)
+	return v
+}
+
 // Customers returns all customers ordered by name.
 func (c Config) Customers() []Customer { return c.customers.sorted() }
 
@@ -219,6 +227,9 @@
 	if err := c.checkCustomer(u); err != nil {
 		return c, err
 	}
+	if _, before := c.created.get(u.Name); !before {
+		c.created = c.created.with(u.Name, c.version+1)
+	}
 	c.customers = c.customers.with(u.Name, u)
 	return c, nil
 }
@@ -235,6 +246,7 @@
 		}
 	})
 	c.customers = c.customers.without(name)
+	c.created = c.created.with(name, 0)
 	return c, nil
 }
 
@@ -285,16 +297,33 @@
 	Templates   []Template      `json:"templates"`
 	Deployments []Deployment    `json:"deployments"`
 	Customers   []Customer      `json:"customers"`
+	Created     []creation      `json:"created"`
 	Keys        []Key           `json:"keys"`
 	Withdrawn   []string        `json:"withdrawn"`
 }
 
+// creation says which version first had a customer of that name; zero if one
+// was removed.
+type creation struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+}
+
+func (c Config) creations() []creation {
+	names := c.created.sortedNames()
+	cs := make([]creation, len(names))
+	for i, name := range names {
+		cs[i] = creation{name, c.CustomerSince(name)}
+	}
+	return cs
+}
+
 // MarshalJSON writes the whole configuration.
 func (c Config) MarshalJSON() ([]byte, error) {
 	return json.Marshal(snapshot{
 		Version: c.version, Changed: c.changed, Digest: c.digest, Roster: c.roster,
 		Templates: c.templates.sorted(), Deployments: c.deployments.sorted(),
-		Customers: c.customers.sorted(), Keys: c.keys.sorted(), Withdrawn: c.withdrawn.sortedNames(),
+		Customers: c.customers.sorted(), Created: c.creations(), Keys: c.keys.sorted(), Withdrawn: c.withdrawn.sortedNames(),
 	})
 }
 
@@ -331,6 +360,11 @@
 		b.put(u.Name, u)
 	}
 	c.customers = b.done()
+	cb := c.created.builder()
+	for _, o := range s.Created {
+		cb.put(o.Name, o.Version)
+	}
+	c.created = cb.done()
 	kb := c.keys.builder()
 	for _, k := range s.Keys {
 		if err = c.checkKey(k); err != nil {
--- a/core/thconfig/config_test.go
+++ b/core/thconfig/config_test.go
@@ -105,3 +105,18 @@
 	c = apply(t, c, thconfig.WithdrawKey{ID: "k1"})
 	assert.Assert(t, therror.Is(c.CheckPrecondition(read), therror.ChangeConflict))
 }
+
+func TestCustomerSinceSurvivesASnapshotAndDistrustsNamesUsedBefore(t *testing.T) {
+	c, _ := filled(t)
+	assert.Equal(t, c.CustomerSince("depot"), uint64(1))
+	assert.Equal(t, c.CustomerSince("nobody"), uint64(0))
+	data, err := json.Marshal(c)
+	assert.NilError(t, err)
+	var back thconfig.Config
+	assert.NilError(t, json.Unmarshal(data, &back))
+	assert.Equal(t, back.CustomerSince("depot"), uint64(1))
+	u, _ := c.Customer("depot")
+	c = apply(t, c, thconfig.RemoveCustomer{Name: "depot"})
+	c = apply(t, c, thconfig.SetCustomer{Customer: u})
+	assert.Equal(t, c.CustomerSince("depot"), uint64(0))
+}
--- a/core/thlimit/home.go
+++ b/core/thlimit/home.go
@@ -242,12 +242,13 @@
 	if !ok || h.behind(p) {
 		return nil
 	}
+	l, _ := h.current()
 	start := t.since.Add(h.wait)
 	u, _ := h.past.config.Customer(p.Customer)
 	rate, burst := h.past.share(now, u, p)
 	b := &bucket{rate: rate, burst: burst, filled: start}
 	switch {
-	case h.past.newSince(now, p.Customer, t.layout.Roster().Version()):
+	case h.past.newSince(p.Customer, l.Roster().Version()):
 		b.filled, b.level = now, float64(burst)
 	case !now.SurelyPassed(start):
 		return nil
--- a/core/thlimit/past.go
+++ b/core/thlimit/past.go
@@ -50,25 +50,15 @@
 	return rate, burst
 }
 
-// newSince reports whether the customer was created after the given version,
-// and so lately that each configuration before it is still known here.
-func (p past) newSince(now thclock.Instant, customer string, version uint64) bool {
-	before := false
-	for _, s := range p.old {
-		if _, ok := s.config.Customer(customer); ok {
-			return false
-		}
-		before = before || s.config.Version() >= version && !now.SurelyPassed(s.until)
-	}
-	return before
+// newSince reports whether the customer was created after the roster of the
+// given version, while that is the newest roster. Then every VM that knows the
+// customer knows that roster.
+func (p past) newSince(customer string, roster uint64) bool {
+	return p.config.CustomerSince(customer) > roster && p.config.Roster().Version() <= roster
 }
 
 // knewBefore reports whether the customer is known to be older than a version.
 func (p past) knewBefore(customer string, version uint64) bool {
-	for _, s := range p.old {
-		if _, ok := s.config.Customer(customer); ok && s.config.Version() < version {
-			return true
-		}
-	}
-	return false
+	since := p.config.CustomerSince(customer)
+	return since > 0 && since < version
 }
--- a/io/thgrant/limiter.go
+++ b/io/thgrant/limiter.go
@@ -33,6 +33,8 @@
 	reportTimeout = time.Second
 	// flushInterval is how often tokens go back that nobody spends.
 	flushInterval = 100 * time.Millisecond
+	// mentionInterval is how often a customer is logged as out of reach.
+	mentionInterval = 10 * time.Second
 	// rosterInterval is how often the roster is looked at, besides at each ask.
 	rosterInterval = 200 * time.Millisecond
 )
@@ -145,7 +147,9 @@
 
 func (m *Limiter) unreachable(u thconfig.Customer) error {
 	m.count.unavailable.Add(1)
-	m.o.Log.Log(thevent.LimitHomeUnreachable, thevent.F("customer", u.Name))
+	if m.spends[shardOf(u.Name)].mention(m.o.Clock.Now(), u.Name) {
+		m.o.Log.Log(thevent.LimitHomeUnreachable, thevent.F("customer", u.Name))
+	}
 	return therror.New(therror.LimitUnavailable, "the limit of customer %s is out of reach", u.Name)
 }
 
--- a/io/thgrant/shard.go
+++ b/io/thgrant/shard.go
@@ -15,6 +15,22 @@
 	mu       sync.Mutex
 	spender  thlimit.Spender
 	answered map[string]chan struct{}
+	// mentioned is when a customer was last logged as out of reach.
+	mentioned map[string]thclock.Instant
+}
+
+// mention reports whether the customer is to be logged as out of reach again.
+func (s *spendShard) mention(now thclock.Instant, customer string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, ok := s.mentioned[customer]; ok && now.Before(at.Add(mentionInterval)) {
+		return false
+	}
+	if s.mentioned == nil {
+		s.mentioned = make(map[string]thclock.Instant)
+	}
+	s.mentioned[customer] = now
+	return true
 }
 
 // admit decides on a request and, if it has to wait, returns the channel that
@@ -67,6 +83,11 @@
 func (s *spendShard) flush(now thclock.Instant, l *thlimit.Layout) []thlimit.Notice {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for customer, at := range s.mentioned {
+		if !now.Before(at.Add(mentionInterval)) {
+			delete(s.mentioned, customer)
+		}
+	}
 	return s.spender.Flush(now, l)
 }
 
