thlimit: shorter lots for waiting requests, tokens in advance from 1.2 a second

Cause: a lot that serves waiting requests counted for 300 ms against a small burst although it is spent at once; a VM that got between one and two requests a second of a customer waited for a round trip for each.

Change: such lots live 120 ms; tokens in advance begin at a demand of 1.2 a second and go back after 1.5 s without a request.

--- a/core/thlimit/message.go
+++ b/core/thlimit/message.go
@@ -67,7 +67,7 @@
 
 const (
 	// needLife is the life of a lot that only serves waiting requests.
-	needLife = 300 * time.Millisecond
+	needLife = 120 * time.Millisecond
 	// advanceLife is the life of a lot that holds tokens for later requests.
 	advanceLife = 2 * time.Second
 	// driftShare is the share by which two VMs' clocks may differ in speed.
--- a/core/thlimit/spender.go
+++ b/core/thlimit/spender.go
@@ -114,7 +114,7 @@
 	// horizon is for how long a spender likes to hold tokens.
 	horizon = 200 * time.Millisecond
 	// steady is the demand from which on tokens are asked for in advance.
-	steady = 2.0
+	steady = 1.2
 	// downTime is how long a part that gave no answer is left alone.
 	downTime = 500 * time.Millisecond
 	// HedgeAfter is how long an ask may take before another part is asked too.
@@ -129,7 +129,7 @@
 	// moveTime is how long a part is left alone whose home does not act yet.
 	moveTime = 50 * time.Millisecond
 	// idleTime is after how long without a request holdings go back.
-	idleTime = 500 * time.Millisecond
+	idleTime = 1500 * time.Millisecond
 	// forgetTime is after how long without a request a customer is forgotten.
 	forgetTime = 10 * time.Second
 	// flushLead is how long before its end a lot goes back.
