thgrant: take up the roster before the first request

Change: an admission without a roster looks for one, and a part without a home is tried again after 50 ms.

--- a/core/thlimit/spender.go
+++ b/core/thlimit/spender.go
@@ -353,7 +353,7 @@
 	v.asked = now
 	home, ok := v.homeBy(l, p)
 	if !ok {
-		v.fail(now)
+		v.moved(now, nil)
 		return nil
 	}
 	s.last++
--- a/io/thgrant/limiter.go
+++ b/io/thgrant/limiter.go
@@ -120,7 +120,12 @@
 	s := &m.spends[shardOf(u.Name)]
 	var t thlimit.Try
 	for {
-		d, answered := s.admit(m.o.Clock, m.layout.Load(), u, &t)
+		l := m.layout.Load()
+		if l.Roster().Len() == 0 {
+			m.adopt()
+			l = m.layout.Load()
+		}
+		d, answered := s.admit(m.o.Clock, l, u, &t)
 		if d.Ask != nil {
 			m.send(s, d.Ask)
 		}
