--- a/core/thlimit/fault_test.go
+++ b/core/thlimit/fault_test.go
@@ -307,3 +307,22 @@
 	f.advance(100 * time.Millisecond)
 	assert.Equal(t, len(f.admitted), 1)
 }
+
+// TestTakeoverMakesNoTokens spends the whole burst, and then removes the home.
+func TestTakeoverMakesNoTokens(t *testing.T) {
+	u := thconfig.Customer{Name: "depot", Deployment: "cordial", Rate: slow, Burst: 12}
+	f := newFleet(4, u)
+	f.advance(takeoverWait + 365*24*time.Hour)
+	f.syncAll()
+	f.drain(time.Second, f.nodes, func(n *node) { n.sync() })
+	assert.Equal(t, len(f.admitted), 12)
+	home, _ := f.nodes[0].layout.Home(thlimit.Part{Customer: "depot"})
+	f.node(home.ID).dead = true
+	f.setRoster(f.roster.WithoutVM(home.ID), 0)
+	f.drain(20*time.Second, f.nodes, func(n *node) {
+		if !n.dead {
+			n.sync()
+		}
+	})
+	assert.Equal(t, len(f.admitted), 12)
+}
