thgate, thboard: look at a key once more before its request leaves

Cause: a request was checked when it was let in. It could then wait in a service's queue, or with the whole paused VM, for as long as its service's timeout, and run although its key had been withdrawn. Also the freshness deadline was published before the configuration it speaks of, and the blackboard's locked tables were used by nobody. Ruled out: checking in the queue (a pause after it would escape); a pair of configuration and deadline kept with the request (it would refuse requests whose configuration was merely superseded). Change: a gate between balancing and sending checks freshness first and then the key in the newest configuration; such a refusal, like a quarantine, is not repeated at another target. The configuration is published before its deadline. The blackboard is a typed board that the agreement writes and the rest reads; its tables and their test are gone with the code, a test of cells under concurrent writers is new. Conclusion: a withdrawn key stops queued requests too.

--- a/core/thboard/board.go
+++ b/core/thboard/board.go
@@ -1,32 +1,29 @@
-// Package thboard is the blackboard: the tables that controllers read and
-// write, and the snapshots that the request path reads without a lock.
+// Package thboard is the blackboard: what one part of a VM writes and others
+// read. Readers, the request path among them, take no lock and see one
+// immutable value; a writer holds a cell's lock only to swap its value in.
 //
-// Lock order: a goroutine that holds a table's lock may only lock tables of a
-// higher Rank. Controllers compute on copies and hold a lock only to swap the
-// result in, so most need no second lock at all.
+// docs/DESIGN.md lists the locks of the shared tables that lie within the
+// parts, and their order.
 package thboard
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"sync/atomic"
-)
-
-// Rank is a table's place in the lock order, lowest first.
-type Rank int
 
-// The lock order.
-const (
-	RankConfig Rank = iota + 1
-	RankRoster
-	RankFreshness
-	RankLimits
-	RankHealth
-	RankClaims
-	RankBurn
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thconfig"
 )
 
+// Board holds what the parts of one VM share. The zero Board is ready.
+type Board struct {
+	// Config is the configuration in force. The agreement writes it; versions
+	// only rise.
+	Config Cell[thconfig.Config]
+	// FreshUntil is until when no accepted change can be unknown to the VM. The
+	// agreement writes it.
+	FreshUntil Cell[thclock.Instant]
+}
+
 // Cell holds one immutable value. Readers never wait. The zero Cell holds the
 // zero value.
 type Cell[T any] struct {
@@ -78,110 +75,3 @@
 		}
 	}
 }
-
-// Table is a locked map from names to values. The zero Table is empty, with
-// rank zero.
-type Table[V any] struct {
-	rank Rank
-	mu   sync.Mutex
-	rows map[string]V
-}
-
-// NewTable returns an empty table of the given rank.
-func NewTable[V any](r Rank) *Table[V] { return &Table[V]{rank: r} }
-
-// Rank returns the table's place in the lock order.
-func (t *Table[V]) Rank() Rank { return t.rank }
-
-// Get returns a copy of a row.
-func (t *Table[V]) Get(name string) (V, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	v, ok := t.rows[name]
-	return v, ok
-}
-
-// Update sets a row to what the function makes of it; a row that was missing
-// comes as the zero value. It is removed if the function returns false.
-func (t *Table[V]) Update(name string, f func(V) (V, bool)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	v, keep := f(t.rows[name])
-	if !keep {
-		delete(t.rows, name)
-		return
-	}
-	if t.rows == nil {
-		t.rows = make(map[string]V)
-	}
-	t.rows[name] = v
-}
-
-// Each calls the function with each row, in order of name, until it returns
-// false. It works on a copy and holds no lock during the calls.
-func (t *Table[V]) Each(f func(string, V) bool) {
-	for _, r := range t.copied() {
-		if !f(r.name, r.value) {
-			return
-		}
-	}
-}
-
-type row[V any] struct {
-	name  string
-	value V
-}
-
-func (t *Table[V]) copied() []row[V] {
-	t.mu.Lock()
-	rs := make([]row[V], 0, len(t.rows))
-	for name, v := range t.rows {
-		rs = append(rs, row[V]{name, v})
-	}
-	t.mu.Unlock()
-	slices.SortFunc(rs, func(a, b row[V]) int { return cmp.Compare(a.name, b.name) })
-	return rs
-}
-
-// Len returns the number of rows.
-func (t *Table[V]) Len() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.rows)
-}
-
-// Lockable is a table as Together sees it.
-type Lockable interface {
-	Rank() Rank
-	lock() func()
-}
-
-func (t *Table[V]) lock() func() {
-	t.mu.Lock()
-	return t.mu.Unlock
-}
-
-// Together runs the function with all the tables locked in their order of
-// rank. Inside it the rows are reached with Row and SetRow.
-func Together(f func(), tables ...Lockable) {
-	ts := slices.Clone(tables)
-	slices.SortFunc(ts, func(a, b Lockable) int { return cmp.Compare(a.Rank(), b.Rank()) })
-	for _, t := range ts {
-		defer t.lock()()
-	}
-	f()
-}
-
-// Row returns a row; only for use inside Together.
-func (t *Table[V]) Row(name string) (V, bool) {
-	v, ok := t.rows[name]
-	return v, ok
-}
-
-// SetRow sets a row; only for use inside Together.
-func (t *Table[V]) SetRow(name string, v V) {
-	if t.rows == nil {
-		t.rows = make(map[string]V)
-	}
-	t.rows[name] = v
-}
--- a/core/thboard/board_test.go
+++ b/core/thboard/board_test.go
@@ -1,6 +1,7 @@
 package thboard_test
 
 import (
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -20,25 +21,26 @@
 	assert.Equal(t, c.Load(), 7)
 }
 
-func TestTogetherLocksInOrderOfRank(t *testing.T) {
-	low := thboard.NewTable[int](thboard.RankConfig)
-	high := thboard.NewTable[int](thboard.RankBurn)
-	done := make(chan struct{}, 2)
-	for _, ts := range [][]thboard.Lockable{{low, high}, {high, low}} {
-		go func() {
-			for range 1000 {
-				thboard.Together(func() {
-					n, _ := low.Row("a")
-					low.SetRow("a", n+1)
-					high.SetRow("a", n+1)
-				}, ts...)
+// TestCellReadersSeeEachUpdateOnce has writers count in one cell while a reader
+// follows the changes.
+func TestCellReadersSeeEachUpdateOnce(t *testing.T) {
+	const writers, updates = 4, 500
+	var c thboard.Cell[int]
+	var all sync.WaitGroup
+	for range writers {
+		all.Go(func() {
+			for range updates {
+				c.Update(func(n int) (int, bool) { return n + 1, true })
 			}
-			done <- struct{}{}
-		}()
+		})
+	}
+	for last := 0; last < writers*updates; {
+		changed := c.Changed()
+		n := c.Load()
+		assert.Assert(t, n >= last, "%d after %d", n, last)
+		if last = n; n < writers*updates {
+			<-changed
+		}
 	}
-	<-done
-	<-done
-	n, _ := low.Get("a")
-	assert.Equal(t, n, 2000)
-	assert.Equal(t, high.Len(), 1)
+	all.Wait()
 }
--- a/core/thconfig/key.go
+++ b/core/thconfig/key.go
@@ -9,6 +9,7 @@
 
 const (
 	keyPrefix  = "th"
+	keyParts   = 3
 	hashDigits = 2 * sha256.Size
 )
 
@@ -24,14 +25,19 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// KeyID returns the public part of a key's text, or nothing if it is no key.
+func KeyID(text string) string {
+	parts := strings.SplitN(text, ".", keyParts)
+	if len(parts) != keyParts || parts[0] != keyPrefix {
+		return ""
+	}
+	return parts[1]
+}
+
 // Authenticate returns the customer whose key the text is. The comparison
 // takes the same time wherever the texts differ.
 func (c Config) Authenticate(text string) (Customer, bool) {
-	parts := strings.SplitN(text, ".", 3)
-	if len(parts) != 3 || parts[0] != keyPrefix {
-		return Customer{}, false
-	}
-	k, ok := c.keys.get(parts[1])
+	k, ok := c.keys.get(KeyID(text))
 	if !ok || subtle.ConstantTimeCompare([]byte(k.Hash), []byte(hashKey(text))) != 1 {
 		return Customer{}, false
 	}
--- a/core/threquest/request.go
+++ b/core/threquest/request.go
@@ -22,9 +22,12 @@
 	ID string
 	// Customer is the zero Customer on open routes.
 	Customer thconfig.Customer
-	Route    thconfig.Route
-	Service  thconfig.Service
-	Method   string
+	// KeyID is the public part of the key that the request carried; empty on
+	// open routes.
+	KeyID   string
+	Route   thconfig.Route
+	Service thconfig.Service
+	Method  string
 	// URI is the path and query as the caller sent them.
 	URI string
 	// Headers have the key and hop-by-hop fields taken out.
--- a/core/throute/retry.go
+++ b/core/throute/retry.go
@@ -100,12 +100,22 @@
 		return Deliver{}
 	case n >= maxFailureAttempts || !NotRun(q, a) && !q.RepeatSafe():
 		return giveUp(a)
-	case therror.Is(a.Err, therror.CallerGone):
+	case endsHere(a.Err):
 		return giveUp(a)
 	}
 	return Repeat{Cost: 1}
 }
 
+// endsHere reports whether no other target could do better, because the caller
+// is gone or this VM itself refuses the request.
+func endsHere(err error) bool {
+	switch therror.KindOf(err) {
+	case therror.CallerGone, therror.NotFresh, therror.KeyUnknown, therror.Quarantined:
+		return true
+	}
+	return false
+}
+
 func giveUp(a threquest.Attempt) Decision {
 	if a.Err == nil {
 		return Deliver{}
--- a/e2e/agree_test.go
+++ b/e2e/agree_test.go
@@ -160,3 +160,27 @@
 	assert.Equal(t, won, 1)
 	assert.Equal(t, lost, 1)
 }
+
+// TestKeyWithdrawnWhileTheRequestWaits fills the only target's slots, has a
+// request wait in the queue, and withdraws its key meanwhile.
+func TestKeyWithdrawnWhileTheRequestWaits(t *testing.T) {
+	r := newRig(t, 1, 1)
+	key := r.prepare(1000, 1000)
+	second, id := r.issue("depot")
+	r.everywhere(second, http.StatusOK)
+	r.targets[0].Behave(thstand.TargetBehaviour{LatencyMillis: 1500})
+	before := len(r.targets[0].Runs())
+	for range slots {
+		go func() { _ = call(&http.Client{}, r.vms[0], request{path: "/stock/1", key: key}) }()
+	}
+	r.eventually("every slot is taken", func() bool { return len(r.targets[0].Runs()) == before+slots })
+	waiting := make(chan answer, 1)
+	go func() { waiting <- call(&http.Client{}, r.vms[0], request{path: "/stock/late", key: second}) }()
+	r.withdraw(r.vms[0], id)
+	a := <-waiting
+	assert.Assert(t, a.status != http.StatusOK, "a withdrawn key's request ran: %+v", a)
+	assert.Equal(t, a.outcome, "notRun")
+	for _, run := range r.targets[0].Runs() {
+		assert.Assert(t, run.URI != "/stock/late")
+	}
+}
--- a/e2e/rig_test.go
+++ b/e2e/rig_test.go
@@ -335,9 +335,12 @@
 	}
 }
 
+// slots is how many requests a target of the rig runs at once.
+const slots = 16
+
 // deployment is one service on all the rig's targets, with an open route.
 func (r *rig) deployment() thconfig.Deployment {
-	s := thconfig.Service{Name: "inventory", Slots: 16, Connections: 300, Floor: 0.5, TimeoutMillis: 3000}
+	s := thconfig.Service{Name: "inventory", Slots: slots, Connections: 300, Floor: 0.5, TimeoutMillis: 3000}
 	for i := range r.targets {
 		s.Targets = append(s.Targets, thconfig.Target{Address: r.targetAddress(i), Zone: string(rune('a' + i%3))})
 	}
--- a/io/thagree/agreement.go
+++ b/io/thagree/agreement.go
@@ -36,6 +36,8 @@
 	Log      thevent.Logger
 	// Seeds are peer addresses to ask while the roster is not known.
 	Seeds []string
+	// Board takes the configuration and the freshness; nil makes one.
+	Board *thboard.Board
 }
 
 // Agreement is one VM's part in the agreement. Make one with New.
@@ -49,9 +51,8 @@
 	log    thevent.Logger
 	seeds  []string
 
-	// config and deadline are what the request path reads.
-	config   thboard.Cell[thconfig.Config]
-	deadline thboard.Cell[thclock.Instant]
+	// board is what the request path reads.
+	board *thboard.Board
 
 	// mu guards what follows; it is held for decisions only, never for calls.
 	mu       sync.Mutex
@@ -80,8 +81,12 @@
 	if o.Clock == nil {
 		o.Clock = thclock.System{}
 	}
+	if o.Board == nil {
+		o.Board = new(thboard.Board)
+	}
 	return &Agreement{
-		self: o.Self, chain: chain{o.Platform}, client: o.Client, clock: o.Clock, log: o.Log, seeds: o.Seeds,
+		board: o.Board,
+		self:  o.Self, chain: chain{o.Platform}, client: o.Client, clock: o.Clock, log: o.Log, seeds: o.Seeds,
 		node:    throster.NewNode(o.Self),
 		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		changed: make(chan struct{}),
@@ -90,15 +95,15 @@
 }
 
 // Config returns the configuration in force. It takes no lock.
-func (a *Agreement) Config() thconfig.Config { return a.config.Load() }
+func (a *Agreement) Config() thconfig.Config { return a.board.Config.Load() }
 
 // Roster returns the roster of that configuration. It takes no lock.
-func (a *Agreement) Roster() throster.Roster { return a.config.Load().Roster() }
+func (a *Agreement) Roster() throster.Roster { return a.board.Config.Load().Roster() }
 
 // CheckFresh returns nil while no accepted change can be unknown to this VM,
 // and NotFresh otherwise. It takes no lock.
 func (a *Agreement) CheckFresh() error {
-	if a.clock.Now().Passed(a.deadline.Load()) {
+	if a.clock.Now().Passed(a.board.FreshUntil.Load()) {
 		return errNotFresh
 	}
 	return nil
@@ -191,10 +196,11 @@
 
 // publish shows the request path what the node knows; a.mu is held.
 func (a *Agreement) publish() {
-	a.deadline.Store(a.node.Deadline())
-	if a.config.Load().Version() != a.records.Version() {
-		a.config.Store(a.records.Config())
+	// The configuration goes first: who sees the new deadline sees it too.
+	if a.board.Config.Load().Version() != a.records.Version() {
+		a.board.Config.Store(a.records.Config())
 	}
+	a.board.FreshUntil.Store(a.node.Deadline())
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
--- a/io/thcaller/server.go
+++ b/io/thcaller/server.go
@@ -204,7 +204,7 @@
 	if !ok {
 		return therror.New(therror.KeyUnknown, "the key is not in force")
 	}
-	q.Customer = customer
+	q.Customer, q.KeyID = customer, thconfig.KeyID(key)
 	if !found {
 		return therror.New(therror.RouteUnknown, "no route for this path")
 	}
--- a/io/thvm/vm.go
+++ b/io/thvm/vm.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"tamarackhollow/core/thboard"
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
@@ -20,6 +21,7 @@
 	"tamarackhollow/io/thburns"
 	"tamarackhollow/io/thcaller"
 	"tamarackhollow/io/thclaims"
+	"tamarackhollow/io/thgate"
 	"tamarackhollow/io/thgrant"
 	"tamarackhollow/io/thmetrics"
 	"tamarackhollow/io/thoperator"
@@ -43,6 +45,7 @@
 	self      throster.VM
 	log       thevent.Logger
 	clock     thclock.Clock
+	board     thboard.Board
 	pool      *thpool.Pool
 	platform  *thplatform.Client
 	agreement *thagree.Agreement
@@ -121,18 +124,19 @@
 	wire := thwire.NewClient(identity)
 
 	v.agreement = thagree.New(thagree.Options{
-		Self: v.self, Platform: v.platform, Client: wire, Clock: v.clock, Log: v.log, Seeds: t.Peers.Seeds,
+		Self: v.self, Platform: v.platform, Client: wire, Clock: v.clock, Log: v.log, Seeds: t.Peers.Seeds, Board: &v.board,
 	})
 	v.limiter = thgrant.New(thgrant.Options{
-		Self: v.self, Roster: v.agreement.Roster, CheckFresh: v.agreement.CheckFresh, Config: v.agreement.Config,
+		Self: v.self, Roster: v.agreement.Roster, CheckFresh: v.agreement.CheckFresh, Config: v.board.Config.Load,
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
 	v.sender = thtarget.New(thtarget.Options{LocalIP: t.LocalIP(), Clock: v.clock, Log: v.log, VMs: func() int { return v.agreement.Roster().Len() }})
+	gate := thgate.Gate{Next: v.sender, Config: v.board.Config.Load, CheckFresh: v.agreement.CheckFresh, Clock: v.clock}
 	v.guard = thquarantines.New(thquarantines.Options{
-		Sender: v.sender, Clock: v.clock, Log: v.log, Self: v.self, Client: wire, Roster: v.agreement.Roster,
+		Sender: gate, Clock: v.clock, Log: v.log, Self: v.self, Client: wire, Roster: v.agreement.Roster,
 	})
 	v.balance = thbalance.New(thbalance.Options{
-		Self: v.self, Roster: v.agreement.Roster, Config: v.agreement.Config, Sender: v.guard, Blame: v.guard,
+		Self: v.self, Roster: v.agreement.Roster, Config: v.board.Config.Load, Sender: v.guard, Blame: v.guard,
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
 	v.claims = thclaims.New(thclaims.Options{
@@ -140,12 +144,12 @@
 		Peers: thclaims.NewPeers(wire), Roster: v.agreement.Roster,
 	})
 	v.burns = thburns.New(thburns.Options{
-		Self: v.self, Config: v.agreement.Config, Roster: v.agreement.Roster, Platform: v.platform,
+		Self: v.self, Config: v.board.Config.Load, Roster: v.agreement.Roster, Platform: v.platform,
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
 	v.seen = thmetrics.NewRequests()
 	v.callers = thcaller.New(thcaller.Options{
-		Config: v.agreement.Config, CheckFresh: v.agreement.CheckFresh, Limiter: v.limiter, Runner: v,
+		Config: v.board.Config.Load, CheckFresh: v.agreement.CheckFresh, Limiter: v.limiter, Runner: v,
 		Clock: v.clock, Record: v.record, Ready: v.agreement.Ready, MaxBodyBytes: t.Requests.MaxBody(),
 		IDPrefix: v.self.ID + "-" + strconv.FormatUint(v.self.Incarnation, 36),
 	})
