throster: find a restarted VM at its new address

Cause: a VM that came back under its ID at another address while the store was down was heard but never asked, so that it counted for nobody.

Ruled out, after a try: letting a VM with a new ID adopt the seat of one that is gone, so that replacements count during an outage. Counting the gone as having acknowledged needs that nobody else can speak for them; the mend would be to carry every claim along until the old roster is settled and to have the adopter acknowledge for it.

Change: a claim brings the peer address along with the incarnation, overrides hand it on, and whoever is drawn is asked there.

Conclusion: a VM that is replaced under its old ID, wherever it runs, counts again without the store; one under a new ID serves but does not count until the store is back.

--- a/core/throster/accept.go
+++ b/core/throster/accept.go
@@ -82,8 +82,17 @@
 	var out []VM
 	for i, v := range n.Roster().VMs() {
 		if v.ID != n.self.ID && n.seats[i].acked < version {
-			out = append(out, v)
+			out = append(out, n.peer(i))
 		}
 	}
 	return out
 }
+
+// peer returns the VM of the roster with the address of its newest incarnation.
+func (n *Node) peer(i int) VM {
+	v := n.Roster().VMs()[i]
+	if address := n.seats[i].address; address != "" {
+		v.PeerAddress = address
+	}
+	return v
+}
--- a/core/throster/exchange.go
+++ b/core/throster/exchange.go
@@ -22,6 +22,7 @@
 	Version     uint64 `json:"version"`
 	ID          string `json:"id"`
 	Incarnation uint64 `json:"incarnation"`
+	PeerAddress string `json:"peerAddress,omitempty"`
 	// Seats sums up the incarnations that the asker knows of.
 	Seats uint64 `json:"seats"`
 	// Brief asks for the peer's own state alone.
@@ -32,6 +33,7 @@
 type Override struct {
 	ID          string `json:"id"`
 	Incarnation uint64 `json:"incarnation"`
+	PeerAddress string `json:"peerAddress,omitempty"`
 }
 
 // Answer is what a peer knew at some moment after the question was sent.
@@ -59,13 +61,16 @@
 
 // Ask returns the question to put to a peer now.
 func (n *Node) Ask() Question {
-	return Question{Version: n.version, ID: n.self.ID, Incarnation: n.self.Incarnation, Seats: sumOverrides(n.overrides())}
+	return Question{
+		Version: n.version, ID: n.self.ID, Incarnation: n.self.Incarnation, PeerAddress: n.self.PeerAddress,
+		Seats: sumOverrides(n.overrides()),
+	}
 }
 
 // Answer answers a question. An incarnation that the node learns of from the
 // question is on record before the answer leaves.
 func (n *Node) Answer(now thclock.Instant, q Question) Answer {
-	n.learnIncarnation(q.ID, q.Incarnation)
+	n.learnIncarnation(Override{ID: q.ID, Incarnation: q.Incarnation, PeerAddress: q.PeerAddress})
 	n.selfAcks()
 	os := n.overrides()
 	a := Answer{
@@ -212,15 +217,15 @@
 	}
 }
 
-func (n *Node) learnIncarnation(id string, incarnation uint64) {
-	if s := n.seat(id); s != nil && incarnation > s.incarnation {
-		*s = seat{incarnation: incarnation}
+func (n *Node) learnIncarnation(o Override) {
+	if s := n.seat(o.ID); s != nil && o.Incarnation > s.incarnation {
+		*s = seat{incarnation: o.Incarnation, address: o.PeerAddress}
 	}
 }
 
 func (n *Node) learnOverrides(a Answer) {
 	for _, o := range a.Overrides {
-		n.learnIncarnation(o.ID, o.Incarnation)
+		n.learnIncarnation(o)
 	}
 }
 
@@ -228,8 +233,8 @@
 func (n *Node) overrides() []Override {
 	var os []Override
 	for i, v := range n.Roster().VMs() {
-		if now := n.seats[i].incarnation; now > v.Incarnation {
-			os = append(os, Override{ID: v.ID, Incarnation: now})
+		if s := n.seats[i]; s.incarnation > v.Incarnation {
+			os = append(os, Override{ID: v.ID, Incarnation: s.incarnation, PeerAddress: s.address})
 		}
 	}
 	return os
--- a/core/throster/node.go
+++ b/core/throster/node.go
@@ -26,6 +26,8 @@
 	heard thclock.Instant
 	// acked is the version that the member is known to have reached.
 	acked uint64
+	// address is where to ask the incarnation, if not where the roster says.
+	address string
 }
 
 // Node decides what one VM knows for certain: whether it is fresh, which
--- a/core/throster/node_test.go
+++ b/core/throster/node_test.go
@@ -99,6 +99,21 @@
 	assert.Assert(t, f.nodes["b"].Voter())
 }
 
+func TestRestartedVMIsAskedAtItsNewAddress(t *testing.T) {
+	f := newFleet("a", "b", "c")
+	moved := throster.NewNode(throster.VM{ID: "b", Incarnation: 2, PeerAddress: "127.0.0.9:1"})
+	moved.Advance(1, f.roster)
+	f.nodes["b"] = moved
+	f.ask("b", "a")
+	f.ask("c", "a")
+	f.nodes["c"].Advance(2, f.roster)
+	for _, v := range f.nodes["c"].Lacking(2) {
+		if v.ID == "b" {
+			assert.Equal(t, v.PeerAddress, "127.0.0.9:1")
+		}
+	}
+}
+
 func TestMinorityIsNotFresh(t *testing.T) {
 	f := newFleet("a", "b", "c", "d")
 	f.ask("a", "b")
--- a/core/throster/schedule.go
+++ b/core/throster/schedule.go
@@ -91,7 +91,7 @@
 		if doubtful && rng.IntN(rarely) > 0 {
 			continue
 		}
-		out = append(out, vs[i])
+		out = append(out, n.peer(i))
 	}
 	return out
 }
--- a/io/thagree/agreement.go
+++ b/io/thagree/agreement.go
@@ -132,7 +132,7 @@
 	a.reading = a.reading || read
 	news := a.news(d.Tell)
 	join := a.joinDue(now)
-	snapshot := a.snapshotDue()
+	snapshot, store := a.snapshotDue()
 	list := a.listDue(now)
 	a.mu.Unlock()
 
@@ -148,8 +148,8 @@
 	if join {
 		a.submit(p, func() { a.join(ctx) })
 	}
-	if snapshot {
-		a.submit(p, func() { a.storeSnapshot(ctx) })
+	if store {
+		a.submit(p, func() { a.storeSnapshot(ctx, snapshot) })
 	}
 	if list {
 		a.submit(p, func() { a.readList(ctx) })
