--- a/core/throute/retry.go
+++ b/core/throute/retry.go
@@ -19,7 +19,7 @@
 	failureShare = 0.2
 	// shedShare is how many repeats of shed requests one success pays for. A
 	// shed request costs its target next to nothing.
-	shedShare = 0.5
+	shedShare = 1.0
 	// budgetStart is the credit, in repeats, of a service without successes.
 	budgetStart = 3
 	// budgetMax bounds the saved-up credit, in repeats.
@@ -36,9 +36,9 @@
 }
 
 // WithRepeat returns the budget after one repeat that costs the given share of
-// a whole one, and false if there is no credit left for it.
-func (b Budget) WithRepeat(cost float64) (Budget, bool) {
-	if budgetStart+b.earned-b.spent < cost {
+// a whole one, and false if that would leave less credit than the reserve.
+func (b Budget) WithRepeat(cost, reserve float64) (Budget, bool) {
+	if budgetStart+b.earned-b.spent < cost+reserve {
 		return b, false
 	}
 	b.spent += cost
@@ -78,7 +78,8 @@
 }
 
 // NotRun reports whether the attempt surely did not run the request: no byte
-// of it left, or the target says that it shed it.
+// of it left, or the target says that it shed it. An answer of any other kind
+// shows that it ran, whatever the attempt says of what was sent.
 func NotRun(q *threquest.Request, a threquest.Attempt) bool {
 	if a.Err != nil {
 		return !a.Sent
@@ -97,7 +98,7 @@
 		return Repeat{Pause: shedPause << min(n-1, maxShedAttempts), Cost: failureShare / shedShare}
 	case a.Err == nil && (a.Answer == nil || !isServerFailure(a.Answer.Status)):
 		return Deliver{}
-	case n >= maxFailureAttempts || a.Sent && !q.RepeatSafe():
+	case n >= maxFailureAttempts || !NotRun(q, a) && !q.RepeatSafe():
 		return giveUp(a)
 	case therror.Is(a.Err, therror.CallerGone):
 		return giveUp(a)
--- a/io/thclaims/finisher.go
+++ b/io/thclaims/finisher.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tamarackhollow/core/thclaim"
@@ -17,72 +19,165 @@
 	// maxPending bounds the claims whose end the store has not taken; beyond
 	// it the oldest stay as they are, which refuses their resends.
 	maxPending = 4096
+	// maxPendingBytes bounds the recorded answers among them; beyond it, only
+	// that the request ran is recorded.
+	maxPendingBytes = 8 << 20
+	// finishTogether is how many ends are written side by side, so that they
+	// share transactions.
+	finishTogether = maxBatch
 )
 
 // finisher writes the ends of claims and keeps those that the store did not
-// take, to write them later.
+// take, to write them later. Until an end is written, this VM goes by it.
 type finisher struct {
-	claims  *Claims
-	mu      sync.Mutex
-	running int
-	waiting []thclaim.Held
+	claims *Claims
+	mu     sync.Mutex
+	// ends holds the claims whose ends are not known to be written, by their
+	// rows' keys.
+	ends map[string]*ending
+	// bytes are of the answers in ends.
+	bytes int
+}
+
+// ending is a claim whose end is to be written.
+type ending struct {
+	held thclaim.Held
+	// busy is set while somebody writes it.
+	busy bool
 }
 
 // start writes the claim's end in the background and returns a channel that is
 // closed after the first try.
 func (f *finisher) start(h thclaim.Held) <-chan struct{} {
 	done := make(chan struct{})
-	f.mu.Lock()
-	f.running++
-	f.mu.Unlock()
+	e, ok := f.keep(h, true)
+	if !ok {
+		close(done)
+		return done
+	}
 	go func() {
 		defer close(done)
-		ok := f.write(h)
-		f.mu.Lock()
-		f.running--
-		f.mu.Unlock()
-		if !ok {
-			f.keep(h)
-		}
+		f.finish(e)
 	}()
 	return done
 }
 
-// keep keeps a claim to write its end later.
-func (f *finisher) keep(h thclaim.Held) {
+// keep keeps a claim to write its end, and reports whether there was room.
+func (f *finisher) keep(h thclaim.Held, busy bool) (*ending, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.waiting) < maxPending {
-		f.waiting = append(f.waiting, h)
+	if len(f.ends) >= maxPending {
+		f.claims.options.Log.Log(thevent.ClaimUnresolved, thevent.F("claim", h.Key))
+		return nil, false
+	}
+	if f.ends == nil {
+		f.ends = make(map[string]*ending)
+	}
+	h = f.slimmed(h)
+	f.forget(f.ends[h.Key])
+	e := &ending{held: h, busy: busy}
+	f.ends[h.Key] = e
+	f.bytes += answerBytes(h)
+	return e, true
+}
+
+// slimmed takes the answer out of the claim if there is no room for it.
+func (f *finisher) slimmed(h thclaim.Held) thclaim.Held {
+	if answerBytes(h) == 0 || f.bytes+answerBytes(h) <= maxPendingBytes {
+		return h
+	}
+	dropped := thclaim.Answer{Status: h.Claim.Answer.Status, Dropped: true}
+	h.Claim = h.Claim.WithState(h.Claim.State, &dropped)
+	return h
+}
+
+func answerBytes(h thclaim.Held) int {
+	if h.Claim.Answer == nil {
+		return 0
+	}
+	return len(h.Claim.Answer.Body)
+}
+
+// forget drops a claim; the lock is held.
+func (f *finisher) forget(e *ending) {
+	if e == nil {
 		return
 	}
-	f.claims.options.Log.Log(thevent.ClaimUnresolved, thevent.F("claim", h.Key))
+	f.bytes -= answerBytes(e.held)
+	delete(f.ends, e.held.Key)
+}
+
+// finish tries to write the end, and forgets the claim if that is done.
+func (f *finisher) finish(e *ending) bool {
+	ok := f.write(e.held)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e.busy = false
+	if ok && f.ends[e.held.Key] == e {
+		f.forget(e)
+	}
+	return ok
+}
+
+// ended returns the row as it will stand once a claim's end is written, if
+// this VM knows that it ended.
+func (f *finisher) ended(key string) (thstore.Row, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.ends[key]
+	if e == nil || e.held.Version == 0 {
+		return thstore.Row{}, false
+	}
+	return thstore.Row{Key: key, Version: e.held.Version + 1, Value: e.held.Claim.Encode()}, true
 }
 
 func (f *finisher) pending() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.running + len(f.waiting)
+	return len(f.ends)
 }
 
-// retry tries each waiting claim once more.
-func (f *finisher) retry() {
+// idle returns the ends that nobody writes, and takes them.
+func (f *finisher) idle() []*ending {
 	f.mu.Lock()
-	hs := f.waiting
-	f.waiting = nil
-	f.mu.Unlock()
-	for i, h := range hs {
-		if f.write(h) {
-			continue
+	defer f.mu.Unlock()
+	var es []*ending
+	for _, e := range f.ends {
+		if !e.busy {
+			e.busy = true
+			es = append(es, e)
 		}
-		// The store is down: the others would only wait for it one by one.
-		for _, h := range hs[i:] {
-			f.keep(h)
+	}
+	return es
+}
+
+// retry tries each waiting claim once more, some side by side, until the store
+// fails.
+func (f *finisher) retry() {
+	var down atomic.Bool
+	for es := range slices.Chunk(f.idle(), finishTogether) {
+		var wait sync.WaitGroup
+		for _, e := range es {
+			if down.Load() {
+				f.release(e)
+				continue
+			}
+			wait.Go(func() {
+				if !f.finish(e) {
+					down.Store(true)
+				}
+			})
 		}
-		return
+		wait.Wait()
 	}
 }
 
+func (f *finisher) release(e *ending) {
+	f.mu.Lock()
+	e.busy = false
+	f.mu.Unlock()
+}
+
 // write reports whether nothing is left to be written.
 func (f *finisher) write(h thclaim.Held) bool {
 	if h.Version == 0 {
