--- a/io/thagree/agreement.go
+++ b/io/thagree/agreement.go
@@ -62,6 +62,8 @@
 	asking   int
 	reading  bool
 	wasFresh bool
+	// older says that the store last offered a version that had been passed.
+	older    bool
 	leaving  bool
 	changed  chan struct{}
 	nextJoin thclock.Instant
--- a/io/thagree/apply.go
+++ b/io/thagree/apply.go
@@ -16,6 +16,8 @@
 const (
 	// spreadAtOnce bounds the calls under way while a change is spread.
 	spreadAtOnce = 128
+	// applyTimeout bounds the tries to store a change.
+	applyTimeout = 10 * time.Second
 	// acceptTimeout bounds the wait for a majority.
 	acceptTimeout = 2 * time.Second
 	conflictPause = 20 * time.Millisecond
@@ -87,6 +89,8 @@
 	if changeID == "" {
 		changeID = a.randomID()
 	}
+	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
+	defer cancel()
 	unknown := false
 	for {
 		v, again, err := a.storeOnce(ctx, changeID, precondition, w)
@@ -103,6 +107,8 @@
 
 // storeOnce tries once, and reports whether another try can tell more.
 func (a *Agreement) storeOnce(ctx context.Context, changeID string, precondition uint64, w wish) (version uint64, again bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	h, err := a.follow(ctx)
 	if err != nil {
 		return 0, false, err
--- a/io/thagree/follow.go
+++ b/io/thagree/follow.go
@@ -34,9 +34,11 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.node.HeadRead(sent, had, h.Version) {
+	proved := a.node.HeadRead(sent, had, h.Version)
+	again := a.older
+	a.older = !proved
+	if !proved && !again {
 		a.log.Log(thevent.ConfigOlderIgnored, thevent.F("version", a.records.Version()), thevent.F("offered", h.Version))
-		return h, nil
 	}
 	a.publish()
 	return h, nil
