--- a/io/thagree/agreement.go
+++ b/io/thagree/agreement.go
@@ -63,6 +63,8 @@
 	asking   int
 	reading  bool
 	wasFresh bool
+	// older says that the store last offered a version that had been passed.
+	older    bool
 	leaving  bool
 	changed  chan struct{}
 	nextJoin thclock.Instant
@@ -137,7 +139,7 @@
 	a.reading = a.reading || read
 	news := a.news(d.Tell)
 	join := a.joinDue(now)
-	snapshot := a.snapshotDue()
+	snapshot, store := a.snapshotDue()
 	list := a.listDue(now)
 	a.mu.Unlock()
 
@@ -153,8 +155,8 @@
 	if join {
 		a.submit(p, func() { a.join(ctx) })
 	}
-	if snapshot {
-		a.submit(p, func() { a.storeSnapshot(ctx) })
+	if store {
+		a.submit(p, func() { a.storeSnapshot(ctx, snapshot) })
 	}
 	if list {
 		a.submit(p, func() { a.readList(ctx) })
