thtarget: take the balancer's share of connections

Cause: the cap was Service.Connections over all VMs. With 460 VMs that is one connection, though each VM uses only some of the targets and the balancer reckons with two: the second request at a time was refused with queueFull. Ruled out: leaving the cap to the balancer alone: a cancelled attempt's connection may still be open when the next one begins. Change: the share comes from throute.Place, as the balancer's does. Conclusion: one reckoning for both.

--- a/io/thtarget/client.go
+++ b/io/thtarget/client.go
@@ -17,6 +17,7 @@
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/threquest"
+	"tamarackhollow/core/throute"
 	"tamarackhollow/io/thpool"
 )
 
@@ -101,17 +102,19 @@
 	return p
 }
 
-// share returns how many connections this VM may hold to a target.
+// share returns how many connections this VM may hold to a target. Where the
+// budget is scarce, each VM uses some of the targets, and the balancer reckons
+// with the same share.
 func (c *Client) share(q *threquest.Request) int {
-	all := q.Service.Connections
-	if all <= 0 {
-		all = defaultConnections
+	if q.Service.Connections <= 0 {
+		return defaultConnections
 	}
-	vms := 1
+	place := throute.Place{VMs: 1}
 	if c.options.VMs != nil {
-		vms = max(1, c.options.VMs())
+		place.VMs = c.options.VMs()
 	}
-	return max(1, all/vms)
+	_, each := place.Connections(q.Service)
+	return each
 }
 
 // Send makes one attempt. Its answer, if there is one, is whole and was read
--- a/io/thtarget/reuse_test.go
+++ b/io/thtarget/reuse_test.go
@@ -7,8 +7,13 @@
 	"testing"
 	"time"
 
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/threquest"
+	"tamarackhollow/core/throute"
+	"tamarackhollow/io/thtarget"
 
 	"gotest.tools/v3/assert"
 )
@@ -200,3 +205,42 @@
 	}
 	assert.Equal(t, s.connections(), 0)
 }
+
+// TestShareFollowsTheSubset has so many VMs that each uses some of a service's
+// targets only, with two connections to each, and not a part of one to all.
+func TestShareFollowsTheSubset(t *testing.T) {
+	const vms = 460
+	s := newScripted(t, func(s *scripted, p *peer) {
+		if _, ok := p.request(); !ok {
+			return
+		}
+		<-s.ended
+	})
+	c := thtarget.New(thtarget.Options{Clock: thclock.System{}, Log: thevent.Discard{}, VMs: func() int { return vms }})
+	defer c.Close()
+	big := service
+	big.Targets = make([]thconfig.Target, 60)
+	_, each := throute.Place{VMs: vms}.Connections(big)
+	assert.Equal(t, each, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	for i := range each {
+		go func() {
+			q := newRequest(fmt.Sprint(i), "GET", patience)
+			q.Service = big
+			_ = c.Send(ctx, s.address(), q)
+			done <- struct{}{}
+		}()
+	}
+	for s.connections() < each {
+		time.Sleep(time.Millisecond)
+	}
+	q := newRequest("over", "GET", patience)
+	q.Service = big
+	a := c.Send(ctx, s.address(), q)
+	assert.Equal(t, therror.KindOf(a.Err), therror.QueueFull)
+	cancel()
+	for range each {
+		<-done
+	}
+}
