--- a/core/thhealth/judge.go
+++ b/core/thhealth/judge.go
@@ -62,11 +62,14 @@
 	othersShare = 0.5
 	// slowExcess is by how much more of its answers a sick target's are slow.
 	slowExcess = 0.25
-	// The prior stands in for the other targets while they have few requests.
-	priorRequests = 20.0
-	priorFailed   = 0.1
-	priorSlow     = 1.0
-	priorStalled  = 0.1
+	// The prior adds requests of a usual service to those of the other targets:
+	// at most so many, and at most so large a part of them.
+	priorRequests = 2.0
+	priorPart     = 0.1
+	// The shares of the prior's requests that failed or were slow.
+	priorFailed  = 0.005
+	priorSlow    = 0.05
+	priorStalled = 0.005
 	// stalledExcess is like slowExcess for answers that are extremely slow.
 	stalledExcess = 0.1
 )
@@ -215,11 +218,16 @@
 	if target.Requests < p.Evidence*evidenceSlack {
 		return ratios{}
 	}
-	n1, n2 := target.Requests, rest.Requests+priorRequests
+	// Where the others have few requests too, the prior must not outweigh them.
+	prior := min(priorRequests, priorPart*rest.Requests)
+	n1, n2 := target.Requests, rest.Requests+prior
+	if n2 <= 0 {
+		return ratios{}
+	}
 	return ratios{
-		failed:  excess(n1, target.Failed, n2, rest.Failed+priorFailed, p.FailureShare),
-		slow:    excess(n1, target.Slow, n2, rest.Slow+priorSlow, slowExcess),
-		stalled: excess(n1, target.Stalled, n2, rest.Stalled+priorStalled, stalledExcess),
+		failed:  excess(n1, target.Failed, n2, rest.Failed+priorFailed*prior, p.FailureShare),
+		slow:    excess(n1, target.Slow, n2, rest.Slow+priorSlow*prior, slowExcess),
+		stalled: excess(n1, target.Stalled, n2, rest.Stalled+priorStalled*prior, stalledExcess),
 	}
 }
 
--- a/core/throute/balancer.go
+++ b/core/throute/balancer.go
@@ -159,7 +159,7 @@
 	if b.expectedWait(q.Customer.Name) > q.Deadline.Sub(now) {
 		return nil, therror.New(therror.QueueFull, "the request would wait past its deadline")
 	}
-	dropped, err := b.queue.Push(Waiting[W]{Item: w, Customer: q.Customer.Name, Cost: bodyCost(q), Deadline: q.Deadline})
+	dropped, err := b.queue.Push(Waiting[W]{Item: w, Customer: q.Customer.Name, Cost: bodyCost(q), Deadline: q.Deadline, Since: now})
 	for _, d := range dropped {
 		displaced = append(displaced, d.Item)
 	}
@@ -180,6 +180,13 @@
 // less time left is refused rather than run for nothing.
 func (b *Balancer[W]) leastTime() time.Duration { return b.reference.Median() * 3 / 2 }
 
+const (
+	// staleFactor and minStale say when a queue is served newest first: many
+	// median latencies, so that a short burst keeps its order.
+	staleFactor = 4
+	minStale    = 100 * time.Millisecond
+)
+
 // turnMemory is how many turns their mean time remembers.
 const turnMemory = 32
 
@@ -195,6 +202,7 @@
 	b.finish(q.Customer.Name)
 	b.turnTime += (took - b.turnTime) / turnMemory
 	late := now.Add(b.leastTime())
+	b.queue.Stale = max(staleFactor*b.reference.Median(), minStale)
 	if m := b.reference.Median(); m > 0 && b.queue.Len() > 0 {
 		b.queue.Charge(q.Customer.Name, float64(took)/float64(m)-1)
 	}
--- a/core/throute/queue.go
+++ b/core/throute/queue.go
@@ -1,6 +1,8 @@
 package throute
 
 import (
+	"time"
+
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 )
@@ -22,6 +24,8 @@
 	// Cost is relative to an ordinary request; zero counts as one.
 	Cost     float64
 	Deadline thclock.Instant
+	// Since is when the request began to wait.
+	Since thclock.Instant
 }
 
 func (w Waiting[T]) cost() float64 {
@@ -35,6 +39,11 @@
 // by deficit round robin, so that each gets the same share however much the
 // others send. The zero Queue is empty.
 type Queue[T any] struct {
+	// Stale is how long a customer's oldest request may have waited before its
+	// newest goes first: then there are more than can be served, and serving
+	// them in order would serve them all late. Zero keeps the order.
+	Stale time.Duration
+
 	lines map[string]*line[T]
 	// sparse holds the customers that had nothing waiting until lately. They go
 	// first, for one quantum, so that few requests hardly wait for many.
@@ -133,7 +142,7 @@
 		}
 		if c := l.waiting[0].cost(); l.credit >= min(c, quantum) {
 			l.credit = max(l.credit-c, -maxDebt)
-			return q.shift(l), expired, true
+			return q.take(l, now), expired, true
 		}
 		q.rotate(l)
 	}
@@ -162,6 +171,19 @@
 	q.round = q.round[1:]
 }
 
+// take takes out the customer's oldest request, or its newest if the oldest is
+// stale.
+func (q *Queue[T]) take(l *line[T], now thclock.Instant) Waiting[T] {
+	if q.Stale <= 0 || now.Sub(l.waiting[0].Since) <= q.Stale {
+		return q.shift(l)
+	}
+	last := len(l.waiting) - 1
+	w := l.waiting[last]
+	l.waiting = l.waiting[:last]
+	q.size--
+	return w
+}
+
 func (q *Queue[T]) shift(l *line[T]) Waiting[T] {
 	w := l.waiting[0]
 	l.waiting = l.waiting[1:]
