--- a/io/thvm/vm.go
+++ b/io/thvm/vm.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"tamarackhollow/core/thburn"
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
@@ -53,10 +52,9 @@
 	guard     *thquarantines.Guard
 	claims    *thclaims.Claims
 	burns     *thburns.Burns
-	requests  *thmetrics.Requests
+	seen      *thmetrics.Requests
 	metrics   *thmetrics.Server
 	callers   *thcaller.Server
-	wire      *thwire.Client
 	peers     *thwire.Server
 	operators *thwire.Server
 	listeners listeners
@@ -121,7 +119,6 @@
 	v.platform = thplatform.New(thwire.NewClient(identity), t.Platform.Address, v.log)
 	identity.Credential = t.Peers.Credential
 	wire := thwire.NewClient(identity)
-	v.wire = wire
 
 	v.agreement = thagree.New(thagree.Options{
 		Self: v.self, Platform: v.platform, Client: wire, Clock: v.clock, Log: v.log, Seeds: t.Peers.Seeds,
@@ -146,8 +143,7 @@
 		Self: v.self, Config: v.agreement.Config, Roster: v.agreement.Roster, Platform: v.platform,
 		Client: wire, Clock: v.clock, Log: v.log,
 	})
-	v.requests = thmetrics.NewRequests()
-	v.metrics = thmetrics.NewServer(v.registry())
+	v.seen = thmetrics.NewRequests()
 	v.callers = thcaller.New(thcaller.Options{
 		Config: v.agreement.Config, CheckFresh: v.agreement.CheckFresh, Limiter: v.limiter, Runner: v,
 		Clock: v.clock, Record: v.record, Ready: v.agreement.Ready, MaxBodyBytes: t.Requests.MaxBody(),
@@ -168,6 +164,7 @@
 	o := &thoperator.Server{Fleet: fleet{v}, Peers: wire, Burn: v.burns.Report}
 	o.Register(v.operators)
 	o.RegisterPeers(v.peers)
+	v.metrics = thmetrics.NewServer(v.registry(wire))
 }
 
 // Run claims the request where that is needed and forwards it.
@@ -178,12 +175,6 @@
 	return v.claims.Run(ctx, q, v.balance.Forward)
 }
 
-// record counts what a caller saw.
-func (v *VM) record(o thburn.Observation, added time.Duration) {
-	v.burns.Record(o)
-	v.requests.Record(o, added)
-}
-
 func (v *VM) serve() {
 	v.peers.Start(v.listeners.peers)
 	v.operators.Start(v.listeners.operators)
