--- a/io/thclaims/claims_test.go
+++ b/io/thclaims/claims_test.go
@@ -186,3 +186,93 @@
 	assert.Assert(t, thclaim.Digest(a) != thclaim.Digest(b))
 	assert.Assert(t, thclaim.Key("ab", "c") != thclaim.Key("a", "bc"))
 }
+
+// TestOwnAnswerIsKnownAtOnce has the store take the claim and then hang: the
+// VM that ran the order gives its answer to a resend all the same.
+func TestOwnAnswerIsKnownAtOnce(t *testing.T) {
+	s := newFakeStore(1)
+	hang := make(chan struct{})
+	up := &target{answer: "done", before: func() {
+		s.set(func(s *fakeStore) {
+			s.before = func() bool {
+				<-hang
+				return true
+			}
+		})
+	}}
+	c := newClaims(s, "vm1")
+	first, err := c.Run(context.Background(), order("k", "one crate"), up.next)
+	assert.NilError(t, err)
+	again, err := c.Run(context.Background(), order("k", "one crate"), up.next)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, first, again)
+	_, err = c.Run(context.Background(), order("k", "two crates"), up.next)
+	assert.Equal(t, therror.KindOf(err), therror.ClaimMismatch)
+	close(hang)
+	settle(t, c)
+	assert.Equal(t, up.ran("k"), 1)
+}
+
+// TestEndWhoseAnswerIsLost has the store lose each answer while the order's
+// end is written: nobody is told afterwards that the order is running.
+func TestEndWhoseAnswerIsLost(t *testing.T) {
+	s := newFakeStore(1)
+	up := &target{answer: "done", before: func() {
+		s.set(func(s *fakeStore) { s.loseAnswers = 1 })
+	}}
+	one, two := newClaims(s, "vm1"), newClaims(s, "vm2")
+	_, err := one.Run(context.Background(), order("k", "one crate"), up.next)
+	assert.NilError(t, err)
+	settle(t, one)
+	s.set(func(s *fakeStore) { s.loseAnswers = 0 })
+	for _, c := range []*thclaims.Claims{one, two} {
+		a, err := c.Run(context.Background(), order("k", "one crate"), up.next)
+		assert.NilError(t, err)
+		assert.Equal(t, string(a.Body), "done")
+	}
+	assert.Equal(t, up.ran("k"), 1)
+}
+
+// TestPendingAnswersAreBounded has orders with large answers run while the
+// store is away. Their ends take bounded memory; once the store is back, each
+// resend gets the whole answer or is told that it is lost, and none runs again.
+func TestPendingAnswersAreBounded(t *testing.T) {
+	const orders, size = 150, 100 << 10
+	s := newFakeStore(1)
+	up := &target{answer: strings.Repeat("x", size)}
+	c := newClaims(s, "vm1")
+	var claimed, all sync.WaitGroup
+	claimed.Add(orders)
+	down := make(chan struct{})
+	up.before = func() {
+		claimed.Done()
+		<-down
+	}
+	for i := range orders {
+		all.Go(func() {
+			_, err := c.Run(context.Background(), order(fmt.Sprint(i), "crate"), up.next)
+			assert.Check(t, err)
+		})
+	}
+	claimed.Wait()
+	s.set(func(s *fakeStore) { s.down = true })
+	close(down)
+	all.Wait()
+	s.set(func(s *fakeStore) { s.down = false })
+	settle(t, c)
+	whole, lost := 0, 0
+	for i := range orders {
+		a, err := newClaims(s, "vm2").Run(context.Background(), order(fmt.Sprint(i), "crate"), up.next)
+		if err == nil {
+			assert.Equal(t, len(a.Body), size)
+			whole++
+		} else {
+			assert.Equal(t, therror.KindOf(err), therror.ClaimOutcomeLost)
+			lost++
+		}
+		assert.Equal(t, up.ran(fmt.Sprint(i)), 1)
+	}
+	// 8 MiB are what answers may take while they wait.
+	assert.Equal(t, whole, (8<<20)/size)
+	assert.Equal(t, lost, orders-whole)
+}
