--- a/core/throute/balancer.go
+++ b/core/throute/balancer.go
@@ -37,6 +37,9 @@
 	shrunk   thclock.Instant
 	holding  bool
 	notices  []Notice
+	// stirred is whether there is bad news since the targets were judged.
+	stirred bool
+	judged  thclock.Instant
 }
 
 // Notice is an event to be logged.
@@ -65,6 +68,7 @@
 		known[g.address] = g
 	}
 	before := b.spec
+	b.stirred = true
 	b.spec, b.policy, b.vms = spec, thhealth.NewPolicy(spec.Health), max(1, p.VMs)
 	b.targets = make([]*target, 0, len(spec.Targets))
 	for _, t := range p.Subset(spec) {
@@ -159,7 +163,7 @@
 	if b.expectedWait(q.Customer.Name) > q.Deadline.Sub(now) {
 		return nil, therror.New(therror.QueueFull, "the request would wait past its deadline")
 	}
-	dropped, err := b.queue.Push(Waiting[W]{Item: w, Customer: q.Customer.Name, Cost: bodyCost(q), Deadline: q.Deadline})
+	dropped, err := b.queue.Push(Waiting[W]{Item: w, Customer: q.Customer.Name, Cost: bodyCost(q), Deadline: q.Deadline, Since: now})
 	for _, d := range dropped {
 		displaced = append(displaced, d.Item)
 	}
@@ -180,6 +184,13 @@
 // less time left is refused rather than run for nothing.
 func (b *Balancer[W]) leastTime() time.Duration { return b.reference.Median() * 3 / 2 }
 
+const (
+	// staleFactor and minStale say when a queue is served newest first: many
+	// median latencies, so that a short burst keeps its order.
+	staleFactor = 4
+	minStale    = 100 * time.Millisecond
+)
+
 // turnMemory is how many turns their mean time remembers.
 const turnMemory = 32
 
@@ -195,6 +206,7 @@
 	b.finish(q.Customer.Name)
 	b.turnTime += (took - b.turnTime) / turnMemory
 	late := now.Add(b.leastTime())
+	b.queue.Stale = max(staleFactor*b.reference.Median(), minStale)
 	if m := b.reference.Median(); m > 0 && b.queue.Len() > 0 {
 		b.queue.Charge(q.Customer.Name, float64(took)/float64(m)-1)
 	}
