--- a/io/thgrant/limiter_test.go
+++ b/io/thgrant/limiter_test.go
@@ -106,9 +106,12 @@
 // forward sets the clock forward and waits until the limiters have noticed.
 func (g *rig) forward(d time.Duration) {
 	g.clock.ahead.Add(int64(d))
-	for _, m := range g.limiters {
-		seen := m.Stats().Follows
-		for m.Stats().Follows < seen+2 {
+	seen := make([]uint64, len(g.limiters))
+	for i, m := range g.limiters {
+		seen[i] = m.Stats().Follows
+	}
+	for i, m := range g.limiters {
+		for m.Stats().Follows < seen[i]+2 {
 			time.Sleep(time.Millisecond)
 		}
 	}
