--- a/core/thlimit/fault_test.go
+++ b/core/thlimit/fault_test.go
@@ -326,3 +326,20 @@
 	})
 	assert.Equal(t, len(f.admitted), 12)
 }
+
+func TestTokensGivenBackAreSpentNoMore(t *testing.T) {
+	u := thconfig.Customer{Name: "depot", Rate: slow, Burst: 1}
+	for name, giveBack := range map[string]func(*thlimit.Spender, *thlimit.Layout) int{
+		"stop":   func(s *thlimit.Spender, l *thlimit.Layout) int { return len(s.Close(l)) },
+		"recall": func(s *thlimit.Spender, _ *thlimit.Layout) int { return len(s.Recall(thlimit.Part{Customer: "depot"})) },
+		"end": func(s *thlimit.Spender, l *thlimit.Layout) int {
+			return len(s.Flush(start.Add(1900*time.Millisecond), l))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, l := holding(t, u)
+			assert.Equal(t, giveBack(s, l), 1)
+			assert.Assert(t, s.Admit(start, l, u, &thlimit.Try{}).Verdict != thlimit.Admitted)
+		})
+	}
+}
