--- a/io/thagree/fault_test.go
+++ b/io/thagree/fault_test.go
@@ -132,6 +132,48 @@
 	assert.Assert(t, all(vms, func(m *vm) bool { return m.Ready() }))
 }
 
+// hanging is a platform none of whose calls is answered in time.
+type hanging struct {
+	thstore.Platform
+	on atomic.Bool
+}
+
+func (h *hanging) wait(ctx context.Context) error {
+	if !h.on.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return therror.Wrap(therror.StoreUnavailable, ctx.Err(), "no answer in time")
+}
+
+func (h *hanging) ReadRow(ctx context.Context, key string) (thstore.Row, error) {
+	if err := h.wait(ctx); err != nil {
+		return thstore.Row{}, err
+	}
+	return h.Platform.ReadRow(ctx, key)
+}
+
+func (h *hanging) ListVMs(ctx context.Context) ([]thstore.VM, error) {
+	if err := h.wait(ctx); err != nil {
+		return nil, err
+	}
+	return h.Platform.ListVMs(ctx)
+}
+
+func TestStoreThatHangsIsNoWorseThanNone(t *testing.T) {
+	var platform thstoretest.Fake
+	vms := startFleet(t, &platform, 3)
+	slow := &hanging{Platform: &platform}
+	m := oddVM(t, slow, credential, thclock.System{}, vms[0].self.PeerAddress)
+	eventually(t, "joining", func() bool { return vms[0].Roster().Len() == 4 && m.Ready() })
+	slow.on.Store(true)
+	platform.SetDown(true)
+	_, err := m.Apply(context.Background(), "one", 0, template("t"))
+	assert.Assert(t, therror.Is(err, therror.StoreUnavailable), "%v", err)
+	time.Sleep(throster.FreshFor)
+	assert.Assert(t, m.Ready())
+}
+
 func TestChangeThatDoesNotCheckStoresNothing(t *testing.T) {
 	var platform thstoretest.Fake
 	vms := startFleet(t, &platform, 1)
