--- a/core/thhealth/row.go
+++ b/core/thhealth/row.go
@@ -100,7 +100,7 @@
 				s.Votes++
 			}
 		}
-		s.Peers[i] = p.Report.faded(now)
+		s.Peers[i] = p.faded(now)
 	}
 	return s
 }
