thlimit: take nothing over in answer to a pull under an older roster

Cause: a VM pulled a part, heard of a newer roster that gives the part to another, and then took the answer; it acted on without end beside the new home.

Change: the answer to a pull counts only under the layout that it was made by.

Figures: the kept script fails before and passes after.

--- a/core/thlimit/handover.go
+++ b/core/thlimit/handover.go
@@ -134,25 +134,32 @@
 	}
 }
 
+// pending is a pull on its way: when it was made, and under which layout.
+type pending struct {
+	at     thclock.Instant
+	layout *Layout
+}
+
 // StartPull returns a number for a pull that is made now.
 func (h *Home) StartPull(now thclock.Instant) uint64 {
-	for number, at := range h.pulls {
-		if now.Passed(at.Add(PullFor)) {
+	for number, o := range h.pulls {
+		if now.Passed(o.at.Add(PullFor)) {
 			delete(h.pulls, number)
 		}
 	}
 	h.lastPull++
-	h.pulls[h.lastPull] = now
+	l, _ := h.current()
+	h.pulls[h.lastPull] = pending{now, l}
 	return h.lastPull
 }
 
 // Inherit takes over what a former home has handed over in answer to a pull.
-// An answer that is late, or comes a second time, is of no effect: by then the
-// part may have gone on to another VM. It returns how many parts it took.
+// An answer that is late, comes a second time, or comes after a newer roster, is
+// of no effect: by then the part may have gone on to another VM. It returns how many parts it took.
 func (h *Home) Inherit(now thclock.Instant, pull uint64, es []Estate) int {
-	pulled, ok := h.pulls[pull]
+	o, ok := h.pulls[pull]
 	delete(h.pulls, pull)
-	if !ok || now.Passed(pulled.Add(PullFor)) {
+	if l, _ := h.current(); !ok || l != o.layout || now.Passed(o.at.Add(PullFor)) {
 		return 0
 	}
 	n := 0
--- a/core/thlimit/home.go
+++ b/core/thlimit/home.go
@@ -23,7 +23,7 @@
 	past     past
 	buckets  map[Part]*bucket
 	yielded  map[Part]yield
-	pulls    map[uint64]thclock.Instant
+	pulls    map[uint64]pending
 	lastPull uint64
 	// next is the layout without this VM, once it is about to stop.
 	next *Layout
@@ -61,7 +61,7 @@
 	return &Home{
 		self: self, freshFor: freshFor, wait: TakeoverWait(freshFor),
 		buckets: make(map[Part]*bucket), yielded: make(map[Part]yield),
-		pulls: make(map[uint64]thclock.Instant),
+		pulls: make(map[uint64]pending),
 	}
 }
 
--- a/core/thlimit/script_test.go
+++ b/core/thlimit/script_test.go
@@ -35,6 +35,9 @@
 		"a home that was stopped hears of its loss late": {3, 3, 3, 2, []stepKind{
 			"pause", "go", "flip", "leave", "pause", "burst", "drizzle", "drizzle", "drizzle", "drizzle",
 		}},
+		"an answer to a pull comes after a newer roster": {5, 3, 3, 0x7325d498e82, []stepKind{
+			"burst", "flip", "roster", "cut", "freeze", "go", "go", "leave", "flip", "go", "pause", "go", "go",
+		}},
 		"an answer to a pull comes twice": {3, 10, 5, 0x331af99, []stepKind{"leave", "leave", "go", "replace", "go", "leave"}},
 	} {
 		t.Run(name, func(t *testing.T) {
