--- a/io/thgrant/limiter.go
+++ b/io/thgrant/limiter.go
@@ -33,6 +33,8 @@
 	reportTimeout = time.Second
 	// flushInterval is how often tokens go back that nobody spends.
 	flushInterval = 100 * time.Millisecond
+	// mentionInterval is how often a customer is logged as out of reach.
+	mentionInterval = 10 * time.Second
 	// rosterInterval is how often the roster is looked at, besides at each ask.
 	rosterInterval = 200 * time.Millisecond
 )
@@ -67,6 +69,8 @@
 	homes      [shards]homeShard
 	spends     [shards]spendShard
 	count      counters
+	// member is set once the VM stands in an accepted roster.
+	member atomic.Bool
 	// offering is set while parts are being offered.
 	offering atomic.Bool
 	// asks runs the calls to homes; a call that finds no worker fails at once.
@@ -102,7 +106,10 @@
 // Start starts the limiter's controllers.
 func (m *Limiter) Start(p *thpool.Pool) {
 	m.adopt()
-	p.Every(rosterInterval, nil, func(context.Context) { m.adopt() })
+	p.Every(rosterInterval, nil, func(ctx context.Context) {
+		m.adopt()
+		m.follow(ctx)
+	})
 	p.Every(flushInterval, nil, m.flush)
 }
 
@@ -140,7 +147,9 @@
 
 func (m *Limiter) unreachable(u thconfig.Customer) error {
 	m.count.unavailable.Add(1)
-	m.o.Log.Log(thevent.LimitHomeUnreachable, thevent.F("customer", u.Name))
+	if m.spends[shardOf(u.Name)].mention(m.o.Clock.Now(), u.Name) {
+		m.o.Log.Log(thevent.LimitHomeUnreachable, thevent.F("customer", u.Name))
+	}
 	return therror.New(therror.LimitUnavailable, "the limit of customer %s is out of reach", u.Name)
 }
 
