--- a/io/thagree/agreement.go
+++ b/io/thagree/agreement.go
@@ -203,6 +203,7 @@
 		a.board.Config.Store(a.records.Config())
 	}
 	a.board.FreshUntil.Store(a.node.Deadline())
+	a.board.Accepted.Store(a.node.Accepted())
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
--- a/io/thvm/vm.go
+++ b/io/thvm/vm.go
@@ -128,7 +128,7 @@
 	})
 	v.limiter = thgrant.New(thgrant.Options{
 		Self: v.self, Roster: v.agreement.Roster, CheckFresh: v.agreement.CheckFresh, Config: v.board.Config.Load,
-		Client: wire, Clock: v.clock, Log: v.log,
+		Accepted: v.board.Accepted.Load, Client: wire, Clock: v.clock, Log: v.log,
 	})
 	v.sender = thtarget.New(thtarget.Options{LocalIP: t.LocalIP(), Clock: v.clock, Log: v.log, VMs: func() int { return v.agreement.Roster().Len() }})
 	gate := thgate.Gate{Next: v.sender, Config: v.board.Config.Load, CheckFresh: v.agreement.CheckFresh, Clock: v.clock}
