--- a/io/thagree/fault_test.go
+++ b/io/thagree/fault_test.go
@@ -174,6 +174,33 @@
 	assert.Assert(t, m.Ready())
 }
 
+// late is a platform whose reads of the head take longer than freshness lasts,
+// by the VM's wall clock.
+type late struct {
+	thstore.Platform
+	clock *steppedClock
+	reads atomic.Int64
+	on    atomic.Bool
+}
+
+func (l *late) ReadRow(ctx context.Context, key string) (thstore.Row, error) {
+	if l.on.Load() && key == "config/head" {
+		l.clock.ahead.Add(int64(throster.FreshFor))
+		l.reads.Add(1)
+	}
+	return l.Platform.ReadRow(ctx, key)
+}
+
+func TestHeadReadCountsFromWhenItWasSent(t *testing.T) {
+	var clock steppedClock
+	slow := &late{Platform: &thstoretest.Fake{}, clock: &clock}
+	m := oddVM(t, slow, credential, &clock, "127.0.0.1:1")
+	eventually(t, "the start", m.Ready)
+	slow.on.Store(true)
+	eventually(t, "late reads", func() bool { return slow.reads.Load() >= 3 })
+	assert.Assert(t, therror.Is(m.CheckFresh(), therror.NotFresh))
+}
+
 func TestChangeThatDoesNotCheckStoresNothing(t *testing.T) {
 	var platform thstoretest.Fake
 	vms := startFleet(t, &platform, 1)
