--- a/core/thboard/board.go
+++ b/core/thboard/board.go
@@ -22,6 +22,9 @@
 	// FreshUntil is until when no accepted change can be unknown to the VM. The
 	// agreement writes it.
 	FreshUntil Cell[thclock.Instant]
+	// Accepted is the highest version known to be accepted: a majority has it.
+	// The agreement writes it.
+	Accepted Cell[uint64]
 }
 
 // Cell holds one immutable value. Readers never wait. The zero Cell holds the
--- a/e2e/rig_test.go
+++ b/e2e/rig_test.go
@@ -174,12 +174,16 @@
 	return l
 }
 
-// reserve returns an address that was free a moment ago.
-func reserve(tb testing.TB, ip string) string {
+// reserve returns addresses that were free a moment ago, each another one.
+func reserve(tb testing.TB, ip string, n int) []string {
 	tb.Helper()
-	l := listen(tb, ip)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	addresses := make([]string, n)
+	for i := range addresses {
+		l := listen(tb, ip)
+		defer func() { _ = l.Close() }()
+		addresses[i] = l.Addr().String()
+	}
+	return addresses
 }
 
 // addVM prepares a VM with an IP address of its own, so that links can tell
@@ -187,10 +191,9 @@
 func (r *rig) addVM(i int) *vm {
 	r.t.Helper()
 	v := &vm{id: fmt.Sprintf("vm%d", i+1), ip: fmt.Sprintf("127.0.%d.%d", r.number, i+1), log: &syncBuffer{}}
-	v.callers = reserve(r.t, v.ip)
-	v.operator = reserve(r.t, v.ip)
-	v.metrics = reserve(r.t, v.ip)
-	inner := reserve(r.t, v.ip)
+	free := reserve(r.t, v.ip, 4)
+	v.callers, v.operator, v.metrics = free[0], free[1], free[2]
+	inner := free[3]
 	v.link = thstand.NewLink(listen(r.t, "127.0.0.1"), inner)
 	r.t.Cleanup(v.link.Close)
 	v.store = thstand.NewLink(listen(r.t, "127.0.0.1"), r.address)
