e2e: measure what a VM adds against the same targets

Cause: the direct calls all went to one target, the proxied ones to 24, so that the ratio fell below one. Ruled out: the VM being faster than a direct call.

--- a/e2e/path_bench_test.go
+++ b/e2e/path_bench_test.go
@@ -19,8 +19,8 @@
 	benchTargets    = 24
 )
 
-// BenchmarkAddedLatency sends at an even rate to a target directly and through
-// one VM, in the same run, and reports what the VM adds.
+// BenchmarkAddedLatency sends at an even rate to the targets directly, in turn,
+// and through one VM, in the same run, and reports what the VM adds.
 func BenchmarkAddedLatency(b *testing.B) {
 	for _, rate := range []int{100, 300, 1000, 2000} {
 		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
@@ -30,8 +30,8 @@
 				target.Behave(thstand.TargetBehaviour{LatencyMillis: benchTargetTime})
 			}
 			for range b.N {
-				direct := pace(b, rate, r.targets[0].Address(), key)
-				proxied := pace(b, rate, r.vms[0].callers, key)
+				direct := pace(b, rate, r.targetAddresses(), key)
+				proxied := pace(b, rate, []string{r.vms[0].callers}, key)
 				report(b, "p50", direct, proxied, 50)
 				report(b, "p99", direct, proxied, 99)
 			}
@@ -49,17 +49,18 @@
 
 // pace sends at the rate whether or not answers come, and measures from when
 // each request was due.
-func pace(b *testing.B, rate int, address, key string) *hdrhistogram.Histogram {
+func pace(b *testing.B, rate int, addresses []string, key string) *hdrhistogram.Histogram {
 	b.Helper()
-	c := &fasthttp.HostClient{Addr: address, MaxConns: 4096, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: time.Minute}
+	c := &fasthttp.Client{MaxConnsPerHost: 4096, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: time.Minute}
 	defer c.CloseIdleConnections()
 	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	gap := time.Second / time.Duration(rate)
 	began := time.Now()
-	for due := began; due.Sub(began) < benchSpan; due = due.Add(gap) {
+	for n, due := 0, began; due.Sub(began) < benchSpan; n, due = n+1, due.Add(gap) {
 		time.Sleep(time.Until(due))
+		address := addresses[n%len(addresses)]
 		all.Go(func() {
 			status := sendOne(c, address, key)
 			took := time.Since(due).Microseconds()
@@ -73,7 +74,15 @@
 	return h
 }
 
-func sendOne(c *fasthttp.HostClient, address, key string) int {
+func (r *rig) targetAddresses() []string {
+	addresses := make([]string, len(r.targets))
+	for i := range r.targets {
+		addresses[i] = r.targetAddress(i)
+	}
+	return addresses
+}
+
+func sendOne(c *fasthttp.Client, address, key string) int {
 	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(q)
 	defer fasthttp.ReleaseResponse(a)
