e2e: hold the slots until the key is withdrawn

Cause: TestKeyWithdrawnWhileTheRequestWaits failed once on a machine at a load of 30: the target's 1.5 s were over, or the request's 3 s, before the key was withdrawn, so that the request ran or ended rightly otherwise. Ruled out: a hole in the gate (the outcome was that of a late answer). Change: the target holds its slots until told, the service's timeout is the rig's patience, and the withdrawal comes only once the VM is seen to hold the request. The assertions stay. Conclusion: the verdict no longer depends on the machine's speed.

--- a/e2e/agree_test.go
+++ b/e2e/agree_test.go
@@ -161,14 +161,16 @@
 	assert.Equal(t, lost, 1)
 }
 
-// TestKeyWithdrawnWhileTheRequestWaits fills the only target's slots, has a
-// request wait in the queue, and withdraws its key meanwhile.
+// TestKeyWithdrawnWhileTheRequestWaits holds the only target's slots, has a
+// request wait in the queue, withdraws its key and then frees the slots.
 func TestKeyWithdrawnWhileTheRequestWaits(t *testing.T) {
 	r := newRig(t, 1, 1)
+	r.timeoutMillis = int(patience / time.Millisecond)
 	key := r.prepare(1000, 1000)
 	second, id := r.issue("depot")
 	r.everywhere(second, http.StatusOK)
-	r.targets[0].Behave(thstand.TargetBehaviour{LatencyMillis: 1500})
+	hold := make(chan struct{})
+	r.targets[0].Behave(thstand.TargetBehaviour{Hold: hold})
 	before := len(r.targets[0].Runs())
 	for range slots {
 		go func() { _ = call(&http.Client{}, r.vms[0], request{path: "/stock/1", key: key}) }()
@@ -176,10 +178,15 @@
 	r.eventually("every slot is taken", func() bool { return len(r.targets[0].Runs()) == before+slots })
 	waiting := make(chan answer, 1)
 	go func() { waiting <- call(&http.Client{}, r.vms[0], request{path: "/stock/late", key: second}) }()
+	r.eventually("the request waits in the VM", func() bool {
+		s, err := r.operator(r.vms[0]).Status(context.Background())
+		return err == nil && s.InFlight == slots+1
+	})
 	r.withdraw(r.vms[0], id)
+	close(hold)
 	a := <-waiting
 	assert.Assert(t, a.status != http.StatusOK, "a withdrawn key's request ran: %+v", a)
-	assert.Equal(t, a.outcome, "notRun")
+	assert.Equal(t, a.outcome, "notRun", "%+v", a)
 	for _, run := range r.targets[0].Runs() {
 		assert.Assert(t, run.URI != "/stock/late")
 	}
--- a/e2e/rig_test.go
+++ b/e2e/rig_test.go
@@ -73,11 +73,13 @@
 type rig struct {
 	t testing.TB
 	// number gives the rig IP addresses of its own.
-	number   int64
-	dir      string
-	platform *thstand.Platform
-	address  string
-	targets  []*thstand.Target
+	number int64
+	// timeoutMillis is the service's, in milliseconds.
+	timeoutMillis int
+	dir           string
+	platform      *thstand.Platform
+	address       string
+	targets       []*thstand.Target
 	// targetLinks lead to the targets in a linked rig.
 	targetLinks []*thstand.Link
 	vms         []*vm
@@ -127,7 +129,7 @@
 	if p, ok := tb.(*testing.T); ok {
 		p.Parallel()
 	}
-	r := &rig{t: tb, number: rigs.Add(1), dir: tb.TempDir(), platform: &thstand.Platform{}}
+	r := &rig{t: tb, number: rigs.Add(1), timeoutMillis: 3000, dir: tb.TempDir(), platform: &thstand.Platform{}}
 	l := listen(tb, "127.0.0.1")
 	r.address = l.Addr().String()
 	r.platform.Start(l, platformCredential)
@@ -343,7 +345,7 @@
 
 // deployment is one service on all the rig's targets, with an open route.
 func (r *rig) deployment() thconfig.Deployment {
-	s := thconfig.Service{Name: "inventory", Slots: slots, Connections: 300, Floor: 0.5, TimeoutMillis: 3000}
+	s := thconfig.Service{Name: "inventory", Slots: slots, Connections: 300, Floor: 0.5, TimeoutMillis: r.timeoutMillis}
 	for i := range r.targets {
 		s.Targets = append(s.Targets, thconfig.Target{Address: r.targetAddress(i), Zone: string(rune('a' + i%3))})
 	}
--- a/io/thstand/target.go
+++ b/io/thstand/target.go
@@ -17,6 +17,8 @@
 type TargetBehaviour struct {
 	// LatencyMillis is how long a request takes, in milliseconds.
 	LatencyMillis int
+	// Hold keeps requests until it is closed; nil keeps none.
+	Hold <-chan struct{}
 	// FailShare is the share of requests, 0 to 1, that are answered 500.
 	FailShare float64
 	// ShedOver answers ShedStatus without running a request while this many
@@ -126,6 +128,9 @@
 		c.SetStatusCode(b.ShedStatus)
 		return
 	}
+	if b.Hold != nil {
+		<-b.Hold
+	}
 	time.Sleep(time.Duration(b.LatencyMillis) * time.Millisecond)
 	t.end()
 	if b.DiesOf != "" && string(c.PostBody()) == b.DiesOf {
