thstore: keep one store in memory for all fakes

Cause: rows, conditions, scans and objects in memory stood three times (the agreement's fake, the claims' fake, the stand-in), each a little different: one scanned without order, one answered a lost object with notFound while down. Ruled out: one fake with every fault, since each test wants its own. Change: thstore.Memory holds the store, the fakes add their faults. Before: three copies of some 45 lines. Tests as before, all pass. Conclusion: the fakes can no longer disagree on what a transaction does.

--- a/core/thstore/thstoretest/fake.go
+++ b/core/thstore/thstoretest/fake.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 
 	"tamarackhollow/core/therror"
@@ -27,13 +26,12 @@
 
 // Fake is a platform in memory. The zero Fake is empty and works.
 type Fake struct {
-	mu      sync.Mutex
-	rows    map[string]thstore.Row
-	objects map[string][]byte
-	vms     []thstore.VM
-	fault   func(call, key string) Fault
-	reads   int
-	writes  int
+	mu     sync.Mutex
+	store  thstore.Memory
+	vms    []thstore.VM
+	fault  func(call, key string) Fault
+	reads  int
+	writes int
 }
 
 var _ thstore.Platform = (*Fake)(nil)
@@ -99,11 +97,7 @@
 	if d, err := f.begin(ctx, "ReadRow", key); err != nil || d != Works {
 		return thstore.Row{}, therror.New(therror.StoreUnavailable, "ReadRow %s", key)
 	}
-	r, ok := f.rows[key]
-	if !ok {
-		r.Key = key
-	}
-	return r, nil
+	return f.store.Row(key), nil
 }
 
 // ScanRows returns rows in order of their keys.
@@ -114,14 +108,7 @@
 	if d, err := f.begin(ctx, "ScanRows", prefix); err != nil || d != Works {
 		return nil, therror.New(therror.StoreUnavailable, "ScanRows %s", prefix)
 	}
-	var out []thstore.Row
-	for key, r := range f.rows {
-		if strings.HasPrefix(key, prefix) && key > after {
-			out = append(out, r)
-		}
-	}
-	slices.SortFunc(out, func(a, b thstore.Row) int { return strings.Compare(a.Key, b.Key) })
-	return out[:min(len(out), limit)], nil
+	return f.store.Rows(prefix, after, limit), nil
 }
 
 // Commit applies a transaction whole or not at all.
@@ -137,20 +124,8 @@
 	if err != nil {
 		return err
 	}
-	for _, c := range t.Conditions {
-		if v := f.rows[c.Key].Version; v != c.Version {
-			return therror.New(therror.ChangeConflict, "row %s stands at version %d, not %d", c.Key, v, c.Version)
-		}
-	}
-	if f.rows == nil {
-		f.rows = make(map[string]thstore.Row)
-	}
-	for _, w := range t.Writes {
-		if w.Delete {
-			delete(f.rows, w.Key)
-			continue
-		}
-		f.rows[w.Key] = thstore.Row{Key: w.Key, Version: f.rows[w.Key].Version + 1, Value: slices.Clone(w.Value)}
+	if err := f.store.Commit(t); err != nil {
+		return err
 	}
 	return answer(d, "Commit")
 }
@@ -164,10 +139,7 @@
 	if err != nil {
 		return err
 	}
-	if f.objects == nil {
-		f.objects = make(map[string][]byte)
-	}
-	f.objects[name] = slices.Clone(data)
+	f.store.Put(name, data)
 	return answer(d, "PutObject")
 }
 
@@ -179,11 +151,7 @@
 	if d, err := f.begin(ctx, "GetObject", name); err != nil || d != Works {
 		return nil, therror.New(therror.StoreUnavailable, "GetObject %s", name)
 	}
-	data, ok := f.objects[name]
-	if !ok {
-		return nil, therror.New(therror.NotFound, "no object %s", name)
-	}
-	return slices.Clone(data), nil
+	return f.store.Get(name)
 }
 
 // ListVMs returns the list that SetVMs set.
--- a/io/thclaims/fake_test.go
+++ b/io/thclaims/fake_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"sync"
 
 	"tamarackhollow/core/therror"
@@ -14,11 +13,10 @@
 type fakeStore struct {
 	thstore.Platform
 
-	mu      sync.Mutex
-	rows    map[string]thstore.Row
-	objects map[string][]byte
-	random  *rand.Rand
-	down    bool
+	mu     sync.Mutex
+	store  thstore.Memory
+	random *rand.Rand
+	down   bool
 	// loseAnswers is the share of writes whose answer is lost after they took
 	// effect, and loseWrites of those lost before.
 	loseAnswers, loseWrites float64
@@ -30,7 +28,7 @@
 }
 
 func newFakeStore(seed uint64) *fakeStore {
-	return &fakeStore{rows: map[string]thstore.Row{}, objects: map[string][]byte{}, random: rand.New(rand.NewPCG(seed, 1))}
+	return &fakeStore{random: rand.New(rand.NewPCG(seed, 1))}
 }
 
 func (s *fakeStore) set(f func(*fakeStore)) {
@@ -46,9 +44,7 @@
 		return thstore.Row{}, therror.New(therror.StoreUnavailable, "down")
 	}
 	s.reads++
-	r := s.rows[key]
-	r.Key = key
-	return r, nil
+	return s.store.Row(key), nil
 }
 
 func (s *fakeStore) ScanRows(_ context.Context, prefix, after string, limit int) ([]thstore.Row, error) {
@@ -58,13 +54,7 @@
 		return nil, therror.New(therror.StoreUnavailable, "down")
 	}
 	s.reads++
-	var rs []thstore.Row
-	for key, r := range s.rows {
-		if strings.HasPrefix(key, prefix) && key > after && len(rs) < limit {
-			rs = append(rs, r)
-		}
-	}
-	return rs, nil
+	return s.store.Rows(prefix, after, limit), nil
 }
 
 func (s *fakeStore) Commit(_ context.Context, t thstore.Transaction) error {
@@ -83,20 +73,11 @@
 		return therror.New(therror.StoreOutcomeUnknown, "lost before")
 	}
 	s.commits++
-	for _, c := range t.Conditions {
-		if s.rows[c.Key].Version != c.Version {
-			s.conflicts++
-			return therror.New(therror.ChangeConflict, "row %s", c.Key)
-		}
-	}
-	for _, w := range t.Writes {
-		s.writes++
-		if w.Delete {
-			delete(s.rows, w.Key)
-			continue
-		}
-		s.rows[w.Key] = thstore.Row{Key: w.Key, Version: s.rows[w.Key].Version + 1, Value: w.Value}
+	if err := s.store.Commit(t); err != nil {
+		s.conflicts++
+		return err
 	}
+	s.writes += len(t.Writes)
 	if s.random.Float64() < s.loseAnswers {
 		return therror.New(therror.StoreOutcomeUnknown, "lost after")
 	}
@@ -109,16 +90,15 @@
 	if s.down {
 		return therror.New(therror.StoreUnavailable, "down")
 	}
-	s.objects[name] = data
+	s.store.Put(name, data)
 	return nil
 }
 
 func (s *fakeStore) GetObject(_ context.Context, name string) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	data, ok := s.objects[name]
-	if s.down || !ok {
-		return nil, therror.New(therror.NotFound, "object %s", name)
+	if s.down {
+		return nil, therror.New(therror.StoreUnavailable, "down")
 	}
-	return data, nil
+	return s.store.Get(name)
 }
--- a/io/thstand/platform.go
+++ b/io/thstand/platform.go
@@ -6,7 +6,6 @@
 import (
 	"net"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -19,14 +18,13 @@
 // Platform is a stand-in for the platform: tables, objects and the VM list in
 // memory. The zero Platform is empty and without faults.
 type Platform struct {
-	mu      sync.Mutex
-	rows    map[string]thstore.Row
-	objects map[string][]byte
-	vms     []thstore.VM
-	faults  PlatformFaults
-	reads   int
-	writes  int
-	server  thwire.Server
+	mu     sync.Mutex
+	store  thstore.Memory
+	vms    []thstore.VM
+	faults PlatformFaults
+	reads  int
+	writes int
+	server thwire.Server
 }
 
 // PlatformFaults are the faults that a platform shows.
@@ -111,9 +109,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.rows[q.Key]
-	r.Key = q.Key
-	return r, nil
+	return p.store.Row(q.Key), nil
 }
 
 func (p *Platform) scanRows(_ thwire.Sender, q thplatform.ScanRows) (thplatform.Rows, error) {
@@ -122,17 +118,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var found []thstore.Row
-	for key, r := range p.rows {
-		if strings.HasPrefix(key, q.Prefix) && key > q.After {
-			found = append(found, r)
-		}
-	}
-	slices.SortFunc(found, func(a, b thstore.Row) int { return strings.Compare(a.Key, b.Key) })
-	if q.Limit > 0 && len(found) > q.Limit {
-		found = found[:q.Limit]
-	}
-	return thplatform.Rows{Rows: found}, nil
+	return thplatform.Rows{Rows: p.store.Rows(q.Prefix, q.After, q.Limit)}, nil
 }
 
 func (p *Platform) commit(_ thwire.Sender, t thstore.Transaction) (thplatform.Empty, error) {
@@ -148,22 +134,7 @@
 func (p *Platform) apply(t thstore.Transaction) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range t.Conditions {
-		if v := p.rows[c.Key].Version; v != c.Version {
-			return therror.New(therror.ChangeConflict, "row %s stands at version %d, not %d", c.Key, v, c.Version)
-		}
-	}
-	if p.rows == nil {
-		p.rows = make(map[string]thstore.Row)
-	}
-	for _, w := range t.Writes {
-		if w.Delete {
-			delete(p.rows, w.Key)
-			continue
-		}
-		p.rows[w.Key] = thstore.Row{Key: w.Key, Version: p.rows[w.Key].Version + 1, Value: w.Value}
-	}
-	return nil
+	return p.store.Commit(t)
 }
 
 func (p *Platform) putObject(_ thwire.Sender, o thplatform.Object) (thplatform.Empty, error) {
@@ -171,10 +142,7 @@
 		return thplatform.Empty{}, err
 	}
 	p.mu.Lock()
-	if p.objects == nil {
-		p.objects = make(map[string][]byte)
-	}
-	p.objects[o.Name] = o.Data
+	p.store.Put(o.Name, o.Data)
 	p.mu.Unlock()
 	return thplatform.Empty{}, p.end()
 }
@@ -185,9 +153,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	data, ok := p.objects[o.Name]
-	if !ok {
-		return thplatform.Object{}, therror.New(therror.NotFound, "no object %s", o.Name)
+	data, err := p.store.Get(o.Name)
+	if err != nil {
+		return thplatform.Object{}, err
 	}
 	return thplatform.Object{Name: o.Name, Data: data}, nil
 }
