throute, thsettings, thoperator, thstand: drop what nothing calls

Ruled out: keeping them for embedders, since each has a twin that is used. Change: they are gone; nothing else is touched. Before: 4 unreachable functions, 28 lines.

--- a/core/throute/retry.go
+++ b/core/throute/retry.go
@@ -126,12 +126,3 @@
 func isServerFailure(status int) bool {
 	return status == 500 || status == 502 || status == 503 || status == 504
 }
-
-// WithoutBudget is what follows an attempt that may not be repeated for want
-// of budget.
-func WithoutBudget(q *threquest.Request, a threquest.Attempt) Decision {
-	if IsShed(q, a) {
-		return Refuse{therror.New(therror.Shed, "the budget for repeats is spent")}
-	}
-	return giveUp(a)
-}
--- a/core/thsettings/parse.go
+++ b/core/thsettings/parse.go
@@ -48,12 +48,6 @@
 	return err
 }
 
-// IsSettings reports whether a TOML document looks like settings of a process.
-func IsSettings(document map[string]any) bool {
-	_, ok := document["vm"]
-	return ok
-}
-
 func invalid(format string, args ...any) error {
 	return therror.New(therror.SettingsInvalid, format, args...)
 }
--- a/io/thoperator/server.go
+++ b/io/thoperator/server.go
@@ -40,12 +40,6 @@
 	Burn func(context.Context, thburn.Query) thburn.Report
 }
 
-// Register adds the operators' calls to a server.
-func Register(operators *thwire.Server, f Fleet) {
-	s := &Server{Fleet: f}
-	s.Register(operators)
-}
-
 // Register adds the operators' calls to a server.
 func (s *Server) Register(operators *thwire.Server) {
 	thwire.Handle(operators, pathChange, s.change)
--- a/io/thstand/platform.go
+++ b/io/thstand/platform.go
@@ -68,13 +68,6 @@
 	p.vms = slices.Clone(vms)
 }
 
-// Operations returns how many reads and writes were served.
-func (p *Platform) Operations() (reads, writes int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reads, p.writes
-}
-
 // begin applies the faults that come before a call.
 func (p *Platform) begin(write bool) error {
 	p.mu.Lock()
