--- /dev/null
+++ b/io/thgossip/gossip.go
@@ -0,0 +1,338 @@
+// Package thgossip carries notices between VMs as datagrams: what one VM
+// learns of a target, or admits, is known to all others within a round trip.
+// A lost datagram does little harm, since counts are sent as totals.
+package thgossip
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thview"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// bytesPerSecond bounds what a VM sends: the two-year target for control
+	// traffic.
+	bytesPerSecond = 27_000
+	// burstBytes is how far ordinary notices may run ahead of that rate, and
+	// urgentBytes how much further bad news of targets may.
+	burstBytes  = 27_000
+	urgentBytes = 27_000
+	// overheadBytes is what a datagram takes besides its payload.
+	overheadBytes = 28
+	// greetEvery is how often a VM is heard at the least.
+	greetEvery = time.Second
+	// lostEvery is how often a VM that is not heard is greeted.
+	lostEvery = 2 * time.Second
+	// maxDatagram bounds a datagram that is taken, in bytes.
+	maxDatagram = 16 << 10
+)
+
+// Guard gives access to the VM's view under its lock.
+type Guard interface {
+	With(visit func(now thclock.Instant, v *thview.View))
+}
+
+// Options are what an Exchange is made of.
+type Options struct {
+	Guard Guard
+	Log   thevent.Logger
+	// Heard is called, without a lock, after a notice that told of a reading.
+	Heard func()
+}
+
+// Stats count the exchange's traffic.
+type Stats struct {
+	Sent, SentBytes, Received, ReceivedBytes, Malformed, Unsent uint64
+}
+
+// Exchange sends and takes notices. Make one with New.
+type Exchange struct {
+	o      Options
+	socket *net.UDPConn
+	encode cbor.EncMode
+	stir   chan struct{}
+	done   chan struct{}
+	wait   sync.WaitGroup
+
+	mu    sync.Mutex
+	stats Stats
+	// tokens are the bytes that may be sent; they were counted at refilled.
+	tokens   float64
+	refilled time.Time
+	greeted  time.Time
+	asked    map[thfleet.VMKey]time.Time
+	silent   map[string]bool
+}
+
+// New returns an exchange on the socket, which becomes its own.
+func New(o Options, socket *net.UDPConn) (*Exchange, error) {
+	encode, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		return nil, err
+	}
+	return &Exchange{
+		o: o, socket: socket, encode: encode, stir: make(chan struct{}, 1), done: make(chan struct{}),
+		tokens: burstBytes, refilled: time.Now(),
+		asked: make(map[thfleet.VMKey]time.Time), silent: make(map[string]bool),
+	}, nil
+}
+
+// Start begins to send and take notices.
+func (x *Exchange) Start() {
+	x.wait.Add(2)
+	go x.receive()
+	go x.send()
+}
+
+// Close tells the others that this VM leaves, and stops.
+func (x *Exchange) Close() {
+	close(x.done)
+	var n thfleet.Notice
+	x.o.Guard.With(func(_ thclock.Instant, v *thview.View) { n = v.Greeting(false) })
+	n.Leaving = true
+	x.broadcast(n)
+	_ = x.socket.Close() // the receiver ends
+	x.wait.Wait()
+}
+
+// Stats returns the traffic since the start.
+func (x *Exchange) Stats() Stats {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.stats
+}
+
+// Stir makes the exchange look for what is to be told.
+func (x *Exchange) Stir() {
+	select {
+	case x.stir <- struct{}{}:
+	default:
+	}
+}
+
+// send tells the others what is pending, as far as the rate allows.
+func (x *Exchange) send() {
+	defer x.wait.Done()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-x.done:
+			return
+		case <-x.stir:
+		case <-timer.C:
+			x.greet()
+		}
+		x.flush()
+		timer.Reset(x.pause())
+	}
+}
+
+// pause returns how long until the next greeting is due, or until the rate
+// allows for what is pending.
+func (x *Exchange) pause() time.Duration {
+	pending := false
+	x.o.Guard.With(func(_ thclock.Instant, v *thview.View) { pending, _ = v.Pending() })
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	rest := greetEvery - time.Since(x.greeted)
+	if pending {
+		rest = min(rest, time.Duration(-x.tokens/bytesPerSecond*float64(time.Second)))
+	}
+	return max(rest, time.Millisecond)
+}
+
+// flush sends what is pending if the rate allows it.
+func (x *Exchange) flush() {
+	var n thfleet.Notice
+	send := false
+	x.o.Guard.With(func(_ thclock.Instant, v *thview.View) {
+		pending, urgent := v.Pending()
+		if send = pending && x.allows(urgent); send {
+			n = v.Notice()
+		}
+	})
+	if send {
+		x.broadcast(n)
+	}
+}
+
+// allows reports whether the rate allows a notice now.
+func (x *Exchange) allows(urgent bool) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	x.tokens = min(burstBytes, x.tokens+now.Sub(x.refilled).Seconds()*bytesPerSecond)
+	x.refilled = now
+	if urgent {
+		return x.tokens > -urgentBytes
+	}
+	return x.tokens > 0
+}
+
+// Tell tells the heard VMs of this zone what this VM read.
+func (x *Exchange) Tell(r thfleet.Reading) {
+	var n thfleet.Notice
+	var to []thfleet.Peer
+	x.o.Guard.With(func(now thclock.Instant, v *thview.View) {
+		n = v.Greeting(false)
+		for _, p := range v.Fleet.Peers() {
+			if p.Identity.Zone == n.Identity.Zone && p.IsHeard(now) {
+				to = append(to, p)
+			}
+		}
+	})
+	n.Reading = &r
+	x.sendTo(n, to)
+}
+
+// greet introduces this VM to those that it has not sent to for a while.
+func (x *Exchange) greet() {
+	x.mu.Lock()
+	due := time.Since(x.greeted) >= greetEvery-time.Millisecond
+	x.mu.Unlock()
+	if !due {
+		return
+	}
+	var n thfleet.Notice
+	x.o.Guard.With(func(_ thclock.Instant, v *thview.View) { n = v.Greeting(false) })
+	x.broadcast(n)
+}
+
+// broadcast sends a notice to all VMs that are heard, and now and then to the
+// others.
+func (x *Exchange) broadcast(n thfleet.Notice) {
+	var to []thfleet.Peer
+	x.o.Guard.With(func(now thclock.Instant, v *thview.View) {
+		for _, p := range v.Fleet.Peers() {
+			heard := p.IsHeard(now)
+			x.noteHeard(p, heard)
+			if heard || n.Leaving || x.mayGreetLost(p.Key) {
+				to = append(to, p)
+			}
+		}
+	})
+	x.mu.Lock()
+	x.greeted = time.Now()
+	x.mu.Unlock()
+	x.sendTo(n, to)
+}
+
+// mayGreetLost reports whether a VM that is not heard is to be greeted again.
+func (x *Exchange) mayGreetLost(k thfleet.VMKey) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if time.Since(x.asked[k]) < lostEvery {
+		return false
+	}
+	x.asked[k] = time.Now()
+	return true
+}
+
+func (x *Exchange) noteHeard(p thfleet.Peer, heard bool) {
+	x.mu.Lock()
+	was := x.silent[p.Identity.ID]
+	x.silent[p.Identity.ID] = !heard
+	x.mu.Unlock()
+	switch {
+	case !heard && !was && p.HeardAt != (thclock.Instant{}):
+		x.o.Log.Log(thevent.VMLost, thevent.F("peer", p.Identity.ID), thevent.F("address", p.Identity.Address))
+	case heard && was:
+		x.o.Log.Log(thevent.VMHeard, thevent.F("peer", p.Identity.ID))
+	}
+}
+
+func (x *Exchange) sendTo(n thfleet.Notice, to []thfleet.Peer) {
+	data, err := x.encode.Marshal(n)
+	if err != nil {
+		x.o.Log.Log(thevent.NoticeUnsent, thevent.F("error", err.Error()))
+		return
+	}
+	failed := 0
+	for _, p := range to {
+		if err = x.write(data, p.Identity.Address); err != nil {
+			failed++
+		}
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.tokens -= float64((len(data) + overheadBytes) * len(to))
+	x.stats.Sent += uint64(len(to))
+	x.stats.SentBytes += uint64((len(data) + overheadBytes) * len(to))
+	x.stats.Unsent += uint64(failed)
+}
+
+func (x *Exchange) write(data []byte, address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return err
+	}
+	_, err = x.socket.WriteToUDPAddrPort(data, a)
+	return err
+}
+
+// receive takes notices until the socket is closed.
+func (x *Exchange) receive() {
+	defer x.wait.Done()
+	buffer := make([]byte, maxDatagram)
+	for {
+		size, from, err := x.socket.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			select {
+			case <-x.done:
+				return
+			default:
+				// A datagram to a port without a listener may be reported here.
+				time.Sleep(time.Millisecond)
+				continue
+			}
+		}
+		x.take(buffer[:size], from)
+	}
+}
+
+func (x *Exchange) take(data []byte, from netip.AddrPort) {
+	var n thfleet.Notice
+	err := cbor.Unmarshal(data, &n)
+	x.mu.Lock()
+	x.stats.Received++
+	x.stats.ReceivedBytes += uint64(len(data) + overheadBytes)
+	if err != nil {
+		x.stats.Malformed++
+	}
+	x.mu.Unlock()
+	if err != nil {
+		return // counted in Malformed
+	}
+	var news thfleet.News
+	var reply thfleet.Notice
+	x.o.Guard.With(func(now thclock.Instant, v *thview.View) {
+		news = v.Receive(now, n)
+		if news.Joined || news.Stranger || n.Asking {
+			reply = v.Greeting(news.Stranger)
+		}
+	})
+	if news.Joined && n.Identity != nil {
+		x.o.Log.Log(thevent.VMJoined, thevent.F("peer", n.Identity.ID), thevent.F("zone", n.Identity.Zone), thevent.F("address", n.Identity.Address))
+	}
+	if reply.Identity != nil && !n.Leaving {
+		x.answer(reply, n.From, from)
+	}
+	if n.Reading != nil && x.o.Heard != nil {
+		x.o.Heard()
+	}
+}
+
+// answer introduces this VM to the sender of a notice.
+func (x *Exchange) answer(n thfleet.Notice, to thfleet.VMKey, address netip.AddrPort) {
+	peer := thfleet.Peer{Key: to, Identity: thfleet.Identity{Address: address.String()}}
+	x.sendTo(n, []thfleet.Peer{peer})
+}
--- /dev/null
+++ b/io/thnode/node.go
@@ -0,0 +1,244 @@
+// Package thnode puts one VM's process on the platform together: listeners,
+// the exchange with other VMs, the source of table and targets, the callers'
+// side and the targets' side, and takes them down again without cutting a
+// request.
+package thnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thmessage"
+	"tamarackhollow/core/thpick"
+	"tamarackhollow/core/thsettings"
+	"tamarackhollow/core/thtable"
+	"tamarackhollow/core/thview"
+	"tamarackhollow/io/thforward"
+	"tamarackhollow/io/thgossip"
+	"tamarackhollow/io/thingress"
+	"tamarackhollow/io/thpool"
+	"tamarackhollow/io/thsend"
+	"tamarackhollow/io/thsource"
+	"tamarackhollow/io/thwire"
+)
+
+// Options are what a Node is made of.
+type Options struct {
+	Settings thsettings.Settings
+	// Store is the platform's store.
+	Store thsource.Store
+	// Names are the header fields of callers and targets.
+	Names thmessage.Names
+	// ReadinessPath is where the balancer asks.
+	ReadinessPath string
+	// Budget bounds repeats over all VMs.
+	Budget thpick.BudgetRule
+	// Grace is the time between the order to stop and the end by force.
+	Grace time.Duration
+	Log   thevent.Logger
+	// StoreCalls counts the calls to the store by outcome, for metrics.
+	StoreCalls func() map[string]uint64
+}
+
+// Node is one running VM. Make one with Start.
+type Node struct {
+	o         Options
+	clock     thclock.Clock
+	forwarder *thforward.Forwarder
+	exchange  *thgossip.Exchange
+	source    *thsource.Source
+	sender    *thsend.Client
+	ingress   *thingress.Server
+	peers     *thwire.Server
+	pool      *thpool.Pool
+	monitor   *monitor
+	cancel    context.CancelFunc
+	wait      sync.WaitGroup
+}
+
+const (
+	// requestWorkers bounds the requests that run at once in one VM.
+	requestWorkers = 2048
+	// gcPercent trades processor time for memory: a VM's heap is small.
+	gcPercent = 200
+	// memoryShare is the part of the VM's memory that the runtime stays under.
+	memoryShare = 0.7
+	megabyte    = 1 << 20
+)
+
+// Start makes a VM of the options and begins to take callers.
+func Start(o Options) (*Node, error) {
+	tuneRuntime(o.Settings.VM.MemoryMegabytes)
+	n := &Node{o: o, clock: thclock.System{}}
+	callers, err := net.Listen("tcp", o.Settings.Listen.Callers)
+	if err != nil {
+		return nil, therror.Wrap(therror.Internal, err, "listener for callers")
+	}
+	if err := n.assemble(); err != nil {
+		return nil, err
+	}
+	n.run(callers)
+	o.Log.Log(thevent.ProcessStarted, thevent.F("callers", o.Settings.Listen.Callers), thevent.F("zone", o.Settings.VM.Zone))
+	return n, nil
+}
+
+func tuneRuntime(megabytes int) {
+	debug.SetGCPercent(gcPercent)
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * megabyte))
+	}
+}
+
+func (n *Node) assemble() error {
+	t := n.o.Settings
+	self := thfleet.Identity{ID: t.VM.ID, Zone: t.VM.Zone, Address: t.Listen.Peers}
+	pool, err := thpool.New(requestWorkers, n.o.Log)
+	if err != nil {
+		return therror.Wrap(therror.Internal, err, "worker pool")
+	}
+	n.pool = pool
+	n.sender = thsend.New(thsend.Options{LocalIP: t.LocalIP(), Clock: n.clock, Names: n.o.Names})
+	view := thview.New(thview.Options{
+		Self: self, Budget: n.o.Budget, Start: uint64(time.Now().UnixMilli()), HasIdle: n.sender.HasIdle,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	n.forwarder = thforward.New(thforward.Options{
+		View: view, Table: n.table, Sender: n.sender, Clock: n.clock, Log: n.o.Log,
+		Stir: n.stir, Attempted: n.noteAttempt,
+	})
+	if err := n.assembleExchange(); err != nil {
+		return err
+	}
+	client := thwire.NewClient(thwire.Identity{Credential: t.Peers.Credential, From: t.VM.ID, LocalIP: t.LocalIP()})
+	n.source = thsource.New(thsource.Options{
+		Self: self, Seeds: t.Peers.Seeds, Store: n.o.Store, Fleet: fleet{n}, Client: client, Log: n.o.Log,
+		ApplyTable: n.applyTable, ApplyTargets: n.forwarder.SetTargets,
+	})
+	n.peers = &thwire.Server{Credential: t.Peers.Credential, Log: n.o.Log}
+	n.source.Register(n.peers)
+	n.monitor = newMonitor(n)
+	n.ingress = thingress.New(thingress.Options{
+		Table: n.table, Runner: n.forwarder, Clock: n.clock, Log: n.o.Log, Names: n.o.Names,
+		Submit: n.pool.Submit, Record: n.monitor.record,
+	})
+	return nil
+}
+
+// assembleExchange opens the port between VMs: notices come as datagrams,
+// calls over TCP.
+func (n *Node) assembleExchange() error {
+	address, err := net.ResolveUDPAddr("udp", n.o.Settings.Listen.Peers)
+	if err != nil {
+		return therror.Wrap(therror.SettingsInvalid, err, "listen.peers")
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return therror.Wrap(therror.Internal, err, "socket for notices")
+	}
+	n.exchange, err = thgossip.New(thgossip.Options{
+		Guard: n.forwarder, Log: n.o.Log, Heard: func() { n.source.WakeIfBehind() },
+	}, socket)
+	if err != nil {
+		return therror.Wrap(therror.Internal, err, "codec of notices")
+	}
+	return nil
+}
+
+func (n *Node) table() thtable.Table { return n.source.Table() }
+
+func (n *Node) stir() { n.exchange.Stir() }
+
+func (n *Node) applyTable(t thtable.Table) {
+	n.forwarder.With(func(_ thclock.Instant, v *thview.View) { v.SetTable(t) })
+}
+
+// expireEvery is how often idle connections to targets are looked through.
+const expireEvery = 2 * time.Second
+
+func (n *Node) run(callers net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	if l, err := net.Listen("tcp", n.o.Settings.Listen.Peers); err != nil {
+		n.o.Log.Log(thevent.AcceptFailed, thevent.F("address", n.o.Settings.Listen.Peers), thevent.F("error", err.Error()))
+	} else {
+		n.peers.Start(l)
+	}
+	n.exchange.Start()
+	n.wait.Go(func() { n.source.Run(ctx) })
+	n.wait.Go(func() { n.ingress.Serve(callers) })
+	n.pool.Every(expireEvery, nil, func(context.Context) { n.sender.Expire() })
+	n.monitor.start()
+}
+
+// ready reports whether the VM may take callers.
+func (n *Node) ready() bool { return !n.ingress.Draining() && n.source.Known() }
+
+const (
+	// idleShare and workShare are the parts of the grace after which idle
+	// connections are closed and requests are no longer waited for.
+	idleShare = 0.6
+	workShare = 0.93
+)
+
+// Stop drains the VM: readiness goes first, each answer ends its connection,
+// and idle connections are closed once the balancer has had time to notice.
+func (n *Node) Stop() {
+	n.o.Log.Log(thevent.ProcessDraining, thevent.F("inFlight", n.ingress.InFlight()))
+	began := time.Now()
+	n.ingress.Drain()
+	n.cancel()
+	leave, cancel := context.WithTimeout(context.Background(), time.Second)
+	if err := n.source.Leave(leave); err != nil {
+		n.o.Log.Log(thevent.StoreLost, thevent.F("error", err.Error()), thevent.F("during", "leave"))
+	}
+	cancel()
+	idle := began.Add(time.Duration(idleShare * float64(n.o.Grace)))
+	for time.Now().Before(idle) && n.ingress.Connections() > 0 {
+		time.Sleep(50 * time.Millisecond)
+	}
+	n.ingress.CloseIdle()
+	work, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(workShare*float64(n.o.Grace))))
+	n.ingress.Quiet(work)
+	cancel()
+	n.exchange.Close()
+	n.o.Log.Log(thevent.ProcessStopped, thevent.F("inFlight", n.ingress.InFlight()))
+	time.Sleep(flushPause)
+}
+
+// flushPause lets the last answers and log lines out.
+const flushPause = 50 * time.Millisecond
+
+// fleet shows the source the other VMs.
+type fleet struct{ n *Node }
+
+func (f fleet) ShouldRead() (should bool) {
+	f.n.forwarder.With(func(now thclock.Instant, v *thview.View) { should = v.Fleet.ShouldRead(now) })
+	return should
+}
+
+func (f fleet) Ahead(have thfleet.Reading) (i thfleet.Identity, ok bool) {
+	f.n.forwarder.With(func(now thclock.Instant, v *thview.View) {
+		var p thfleet.Peer
+		p, ok = v.Fleet.Ahead(now, have)
+		i = p.Identity
+	})
+	return i, ok
+}
+
+func (f fleet) Introduce(all []thfleet.Identity) {
+	f.n.forwarder.With(func(now thclock.Instant, v *thview.View) {
+		for _, i := range all {
+			v.Fleet.Introduce(now, i)
+		}
+	})
+}
+
+func (f fleet) Tell(r thfleet.Reading) { f.n.exchange.Tell(r) }
