thfleet, thgossip, thsource: fewer bytes between zones; keep what the store lists true

Ruled out: reordered notices (the ends of overtaken ones count, each once). Change: a notice crosses to another zone once (twice if urgent) and is passed on there; VMs that are listed are told and greeted at once and answer at once; only calls that failed make an outage; a stopping VM reads on and waits for open connections. Tests for each failed first, but for the two of thfleet that go with the new calls.

--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -37,6 +37,9 @@
 	KnownAt thclock.Instant
 	start   uint64
 	number  uint32
+	// window has a bit for each of the last notices that came: the lowest is
+	// that of number.
+	window uint64
 	// admitted and repeats hold the totals last heard.
 	admitted, repeats map[Key]uint32
 	reading           Reading
@@ -67,8 +70,9 @@
 
 // News is what a notice adds to what was known.
 type News struct {
-	// Stale is set if the notice is older than one that came before.
-	Stale bool
+	// Stale is set if the notice is older than one that came before, and Again
+	// if it came before itself.
+	Stale, Again bool
 	Ends  []End
 	// Admitted and Repeats are what was added since the last notice.
 	Admitted, Repeats []Total
@@ -77,6 +81,9 @@
 	Joined bool
 	// Stranger is set if the sender's identity is not known.
 	Stranger bool
+	// Awake is set if the sender introduces itself and was not heard before,
+	// or has started anew.
+	Awake bool
 }
 
 // Introduce takes in that a VM exists, and reports whether that is new.
@@ -118,13 +125,19 @@
 	switch {
 	case n.Start < p.start || n.Start == p.start && n.Number <= p.number:
 		// Totals only rise, so a notice that was overtaken adds nothing but its ends.
-		news.Stale, news.Ends, news.Deaths = true, n.Ends, n.Deaths
+		news.Stale = true
+		if news.Again = n.Start < p.start || p.saw(n.Number); !news.Again {
+			news.Ends, news.Deaths = n.Ends, n.Deaths
+		}
 		return news
 	case n.Start > p.start:
+		news.Awake = n.Identity != nil
 		f.restart(p)
 	}
+	news.Awake = news.Awake || n.Identity != nil && !p.IsHeard(now)
 	known := p.start != 0
-	p.start, p.number, p.HeardAt = n.Start, n.Number, now
+	p.advance(n)
+	p.HeardAt = now
 	if n.Leaving {
 		f.forget(n.From)
 		return news
@@ -139,6 +152,35 @@
 	return news
 }
 
+// windowSize is how many notices a peer's window covers.
+const windowSize = 64
+
+// saw marks an earlier notice as come, and reports whether it had come before.
+func (p *Peer) saw(number uint32) bool {
+	age := p.number - number
+	if age >= windowSize {
+		return true
+	}
+	bit := uint64(1) << age
+	was := p.window&bit != 0
+	p.window |= bit
+	return was
+}
+
+// advance takes in the newest notice's number.
+func (p *Peer) advance(n Notice) {
+	if n.Start != p.start {
+		p.window = 0
+	}
+	if steps := n.Number - p.number; steps < windowSize {
+		p.window <<= steps
+	} else {
+		p.window = 0
+	}
+	p.window |= 1
+	p.start, p.number = n.Start, n.Number
+}
+
 // restart forgets the totals of a peer that started anew: they begin at 0.
 func (f *Fleet) restart(p *Peer) {
 	clear(p.admitted)
--- a/core/thfleet/fleet_test.go
+++ b/core/thfleet/fleet_test.go
@@ -158,3 +158,61 @@
 	_, ok = f.Ahead(at(0), thfleet.Reading{Table: 3, Targets: 9})
 	assert.Assert(t, !ok)
 }
+
+func TestNoticesCrossBetweenZonesOnce(t *testing.T) {
+	f := thfleet.New(identity(0))
+	for i := 1; i <= 12; i++ {
+		n := notice(i, 1)
+		n.Identity.Zone = []string{"z", "y", "x"}[i%3]
+		f.Receive(at(0), n)
+	}
+	relaysOf := map[string]bool{}
+	for number := range uint32(4) {
+		direct, relays := f.Route(at(0), number, false)
+		assert.Equal(t, len(direct), 4)
+		assert.Equal(t, len(relays), 2)
+		relaysOf[relays[0].Identity.ID] = true
+		relaysOf[relays[1].Identity.ID] = true
+	}
+	assert.Equal(t, len(relaysOf), 8, "the work is spread over all VMs")
+	_, relays := f.Route(at(0), 0, true)
+	assert.Equal(t, len(relays), 4)
+}
+
+func TestEndsOfANoticeThatCameTwiceCountOnce(t *testing.T) {
+	f := thfleet.New(identity(0))
+	n := notice(1, 70)
+	n.Ends = []thfleet.End{{Target: 1, Outcome: thjudge.Failed}}
+	assert.Equal(t, len(f.Receive(at(0), n).Ends), 1)
+	assert.Assert(t, f.Receive(at(0), n).Again)
+	for _, c := range []struct {
+		number uint32
+		ends   int
+	}{{69, 1}, {69, 0}, {7, 1}, {7, 0}, {6, 0}} {
+		n.Number = c.number
+		assert.Equal(t, len(f.Receive(at(0), n).Ends), c.ends, "%d", c.number)
+	}
+}
+
+func TestAVMThatStartsAnewIsAnsweredAtOnce(t *testing.T) {
+	f := thfleet.New(identity(0))
+	f.Introduce(at(0), identity(1)) // known from the store, and not heard yet
+	assert.Assert(t, f.Receive(at(0), notice(1, 1)).Awake)
+	assert.Assert(t, !f.Receive(at(0), notice(1, 2)).Awake)
+	n := notice(1, 1)
+	n.Start = 2
+	assert.Assert(t, f.Receive(at(time.Second), n).Awake)
+	n.Number = 2
+	assert.Assert(t, f.Receive(at(time.Minute), n).Awake, "it was silent for long")
+}
+
+func TestVMsThatWereJustListedAreToldAtOnce(t *testing.T) {
+	f := thfleet.New(identity(0))
+	other := identity(1)
+	other.Zone = "y"
+	f.Introduce(at(0), other)
+	direct, _ := f.Route(at(0), 1, false)
+	assert.Equal(t, len(direct), 1)
+	direct, _ = f.Route(at(time.Minute), 1, false)
+	assert.Equal(t, len(direct), 0)
+}
--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -80,4 +80,6 @@
 	Deaths   []Death   `cbor:"11,keyasint,omitempty"`
 	// Asking is set if the sender wants the receiver's identity.
 	Asking bool `cbor:"12,keyasint,omitempty"`
+	// Relay is set if the receiver is to pass the notice on within its zone.
+	Relay bool `cbor:"13,keyasint,omitempty"`
 }
--- a/core/thfleet/reading.go
+++ b/core/thfleet/reading.go
@@ -61,6 +61,49 @@
 	return now.Sub(f.LastRead()) >= firstStep+time.Duration(min(rank, maxSteps))*step
 }
 
+// Route returns the VMs that a notice is sent to directly, and those of other
+// zones that pass it on within theirs, so that it crosses between two zones
+// once, or twice if it is urgent. The number spreads the work over the VMs.
+func (f *Fleet) Route(now thclock.Instant, number uint32, urgent bool) (direct, relays []Peer) {
+	zones := make(map[string][]Peer)
+	for _, p := range f.Peers() {
+		switch {
+		case p.start == 0 && now.Sub(p.KnownAt) < HeardWithin:
+			direct = append(direct, p) // it may have come up just now
+		case !p.IsHeard(now):
+		case p.Identity.Zone == f.self.Zone:
+			direct = append(direct, p)
+		default:
+			zones[p.Identity.Zone] = append(zones[p.Identity.Zone], p)
+		}
+	}
+	copies := 1
+	if urgent {
+		copies = 2
+	}
+	for _, ps := range zones {
+		if len(ps) <= copies {
+			direct = append(direct, ps...)
+			continue
+		}
+		for i := range copies {
+			relays = append(relays, ps[(int(number)+i*len(ps)/copies)%len(ps)])
+		}
+	}
+	return direct, relays
+}
+
+// Zone returns the heard VMs of this VM's zone, but for one.
+func (f *Fleet) Zone(now thclock.Instant, but VMKey) []Peer {
+	var ps []Peer
+	for _, p := range f.Peers() {
+		if p.Identity.Zone == f.self.Zone && p.Key != but && p.IsHeard(now) {
+			ps = append(ps, p)
+		}
+	}
+	return ps
+}
+
 // Ahead returns the heard VM that knows the newest of what this VM lacks, and
 // false if none does.
 func (f *Fleet) Ahead(now thclock.Instant, have Reading) (Peer, bool) {
--- a/core/thquota/bucket.go
+++ b/core/thquota/bucket.go
@@ -28,6 +28,9 @@
 	// startShare is the part of the burst that a bucket starts with: after a
 	// restart, what was admitted before is unknown.
 	startShare = 0.3
+	// startTokens is the least that a bucket starts with, so that VMs which
+	// restart together and do not hear each other yet can serve.
+	startTokens = 1
 	// maxDebt bounds, in requests, how far reports can overdraw a bucket.
 	maxDebt = 40
 )
@@ -45,7 +48,7 @@
 func (b Bucket) refilled(now thclock.Instant, l Limit, share float64) Bucket {
 	size := (l.Burst + slack) * share
 	if !b.used {
-		return Bucket{tokens: size * startShare, at: now, used: true}
+		return Bucket{tokens: max(startTokens, size*startShare), at: now, used: true}
 	}
 	span := max(0, now.Sub(b.at)).Seconds()
 	b.tokens = min(size, b.tokens+span*l.Rate*share)
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -98,7 +98,7 @@
 	var n thfleet.Notice
 	x.o.Guard.With(func(_ thclock.Instant, v *thview.View) { n = v.Greeting(false) })
 	n.Leaving = true
-	x.broadcast(n)
+	x.broadcast(n, true)
 	_ = x.socket.Close() // the receiver ends
 	x.wait.Wait()
 }
@@ -153,15 +153,16 @@
 // flush sends what is pending if the rate allows it.
 func (x *Exchange) flush() {
 	var n thfleet.Notice
-	send := false
+	send, urgent := false, false
 	x.o.Guard.With(func(_ thclock.Instant, v *thview.View) {
-		pending, urgent := v.Pending()
+		var pending bool
+		pending, urgent = v.Pending()
 		if send = pending && x.allows(urgent); send {
 			n = v.Notice()
 		}
 	})
 	if send {
-		x.broadcast(n)
+		x.broadcast(n, urgent)
 	}
 }
 
@@ -184,11 +185,7 @@
 	var to []thfleet.Peer
 	x.o.Guard.With(func(now thclock.Instant, v *thview.View) {
 		n = v.Greeting(false)
-		for _, p := range v.Fleet.Peers() {
-			if p.Identity.Zone == n.Identity.Zone && p.IsHeard(now) {
-				to = append(to, p)
-			}
-		}
+		to = v.Fleet.Zone(now, n.From)
 	})
 	n.Reading = &r
 	x.sendTo(n, to)
@@ -204,25 +201,53 @@
 	}
 	var n thfleet.Notice
 	x.o.Guard.With(func(_ thclock.Instant, v *thview.View) { n = v.Greeting(false) })
-	x.broadcast(n)
+	x.greetLost(n)
+	n.Identity = nil
+	x.broadcast(n, false)
 }
 
-// broadcast sends a notice to all VMs that are heard, and now and then to the
-// others.
-func (x *Exchange) broadcast(n thfleet.Notice) {
+// greetLost introduces this VM to those that are not heard.
+func (x *Exchange) greetLost(n thfleet.Notice) {
 	var to []thfleet.Peer
 	x.o.Guard.With(func(now thclock.Instant, v *thview.View) {
 		for _, p := range v.Fleet.Peers() {
 			heard := p.IsHeard(now)
 			x.noteHeard(p, heard)
-			if heard || n.Leaving || x.mayGreetLost(p.Key) {
+			if !heard && x.mayGreetLost(p.Key) {
 				to = append(to, p)
 			}
 		}
 	})
+	x.sendTo(n, to)
+}
+
+// broadcast sends a notice to all VMs that are heard.
+func (x *Exchange) broadcast(n thfleet.Notice, urgent bool) {
+	var direct, relays []thfleet.Peer
+	x.o.Guard.With(func(now thclock.Instant, v *thview.View) {
+		direct, relays = v.Fleet.Route(now, n.Number, urgent)
+	})
 	x.mu.Lock()
 	x.greeted = time.Now()
 	x.mu.Unlock()
+	x.sendTo(n, direct)
+	n.Relay = true
+	x.sendTo(n, relays)
+}
+
+// Introduce greets the VMs that were just listed, rather than wait for the
+// next greeting: after a restart, evidence reaches a VM only once it is known.
+func (x *Exchange) Introduce() {
+	var n thfleet.Notice
+	x.o.Guard.With(func(_ thclock.Instant, v *thview.View) { n = v.Greeting(false) })
+	x.greetLost(n)
+}
+
+// relay passes a notice on within this VM's zone.
+func (x *Exchange) relay(n thfleet.Notice) {
+	var to []thfleet.Peer
+	x.o.Guard.With(func(now thclock.Instant, v *thview.View) { to = v.Fleet.Zone(now, n.From) })
+	n.Relay = false
 	x.sendTo(n, to)
 }
 
@@ -251,6 +276,9 @@
 }
 
 func (x *Exchange) sendTo(n thfleet.Notice, to []thfleet.Peer) {
+	if len(to) == 0 {
+		return
+	}
 	data, err := x.encode.Marshal(n)
 	if err != nil {
 		x.o.Log.Log(thevent.NoticeUnsent, thevent.F("error", err.Error()))
@@ -316,10 +344,13 @@
 	var reply thfleet.Notice
 	x.o.Guard.With(func(now thclock.Instant, v *thview.View) {
 		news = v.Receive(now, n)
-		if news.Joined || news.Stranger || n.Asking {
+		if news.Joined || news.Awake || news.Stranger && !n.Relay || n.Asking {
 			reply = v.Greeting(news.Stranger)
 		}
 	})
+	if n.Relay && !news.Again {
+		x.relay(n)
+	}
 	if news.Joined && n.Identity != nil {
 		x.o.Log.Log(thevent.VMJoined, thevent.F("peer", n.Identity.ID), thevent.F("zone", n.Identity.Zone), thevent.F("address", n.Identity.Address))
 	}
--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -149,10 +149,11 @@
 	}
 }
 
-// Quiet waits until no request is under way or the context ends.
+// Quiet waits until no connection is open or the context ends. On a connection
+// that is still open after CloseIdle a request is under way, or being read.
 func (s *Server) Quiet(ctx context.Context) {
 	const look = 20 * time.Millisecond
-	for s.InFlight() > 0 && ctx.Err() == nil {
+	for s.Connections() > 0 && ctx.Err() == nil {
 		time.Sleep(look)
 	}
 }
--- a/io/thingress/server_test.go
+++ b/io/thingress/server_test.go
@@ -294,3 +294,27 @@
 	close(second)
 	assert.Assert(t, c.answer().ConnectionClose())
 }
+
+func TestARequestThatIsBeingReadAtTheStopIsServed(t *testing.T) {
+	g := newRig(t)
+	c := g.dial()
+	c.send("POST /once/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 5\r\n\r\nhe")
+	time.Sleep(20 * time.Millisecond) // the server has begun to read; a later start only makes the test easier
+	g.server.CloseIdle()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	quiet := make(chan struct{})
+	go func() {
+		g.server.Quiet(ctx)
+		close(quiet)
+	}()
+	select {
+	case <-quiet:
+		t.Fatal("quiet while a request is being read")
+	case <-time.After(50 * time.Millisecond):
+	}
+	c.send("llo")
+	assert.Equal(t, c.answer().StatusCode(), 200)
+	<-quiet
+	assert.NilError(t, ctx.Err())
+}
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -194,7 +194,6 @@
 	n.o.Log.Log(thevent.ProcessDraining, thevent.F("inFlight", n.ingress.InFlight()))
 	began := time.Now()
 	n.ingress.Drain()
-	n.cancel()
 	leave, cancel := context.WithTimeout(context.Background(), time.Second)
 	if err := n.source.Leave(leave); err != nil {
 		n.o.Log.Log(thevent.StoreLost, thevent.F("error", err.Error()), thevent.F("during", "leave"))
@@ -208,6 +207,7 @@
 	work, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(workShare*float64(n.o.Grace))))
 	n.ingress.Quiet(work)
 	cancel()
+	n.cancel()
 	n.exchange.Close()
 	n.o.Log.Log(thevent.ProcessStopped, thevent.F("inFlight", n.ingress.InFlight()))
 	time.Sleep(flushPause)
@@ -239,6 +239,7 @@
 			v.Fleet.Introduce(now, i)
 		}
 	})
+	f.n.exchange.Introduce()
 }
 
 func (f fleet) Tell(r thfleet.Reading) { f.n.exchange.Tell(r) }
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -86,14 +86,14 @@
 	// readAt is when the store last answered.
 	readAt time.Time
 	lost   bool
-	// started is when the source was made; until keepUntil, targets that are
-	// no longer listed are kept.
-	started, keepUntil time.Time
+	// lostAt is when the store was lost; until keepUntil, targets that are no
+	// longer listed are kept.
+	lostAt, keepUntil time.Time
 }
 
 // New returns a source that knows nothing yet.
 func New(o Options) *Source {
-	return &Source{o: o, wake: make(chan struct{}, 1), started: time.Now()}
+	return &Source{o: o, wake: make(chan struct{}, 1)}
 }
 
 // Table returns the table in force.
@@ -207,7 +207,7 @@
 	defer cancel()
 	list, err := s.o.Store.Targets(bounded)
 	s.mu.Lock()
-	if gap := time.Since(s.readAt); err == nil && gap > outage && gap < time.Since(s.started) {
+	if err == nil && s.lost && time.Since(s.lostAt) > outage {
 		s.keepUntil = time.Now().Add(lapsedBack)
 	}
 	s.mu.Unlock()
@@ -221,8 +221,9 @@
 
 const (
 	// outage is how long the store has to be out of reach for entries to have
-	// lapsed for want of it: targets write each 1.5 s and lapse after three.
-	outage = 2 * time.Second
+	// lapsed for want of it: targets write each 1.5 s and lapse after three, so
+	// that one may have been close to its end before.
+	outage = 1500 * time.Millisecond
 	// lapsedBack is how long entries that lapsed during an outage may take to
 	// come back.
 	lapsedBack = 2200 * time.Millisecond
@@ -250,8 +251,11 @@
 	s.mu.Lock()
 	was := s.lost
 	s.lost = err != nil
-	if err == nil {
+	switch {
+	case err == nil:
 		s.readAt = time.Now()
+	case !was:
+		s.lostAt = time.Now()
 	}
 	age := time.Since(s.readAt)
 	s.mu.Unlock()
