--- a/cmd/tamarackhollow/front.go
+++ b/cmd/tamarackhollow/front.go
@@ -43,7 +43,7 @@
 	store := platform.New(s.Platform.Address, s.LocalIP(), log)
 	n, err := thnode.Start(thnode.Options{
 		Settings: s, Store: store, StoreCalls: store.Calls, Names: platform.Names(), ReadinessPath: platform.ReadinessPath,
-		Budget: bounds.Repeats, Grace: bounds.Grace, Log: log,
+		Budget: bounds.Repeats, FloorShare: bounds.Floor, Grace: bounds.Grace, Log: log,
 	})
 	if err != nil {
 		return err
--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -73,7 +73,7 @@
 	// Stale is set if the notice is older than one that came before, and Again
 	// if it came before itself.
 	Stale, Again bool
-	Ends  []End
+	Ends         []End
 	// Admitted and Repeats are what was added since the last notice.
 	Admitted, Repeats []Total
 	Deaths            []Death
--- a/core/thjudge/belief.go
+++ b/core/thjudge/belief.go
@@ -43,8 +43,10 @@
 const (
 	// priorBad is the belief in a target of which nothing is known.
 	priorBad = 0.08
-	// stationaryBad is the share of time that a target fails.
-	stationaryBad = 0.25
+	// driftBad is what the belief in a target that gets no requests comes to. It
+	// is less than the share of time that a target fails, so that targets are
+	// not left out for want of news.
+	driftBad = 0.1
 	// onsetPerSecond is how often a well target begins to fail.
 	onsetPerSecond = 0.04
 	// episodeScale and episodeShape give the Weibull law of how long a target
@@ -98,7 +100,7 @@
 func (b Belief) evolve(now thclock.Instant) float64 {
 	span := max(0, now.Sub(b.at))
 	stays := survival(now.Sub(b.since)) / max(survival(b.at.Sub(b.since)), math.SmallestNonzeroFloat32)
-	begins := stationaryBad * (1 - math.Exp(-span.Seconds()*onsetPerSecond/stationaryBad))
+	begins := driftBad * (1 - math.Exp(-span.Seconds()*onsetPerSecond/driftBad))
 	return clamp(b.bad*min(1, stays) + (1-b.bad)*begins)
 }
 
--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -59,7 +59,7 @@
 	// zoneCostPerByte is the price of a byte between zones.
 	zoneCostPerByte = 0.004 / 1024
 	// connectCost is the price of a new connection.
-	connectCost = 0.02
+	connectCost = 0.06
 	// noveltyGain draws requests to a target that had none yet.
 	noveltyGain = 0.12
 	// coldFactor is how much longer a cold target takes.
--- a/core/thview/backend.go
+++ b/core/thview/backend.go
@@ -1,13 +1,22 @@
 package thview
 
-import "tamarackhollow/core/thtable"
+import (
+	"math"
 
-// shares spreads a route's requests over its services by smooth weighted
-// round robin, which keeps any short run of requests close to the weights.
+	"tamarackhollow/core/thtable"
+)
+
+// shares spreads a route's requests over its services. Each VM walks through
+// the weights in steps of the golden ratio from a random start: any run of its
+// requests is close to the weights, and so are the first requests of many VMs
+// together.
 type shares struct {
-	credit map[string]float64
+	point float64
 }
 
+// goldenRatio is the step whose multiples spread most evenly.
+var goldenRatio = (math.Sqrt(5) - 1) / 2
+
 // Backend returns the service that the route's next request goes to.
 func (v *View) Backend(r thtable.Route) string {
 	if len(r.Backends) == 1 {
@@ -15,42 +24,29 @@
 	}
 	s := v.shares[r.Name]
 	if s == nil {
-		s = &shares{credit: make(map[string]float64)}
+		s = &shares{point: v.options.Rand.Float64()}
 		v.shares[r.Name] = s
 	}
-	return s.next(r.Backends, v.options.Rand.Float64())
+	_, s.point = math.Modf(s.point + goldenRatio)
+	return at(r.Backends, s.point)
 }
 
-// next returns the service whose credit is the largest. The first requests of
-// a VM start at a random point, so that many VMs with few requests each keep
-// to the weights together.
-func (s *shares) next(bs []thtable.Backend, start float64) string {
+// at returns the service at a point from 0 to 1 of the weights laid end to end.
+func at(bs []thtable.Backend, point float64) string {
 	var sum float64
 	for _, b := range bs {
 		sum += b.Weight
 	}
-	if sum <= 0 {
-		return ""
-	}
-	if len(s.credit) == 0 {
-		for _, b := range bs {
-			s.credit[b.Service] = -b.Weight
-		}
-		point := start * sum
-		for _, b := range bs {
-			if point -= b.Weight; point < 0 {
-				s.credit[b.Service] += sum
-				break
-			}
-		}
-	}
-	best := ""
+	left := point * sum
+	name := ""
 	for _, b := range bs {
-		s.credit[b.Service] += b.Weight
-		if best == "" || s.credit[b.Service] > s.credit[best] {
-			best = b.Service
+		if b.Weight <= 0 {
+			continue
+		}
+		name = b.Service
+		if left -= b.Weight; left < 0 {
+			break
 		}
 	}
-	s.credit[best] -= sum
-	return best
+	return name
 }
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -27,6 +27,8 @@
 	belief    thjudge.Belief
 	inFlight  int
 	coldUntil thclock.Instant
+	// usedAt is when a VM last had a request at the target.
+	usedAt thclock.Instant
 }
 
 // service is a set of targets and its budget of repeats.
@@ -34,6 +36,7 @@
 	key     thfleet.Key
 	targets []*target
 	budget  thpick.Budget
+	floor   thpick.Floor
 	// repeats is the total of this VM's repeats.
 	repeats uint32
 }
@@ -50,6 +53,9 @@
 type Options struct {
 	Self   thfleet.Identity
 	Budget thpick.BudgetRule
+	// FloorShare is the share of a service's targets that stays in use while
+	// the service loses requests, 0 to 1.
+	FloorShare float64
 	// Start is when the VM started, in Unix milliseconds.
 	Start uint64
 	// HasIdle reports whether this VM has an idle connection to a target; nil
@@ -71,6 +77,7 @@
 	shares    map[string]*shares
 	outbox    outbox
 	cs        []thpick.Candidate
+	used      []bool
 }
 
 // New returns the view of a VM that knows nothing yet.
@@ -188,11 +195,15 @@
 	if !ok {
 		return Picked{}, &Refusal{After: retryAfterNone}
 	}
+	if spread, ok := v.spread(now, s, query, i); ok {
+		i = spread
+	}
 	if wait, over := thpick.Overloaded(query, v.cs[i]); over && len(tried) == 0 {
 		return Picked{}, &Refusal{Overloaded: true, After: wait}
 	}
 	t := s.targets[i]
 	t.inFlight++
+	t.usedAt = now
 	v.outbox.loads[t.key] = uint16(min(t.inFlight, math.MaxUint16))
 	p := Picked{Target: t.Target, Bad: v.cs[i].Belief.Bad(now), InFlight: v.cs[i].InFlight, Expected: query.Expected, key: t.key}
 	if len(tried) > 0 {
@@ -205,6 +216,15 @@
 	return p, nil
 }
 
+// spread returns a target that the floor demands to be used, if any.
+func (v *View) spread(now thclock.Instant, s *service, q thpick.Query, best int) (int, bool) {
+	v.used = v.used[:0]
+	for _, t := range s.targets {
+		v.used = append(v.used, now.Sub(t.usedAt) < thpick.FloorUsed)
+	}
+	return thpick.Spread(q, v.cs, v.used, v.options.FloorShare, s.floor.Holds(now), best)
+}
+
 const (
 	// answerBytes is about how long an answer is.
 	answerBytes = 1500
@@ -257,6 +277,23 @@
 	t.inFlight--
 	v.outbox.loads[t.key] = uint16(min(max(t.inFlight, 0), math.MaxUint16))
 	t.belief = withEnd(t.belief.WithOutcome(now, o), end)
+	v.noteEnd(now, t, end)
+}
+
+// noteEnd counts an attempt's end for its service's floor.
+func (v *View) noteEnd(now thclock.Instant, t *target, e thfleet.End) {
+	s := v.services[t.Service]
+	if s == nil {
+		return
+	}
+	switch e.Outcome {
+	case thjudge.Answered:
+		s.floor = s.floor.WithEnd(now, true)
+	case thjudge.Failed, thjudge.Cut, thjudge.Silent:
+		s.floor = s.floor.WithEnd(now, false)
+	default:
+		// The others did not run and are mostly sent elsewhere.
+	}
 }
 
 // paceSteps is how many steps a pace has per doubling.
@@ -273,19 +310,19 @@
 	return b.WithPace(math.Exp2(float64(e.Pace) / paceSteps))
 }
 
-// SetLeaving takes in that a target said that it is about to leave.
-func (v *View) SetLeaving(id string) {
-	if t := v.targets[id]; t != nil {
-		t.Leaving = true
-	}
-}
-
 // Receive takes in another VM's notice, and returns what it added.
 func (v *View) Receive(now thclock.Instant, n thfleet.Notice) thfleet.News {
 	news := v.Fleet.Receive(now, n)
 	for _, e := range news.Ends {
 		if t := v.byKey[e.Target]; t != nil {
 			t.belief = withEnd(t.belief.WithReport(now, e.Outcome), e)
+			t.usedAt = t.usedAt.Later(now)
+			v.noteEnd(now, t, e)
+		}
+	}
+	for _, l := range n.Loads {
+		if t := v.byKey[l.Target]; t != nil && l.InFlight > 0 {
+			t.usedAt = now
 		}
 	}
 	share := thquota.Share(v.Fleet.Size(now))
--- /dev/null
+++ b/core/thview/view_test.go
@@ -0,0 +1,190 @@
+package thview_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thjudge"
+	"tamarackhollow/core/thmessage"
+	"tamarackhollow/core/thpick"
+	"tamarackhollow/core/thtable"
+	"tamarackhollow/core/thview"
+
+	"gotest.tools/v3/assert"
+)
+
+// world is a fleet of views that hear each other, and targets of one service
+// of which some fail for a while.
+type world struct {
+	views []*thview.View
+	now   time.Duration
+	rng   *rand.Rand
+	// failsUntil tells until when a target fails.
+	failsUntil map[string]time.Duration
+	// silent is whether no notice arrives.
+	silent bool
+	sent   map[string]int
+	lost   int
+	served int
+}
+
+const slots = 2
+
+func newWorld(vms, targets int) *world {
+	w := &world{rng: rand.New(rand.NewPCG(7, 7)), failsUntil: map[string]time.Duration{}, sent: map[string]int{}}
+	var ts []thtable.Target
+	for i := range targets {
+		ts = append(ts, thtable.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Zone: "z", Slots: slots})
+	}
+	for i := range vms {
+		v := thview.New(thview.Options{
+			Self:   thfleet.Identity{ID: fmt.Sprintf("vm-%d", i), Zone: "z", Address: "10.0.0.1:1"},
+			Budget: thpick.BudgetRule{Window: 10 * time.Second, Ratio: 0.2, Slack: 56}, FloorShare: 0.7,
+			Start: 1, HasIdle: func(string, bool) bool { return true },
+			Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+		})
+		v.SetTargets(w.instant(), ts)
+		w.views = append(w.views, v)
+	}
+	w.now = time.Second
+	return w
+}
+
+func (w *world) instant() thclock.Instant { return thclock.At(time.Hour + w.now) }
+
+func (w *world) tell(from int) {
+	n := w.views[from].Notice()
+	if w.silent {
+		return
+	}
+	for i, v := range w.views {
+		if i != from {
+			v.Receive(w.instant(), n)
+		}
+	}
+}
+
+// request has one VM make one attempt, which ends after the work.
+func (w *world) request(safety thtable.Safety, work time.Duration) string {
+	vm := w.rng.IntN(len(w.views))
+	v := w.views[vm]
+	q := &thmessage.Request{
+		Route:     thtable.Route{Name: "r", Safety: safety, MaxAttempts: 2, ObjectiveMillis: 800},
+		Objective: w.instant().Add(800 * time.Millisecond), Deadline: w.instant().Add(2 * time.Second),
+	}
+	p, refusal := v.Pick(w.instant(), q, "s", nil, false)
+	if refusal != nil {
+		return ""
+	}
+	w.sent[p.Target.ID]++
+	w.tell(vm)
+	o := thjudge.Answered
+	w.served++
+	if w.now < w.failsUntil[p.Target.ID] {
+		o = thjudge.Failed
+		w.served--
+		w.lost++
+	}
+	v.Finish(w.instant(), p, q, o, work)
+	w.tell(vm)
+	return p.Target.ID
+}
+
+func (w *world) run(span time.Duration, perSecond int) {
+	for until := w.now + span; w.now < until; w.now += time.Second / time.Duration(perSecond) {
+		w.request(thtable.Once, 100*time.Millisecond)
+	}
+}
+
+// TestOneVMsFailureSteersAll is the differential test against VMs that keep
+// what they learn to themselves.
+func TestOneVMsFailureSteersAll(t *testing.T) {
+	lost := func(silent bool) int {
+		w := newWorld(32, 10)
+		w.silent = silent
+		w.run(5*time.Second, 30)
+		for i := range 3 {
+			w.failsUntil[fmt.Sprintf("t%d", i)] = w.now + 9*time.Second
+		}
+		w.lost = 0
+		w.run(9*time.Second, 30)
+		return w.lost
+	}
+	together, alone := lost(false), lost(true)
+	assert.Assert(t, together <= 6, "%d lost", together)
+	assert.Assert(t, alone > 2*together, "%d lost alone, %d together", alone, together)
+}
+
+func TestTargetsThatAreWellAgainGetWork(t *testing.T) {
+	w := newWorld(8, 3)
+	w.run(3*time.Second, 30)
+	w.failsUntil["t0"] = w.now + 5*time.Second
+	w.run(20*time.Second, 30)
+	for _, s := range w.views[0].Standings(w.instant()) {
+		assert.Assert(t, s.Bad < 0.3, "%+v", s)
+	}
+}
+
+// TestTheFloorHoldsWhileRequestsAreLost has a service in which all targets
+// lose some requests at random: most of its targets stay in use.
+func TestTheFloorHoldsWhileRequestsAreLost(t *testing.T) {
+	w := newWorld(32, 8)
+	w.run(3*time.Second, 30)
+	for range 5 {
+		clear(w.sent)
+		for until := w.now + 2*time.Second; w.now < until; w.now += time.Second / 50 {
+			if w.rng.IntN(100) < 15 {
+				for i := range 8 {
+					w.failsUntil[fmt.Sprintf("t%d", i)] = w.now + time.Millisecond
+				}
+			}
+			w.request(thtable.Once, 100*time.Millisecond)
+		}
+		assert.Assert(t, len(w.sent) >= 6, "%d of 8 targets are used", len(w.sent))
+	}
+}
+
+func TestNewTargetsGetWorkWithinSeconds(t *testing.T) {
+	w := newWorld(4, 4)
+	w.run(5*time.Second, 30)
+	var ts []thtable.Target
+	for i := range 7 {
+		ts = append(ts, thtable.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Zone: "z", Slots: slots})
+	}
+	for _, v := range w.views {
+		v.SetTargets(w.instant(), ts)
+	}
+	clear(w.sent)
+	w.run(2*time.Second, 30)
+	for i := 4; i < 7; i++ {
+		assert.Assert(t, w.sent[fmt.Sprintf("t%d", i)] > 0, "%v", w.sent)
+	}
+}
+
+func TestBackendsKeepToTheirWeightsOverManyVMs(t *testing.T) {
+	r := thtable.Route{Name: "r", Backends: []thtable.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	count := map[string]int{}
+	for i := range 100 {
+		v := thview.New(thview.Options{Self: thfleet.Identity{ID: "vm"}, Rand: rand.New(rand.NewPCG(uint64(i), 3))})
+		for range 3 {
+			count[v.Backend(r)]++
+		}
+	}
+	assert.Assert(t, count["b"] > 15 && count["b"] < 50, "%v", count)
+}
+
+// TestTargetsAreNotLeftOutForWantOfNews has a service with little to do, whose
+// targets are all well: most of them stay in use.
+func TestTargetsAreNotLeftOutForWantOfNews(t *testing.T) {
+	w := newWorld(16, 8)
+	w.run(10*time.Second, 30)
+	for range 5 {
+		clear(w.sent)
+		w.run(2*time.Second, 30)
+		assert.Assert(t, len(w.sent) >= 6, "%v", w.sent)
+	}
+}
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -200,9 +200,6 @@
 func (f *Forwarder) finish(t *trip, p thview.Picked, r thsend.Result) (d thpick.Decision) {
 	f.With(func(now thclock.Instant, v *thview.View) {
 		v.Finish(now, p, t.q, outcomeOf(p, r), r.Took)
-		if r.Leaving && r.End == thpick.NotRun {
-			v.SetLeaving(p.Target.ID)
-		}
 		rules := thpick.Rules{
 			Repeatable: t.q.Route.IsIdempotent(), MaxAttempts: t.q.Route.MaxAttempts,
 			Expected: p.Expected, Deadline: t.q.Deadline,
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -41,6 +41,9 @@
 	ReadinessPath string
 	// Budget bounds repeats over all VMs.
 	Budget thpick.BudgetRule
+	// FloorShare is the share of a service's targets that stays in use while
+	// the service loses requests.
+	FloorShare float64
 	// Grace is the time between the order to stop and the end by force.
 	Grace time.Duration
 	Log   thevent.Logger
@@ -107,7 +110,7 @@
 	n.pool = pool
 	n.sender = thsend.New(thsend.Options{LocalIP: t.LocalIP(), Clock: n.clock, Names: n.o.Names})
 	view := thview.New(thview.Options{
-		Self: self, Budget: n.o.Budget, Start: uint64(time.Now().UnixMilli()), HasIdle: n.sender.HasIdle,
+		Self: self, Budget: n.o.Budget, FloorShare: n.o.FloorShare, Start: uint64(time.Now().UnixMilli()), HasIdle: n.sender.HasIdle,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	n.forwarder = thforward.New(thforward.Options{
--- a/io/thsend/client.go
+++ b/io/thsend/client.go
@@ -44,8 +44,6 @@
 	Outcome thjudge.Outcome
 	// Answer is set if End is Answered or Failure.
 	Answer *thmessage.Answer
-	// Leaving is set if the target asked for the connection to be closed.
-	Leaving bool
 	// Connected is set if a connection was made for the attempt.
 	Connected bool
 	// Err says what went wrong, for the log.
--- a/io/thsend/exchange.go
+++ b/io/thsend/exchange.go
@@ -67,7 +67,6 @@
 		return c.failure(ctx, p, n, err), false
 	}
 	result := c.classify(r, q)
-	result.Leaving = r.Header.ConnectionClose()
 	if !keep {
 		p.discard(n)
 		return result, false
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -275,6 +275,7 @@
 			pause = lookEvery
 			continue
 		}
+		asked := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, tableWait+callTimeout)
 		d, err := s.o.Store.Table(bounded, s.have().Table, tableWait)
 		cancel()
@@ -286,7 +287,11 @@
 			continue
 		}
 		pause = 0
-		if s.applyTable(d) && s.isReading() {
+		if !s.applyTable(d) && time.Since(asked) < retryPause {
+			pause = retryPause // a store without history or configuration answers at once
+			continue
+		}
+		if s.isReading() {
 			s.o.Fleet.Tell(s.have())
 		}
 	}
