thforward: revert the second attempt; thfleet: hear VMs whose clock was set back

Apart from that, a VM that starts anew with its time of day set back was taken for an older start of itself and never heard again. Change: the former as it was; a silent VM's earlier start counts as a new one. TestAVMThatStartsWithItsClockSetBackIsHeardAgain failed first.

--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -123,6 +123,9 @@
 	}
 	news.Stranger = p.Identity.ID == ""
 	switch {
+	case n.Start < p.start && !p.IsHeard(now):
+		// The VM started anew with its clock set back.
+		f.restart(p)
 	case n.Start < p.start || n.Start == p.start && n.Number <= p.number:
 		// Totals only rise, so a notice that was overtaken adds nothing but its ends.
 		news.Stale = true
--- a/core/thfleet/fleet_test.go
+++ b/core/thfleet/fleet_test.go
@@ -216,3 +216,19 @@
 	direct, _ = f.Route(at(time.Minute), 1, false)
 	assert.Equal(t, len(direct), 0)
 }
+
+func TestAVMThatStartsWithItsClockSetBackIsHeardAgain(t *testing.T) {
+	f := thfleet.New(identity(0))
+	n := notice(1, 900)
+	n.Start = 5_000
+	f.Receive(at(0), n)
+	n = notice(1, 1)
+	n.Start = 4_000
+	assert.Assert(t, f.Receive(at(time.Second), n).Stale, "it may be a notice of before")
+	n.Number = 2
+	assert.Assert(t, !f.Receive(at(5*time.Second), n).Stale)
+	n.Number = 3
+	assert.Assert(t, !f.Receive(at(5*time.Second), n).Stale)
+	heard, _ := f.Size(at(5 * time.Second))
+	assert.Equal(t, heard, 2)
+}
--- a/core/thpick/next.go
+++ b/core/thpick/next.go
@@ -105,15 +105,3 @@
 	}
 	return Refuse{therror.Shed}
 }
-
-// StallFactor is how many times its usual time an answer may take before that
-// speaks against the target, and before a repeatable request is sent to a
-// second one as well; one answer in twenty takes as long by itself.
-const StallFactor = 4
-
-// HedgeAfter returns after what time without an answer a repeatable request is
-// sent to a second target as well, and false if that would come too late.
-func HedgeAfter(now thclock.Instant, r Rules) (time.Duration, bool) {
-	after := StallFactor * r.Expected
-	return after, r.Repeatable && r.MaxAttempts > 1 && now.Add(after+r.Expected).Before(r.Deadline)
-}
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -296,15 +296,6 @@
 	}
 }
 
-// Stall takes in that an attempt's answer is late by several times its usual
-// time, so that a target that hangs is known before the first deadline passes.
-func (v *View) Stall(now thclock.Instant, p Picked) {
-	v.outbox.ends = append(v.outbox.ends, thfleet.End{Target: p.key, Outcome: thjudge.Stalled, Pace: thfleet.PaceUnknown})
-	if t := v.byKey[p.key]; t != nil {
-		t.belief = t.belief.WithOutcome(now, thjudge.Stalled)
-	}
-}
-
 // paceSteps is how many steps a pace has per doubling.
 const paceSteps = 8
 
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -125,16 +125,22 @@
 	if refusal != nil {
 		return nil, f.refuse(t, refusal), true
 	}
-	e := f.send(ctx, t, picked)
+	f.o.Stir()
+	r := f.o.Sender.Send(ctx, picked.Target, t.q, t.most)
+	t.attempts = t.attempts.WithEnd(r.End)
+	t.tried = append(t.tried, picked.Target.ID)
+	d := f.finish(t, picked, r)
+	f.o.Stir()
+	f.noteAttempt(t, picked, r)
 	if ctx.Err() != nil {
 		return nil, f.refuse(t, gone()), true
 	}
-	switch d := e.decision.(type) {
+	switch d := d.(type) {
 	case thpick.Deliver:
-		f.noteAnswer(t, e.picked, e.result)
-		return e.result.Answer, nil, true
+		f.noteAnswer(t, picked, r)
+		return r.Answer, nil, true
 	case thpick.Refuse:
-		return nil, f.refuse(t, &thingress.Refusal{Err: therror.New(d.Kind, "%s", detailOf(d.Kind)), After: f.after(d.Kind, e.picked)}), true
+		return nil, f.refuse(t, &thingress.Refusal{Err: therror.New(d.Kind, "%s", detailOf(d.Kind)), After: f.after(d.Kind, picked)}), true
 	}
 	return nil, nil, false
 }
@@ -172,7 +178,6 @@
 		switch {
 		case none == nil:
 			p = picked
-			t.tried = append(t.tried, p.Target.ID)
 		case t.attempts.Ran > 0:
 			refusal = &thingress.Refusal{Err: therror.New(therror.AnswerLost, "no other target is left")}
 		case none.Overloaded:
@@ -191,23 +196,19 @@
 	return therror.New(therror.QueueFull, "no time was left to send the request")
 }
 
-// decide takes the attempt into account and decides what follows.
-func (f *Forwarder) decide(t *trip, p thview.Picked, r thsend.Result) (d thpick.Decision) {
-	t.attempts = t.attempts.WithEnd(r.End)
+// finish takes in the attempt and decides what follows.
+func (f *Forwarder) finish(t *trip, p thview.Picked, r thsend.Result) (d thpick.Decision) {
 	f.With(func(now thclock.Instant, v *thview.View) {
-		d = thpick.Next(now, t.rules(p), t.attempts, r.End, v.Affords(now, t.service))
+		v.Finish(now, p, t.q, outcomeOf(p, r), r.Took)
+		rules := thpick.Rules{
+			Repeatable: t.q.Route.IsIdempotent(), MaxAttempts: t.q.Route.MaxAttempts,
+			Expected: p.Expected, Deadline: t.q.Deadline,
+		}
+		d = thpick.Next(now, rules, t.attempts, r.End, v.Affords(now, t.service))
 	})
-	f.noteAttempt(t, p, r)
 	return d
 }
 
-func (t *trip) rules(p thview.Picked) thpick.Rules {
-	return thpick.Rules{
-		Repeatable: t.q.Route.IsIdempotent(), MaxAttempts: t.q.Route.MaxAttempts,
-		Expected: p.Expected, Deadline: t.q.Deadline,
-	}
-}
-
 // silentFactor is how many times its usual time an answer has to be late to
 // speak against the target.
 const silentFactor = 3
