--- a/io/thcommand/exit.go
+++ b/io/thcommand/exit.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// The exit codes. docs/OPERATING.md explains them.
+// The exit codes. docs/OPERATIONS.md explains them.
 const (
 	ExitDone        = 0
 	ExitFault       = 1
