--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -76,7 +76,6 @@
 	Ends         []End
 	// Admitted and Repeats are what was added since the last notice.
 	Admitted, Repeats []Total
-	Deaths            []Death
 	// Joined is set if the sender's identity is new.
 	Joined bool
 	// Stranger is set if the sender's identity is not known.
@@ -130,7 +129,7 @@
 		// Totals only rise, so a notice that was overtaken adds nothing but its ends.
 		news.Stale = true
 		if news.Again = n.Start < p.start || p.saw(n.Number); !news.Again {
-			news.Ends, news.Deaths = n.Ends, n.Deaths
+			news.Ends = n.Ends
 		}
 		return news
 	case n.Start > p.start:
@@ -146,7 +145,7 @@
 		return news
 	}
 	f.receiveLoads(now, n)
-	news.Ends, news.Deaths = n.Ends, n.Deaths
+	news.Ends = n.Ends
 	news.Admitted = rise(p.admitted, n.Admitted, known)
 	news.Repeats = rise(p.repeats, n.Repeats, known)
 	if n.Reading != nil {
--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -56,13 +56,6 @@
 	Address string
 }
 
-// Death is a request that took a target down, by the request's digest.
-type Death struct {
-	_       struct{} `cbor:",toarray"`
-	Request uint64
-	Target  Key
-}
-
 // Notice is what one VM tells others in one datagram.
 type Notice struct {
 	From VMKey `cbor:"1,keyasint"`
@@ -77,9 +70,8 @@
 	Identity *Identity `cbor:"8,keyasint,omitempty"`
 	Reading  *Reading  `cbor:"9,keyasint,omitempty"`
 	Leaving  bool      `cbor:"10,keyasint,omitempty"`
-	Deaths   []Death   `cbor:"11,keyasint,omitempty"`
 	// Asking is set if the sender wants the receiver's identity.
-	Asking bool `cbor:"12,keyasint,omitempty"`
+	Asking bool `cbor:"11,keyasint,omitempty"`
 	// Relay is set if the receiver is to pass the notice on within its zone.
-	Relay bool `cbor:"13,keyasint,omitempty"`
+	Relay bool `cbor:"12,keyasint,omitempty"`
 }
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -15,7 +15,6 @@
 	admitted map[thfleet.Key]uint32
 	repeats  map[thfleet.Key]uint32
 	ends     []thfleet.End
-	deaths   []thfleet.Death
 }
 
 func newOutbox(o Options) outbox {
@@ -36,7 +35,7 @@
 			return true, true
 		}
 	}
-	return len(o.loads)+len(o.admitted)+len(o.repeats)+len(o.ends)+len(o.deaths) > 0, len(o.deaths) > 0
+	return len(o.loads)+len(o.admitted)+len(o.repeats)+len(o.ends) > 0, false
 }
 
 // Notice returns what the others have not been told, and takes it as told.
@@ -48,8 +47,8 @@
 		n.Loads = append(n.Loads, thfleet.Load{Target: k, InFlight: c})
 	}
 	n.Admitted, n.Repeats = totals(o.admitted), totals(o.repeats)
-	n.Ends, n.Deaths = o.ends, o.deaths
-	o.ends, o.deaths = nil, nil
+	n.Ends = o.ends
+	o.ends = nil
 	clear(o.loads)
 	clear(o.admitted)
 	clear(o.repeats)
@@ -87,14 +86,18 @@
 func (v *View) Standings(now thclock.Instant) []Standing {
 	all := make([]Standing, 0, len(v.targets))
 	for _, t := range v.targets {
-		all = append(all, Standing{
-			ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Leaving: t.Leaving,
-			Bad: t.belief.Bad(now), Pace: t.belief.Pace(), InFlight: t.inFlight + v.Fleet.InFlight(now, t.key),
-		})
+		all = append(all, v.standing(now, t))
 	}
 	return all
 }
 
+func (v *View) standing(now thclock.Instant, t *target) Standing {
+	return Standing{
+		ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Leaving: t.Leaving,
+		Bad: t.belief.Bad(now), Pace: t.belief.Pace(), InFlight: t.inFlight + v.Fleet.InFlight(now, t.key),
+	}
+}
+
 // State returns well, suspect or leaving.
 func (s Standing) State() string {
 	switch {
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -29,6 +29,8 @@
 	coldUntil thclock.Instant
 	// usedAt is when a VM last had a request at the target.
 	usedAt thclock.Instant
+	// suspect is whether the target was told to be suspect.
+	suspect bool
 }
 
 // service is a set of targets and its budget of repeats.
@@ -62,6 +64,9 @@
 	// means that it has none.
 	HasIdle func(id string, repeatable bool) bool
 	Rand    *rand.Rand
+	// Changed is told when a target becomes suspect or is cleared; nil tells
+	// nobody. It is called in the middle of a change and must not call back.
+	Changed func(s Standing)
 }
 
 // View is one VM's blackboard. Make one with New.
@@ -276,10 +281,24 @@
 	}
 	t.inFlight--
 	v.outbox.loads[t.key] = uint16(min(max(t.inFlight, 0), math.MaxUint16))
-	t.belief = withEnd(t.belief.WithOutcome(now, o), end)
+	v.believe(now, t, withEnd(t.belief.WithOutcome(now, o), end))
 	v.noteEnd(now, t, end)
 }
 
+// believe replaces the belief in a target, and tells if that made it suspect
+// or cleared it.
+func (v *View) believe(now thclock.Instant, t *target, b thjudge.Belief) {
+	t.belief = b
+	suspect := b.Bad(now) > suspectBad
+	if suspect == t.suspect {
+		return
+	}
+	t.suspect = suspect
+	if v.options.Changed != nil {
+		v.options.Changed(v.standing(now, t))
+	}
+}
+
 // noteEnd counts an attempt's end for its service's floor.
 func (v *View) noteEnd(now thclock.Instant, t *target, e thfleet.End) {
 	s := v.services[t.Service]
@@ -315,7 +334,7 @@
 	news := v.Fleet.Receive(now, n)
 	for _, e := range news.Ends {
 		if t := v.byKey[e.Target]; t != nil {
-			t.belief = withEnd(t.belief.WithReport(now, e.Outcome), e)
+			v.believe(now, t, withEnd(t.belief.WithReport(now, e.Outcome), e))
 			t.usedAt = t.usedAt.Later(now)
 			v.noteEnd(now, t, e)
 		}
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -188,3 +188,23 @@
 		assert.Assert(t, len(w.sent) >= 6, "%v", w.sent)
 	}
 }
+
+func TestSuspectsAreToldOnceAndWhenTheyAreCleared(t *testing.T) {
+	var told []string
+	v := thview.New(thview.Options{
+		Self: thfleet.Identity{ID: "vm"}, Rand: rand.New(rand.NewPCG(1, 1)),
+		Changed: func(s thview.Standing) { told = append(told, s.State()) },
+	})
+	now := thclock.At(time.Hour)
+	v.SetTargets(now, []thtable.Target{{ID: "t", Service: "s", Slots: 2}})
+	q := &thmessage.Request{Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+	for i, o := range []thjudge.Outcome{
+		thjudge.Answered, thjudge.Failed, thjudge.Failed, thjudge.Failed, thjudge.Answered, thjudge.Answered, thjudge.Answered, thjudge.Answered,
+	} {
+		at := now.Add(time.Duration(i) * time.Second)
+		p, refusal := v.Pick(at, q, "s", nil, false)
+		assert.Assert(t, refusal == nil)
+		v.Finish(at, p, q, o, time.Second)
+	}
+	assert.DeepEqual(t, told, []string{"suspect", "well"})
+}
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -111,7 +111,7 @@
 	n.sender = thsend.New(thsend.Options{LocalIP: t.LocalIP(), Clock: n.clock, Names: n.o.Names})
 	view := thview.New(thview.Options{
 		Self: self, Budget: n.o.Budget, FloorShare: n.o.FloorShare, Start: uint64(time.Now().UnixMilli()), HasIdle: n.sender.HasIdle,
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Changed: n.noteTarget,
 	})
 	n.forwarder = thforward.New(thforward.Options{
 		View: view, Table: n.table, Sender: n.sender, Clock: n.clock, Log: n.o.Log,
@@ -155,6 +155,16 @@
 	return nil
 }
 
+// noteTarget logs that a target became suspect or was cleared.
+func (n *Node) noteTarget(s thview.Standing) {
+	id := thevent.TargetCleared
+	if s.State() == "suspect" {
+		id = thevent.TargetSuspected
+	}
+	n.o.Log.Log(id, thevent.F("target", s.ID), thevent.F("service", s.Service), thevent.F("address", s.Address),
+		thevent.F("badPerMille", int(s.Bad*1000)), thevent.F("inFlight", s.InFlight))
+}
+
 func (n *Node) table() thtable.Table { return n.source.Table() }
 
 func (n *Node) stir() { n.exchange.Stir() }
