thpick, thgossip, cmd: one skeleton for the VM commands; no costs where the floor is met

Ruled out: a change of behaviour. Change: vmCommand, isOpen, an early return in leastUnused; the dead code is gone.

--- a/cmd/tamarackhollow/front.go
+++ b/cmd/tamarackhollow/front.go
@@ -16,21 +16,7 @@
 )
 
 func frontCommand() *ffcli.Command {
-	r := thsettings.NewReader()
-	return &ffcli.Command{
-		Name:       "front",
-		ShortUsage: "tamarackhollow front --settings vm.toml [flags]",
-		ShortHelp:  "run one VM's process on the platform until SIGTERM, then drain it",
-		FlagSet:    r.FlagSet(),
-		Options:    r.Options(),
-		Exec: func(ctx context.Context, _ []string) error {
-			s, err := r.Settings()
-			if err != nil {
-				return err
-			}
-			return front(ctx, s)
-		},
-	}
+	return vmCommand("front", "run one VM's process on the platform until SIGTERM, then drain it", front)
 }
 
 // front runs the VM until the context ends, and then drains it.
--- a/cmd/tamarackhollow/serve.go
+++ b/cmd/tamarackhollow/serve.go
@@ -13,21 +13,7 @@
 )
 
 func serveCommand() *ffcli.Command {
-	r := thsettings.NewReader()
-	return &ffcli.Command{
-		Name:       "serve",
-		ShortUsage: "tamarackhollow serve --settings vm.toml [flags]",
-		ShortHelp:  "run one VM's process until SIGTERM, then drain it",
-		FlagSet:    r.FlagSet(),
-		Options:    r.Options(),
-		Exec: func(ctx context.Context, _ []string) error {
-			s, err := r.Settings()
-			if err != nil {
-				return err
-			}
-			return serve(ctx, s)
-		},
-	}
+	return vmCommand("serve", "run one VM's process until SIGTERM, then drain it", serve)
 }
 
 // serve runs the VM until the context ends, and then drains it.
--- a/core/thjudge/belief.go
+++ b/core/thjudge/belief.go
@@ -92,9 +92,6 @@
 	return b.evolve(now)
 }
 
-// At returns when the last outcome was folded in.
-func (b Belief) At() thclock.Instant { return b.at }
-
 // evolve moves the belief from the last outcome to now: an episode may have
 // ended since, and a new one may have begun.
 func (b Belief) evolve(now thclock.Instant) float64 {
--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -7,6 +7,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -127,7 +128,7 @@
 func Pick(rng *rand.Rand, q Query, cs []Candidate) (int, bool) {
 	best, least := -1, math.Inf(1)
 	for i, c := range cs {
-		if c.Target.Leaving || tried(q, c.Target.ID) {
+		if !isOpen(q, c) {
 			continue
 		}
 		if cost := Cost(q, c) + rng.Float64()*jitterCost; cost < least {
@@ -137,13 +138,10 @@
 	return best, best >= 0
 }
 
-func tried(q Query, id string) bool {
-	for _, t := range q.Tried {
-		if t == id {
-			return true
-		}
-	}
-	return false
+// isOpen reports whether the candidate may run the request: it is not leaving,
+// and the request has not been sent to it before.
+func isOpen(q Query, c Candidate) bool {
+	return !c.Target.Leaving && !slices.Contains(q.Tried, c.Target.ID)
 }
 
 const (
--- a/core/thpick/floor.go
+++ b/core/thpick/floor.go
@@ -1,6 +1,7 @@
 package thpick
 
 import (
+	"math"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -80,9 +81,10 @@
 	return unused, true
 }
 
+// leastUnused returns the unused candidate that costs least, and false if
+// enough of them are in use, which is told before any cost is worked out.
 func leastUnused(q Query, cs []Candidate, used []bool, share float64) (int, bool) {
-	all, inUse, best := 0, 0, -1
-	var least float64
+	all, inUse := 0, 0
 	for i, c := range cs {
 		if c.Target.Leaving {
 			continue
@@ -90,14 +92,19 @@
 		all++
 		if used[i] {
 			inUse++
-			continue
 		}
-		if tried(q, c.Target.ID) {
+	}
+	if float64(inUse) >= (share+floorMargin)*float64(all) {
+		return 0, false
+	}
+	best, least := -1, math.Inf(1)
+	for i, c := range cs {
+		if used[i] || !isOpen(q, c) {
 			continue
 		}
-		if cost := Cost(q, c); best < 0 || cost < least {
+		if cost := Cost(q, c); cost < least {
 			best, least = i, cost
 		}
 	}
-	return best, best >= 0 && float64(inUse) < (share+floorMargin)*float64(all)
+	return best, best >= 0
 }
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -355,15 +355,9 @@
 		x.o.Log.Log(thevent.VMJoined, thevent.F("peer", n.Identity.ID), thevent.F("zone", n.Identity.Zone), thevent.F("address", n.Identity.Address))
 	}
 	if reply.Identity != nil && !n.Leaving {
-		x.answer(reply, n.From, from)
+		x.sendTo(reply, []thfleet.Peer{{Identity: thfleet.Identity{Address: from.String()}}})
 	}
 	if n.Reading != nil && x.o.Heard != nil {
 		x.o.Heard()
 	}
 }
-
-// answer introduces this VM to the sender of a notice.
-func (x *Exchange) answer(n thfleet.Notice, to thfleet.VMKey, address netip.AddrPort) {
-	peer := thfleet.Peer{Key: to, Identity: thfleet.Identity{Address: address.String()}}
-	x.sendTo(n, []thfleet.Peer{peer})
-}
