thingress: close a connection whose last answer came before its reader waited

Cause: writeReply ends a connection during a stop only if its reader already waits for the next request, and CloseIdle only if it waits at that moment. An answer that was written in between left the connection open until the grace ended. Ruled out: a slow machine; the new test holds the reader back and fails every time (context deadline exceeded after 10 s). Change: the reader does not wait for a further request once CloseIdle was called and nothing is under way or buffered. Before: the new test fails.

--- a/io/thingress/connection.go
+++ b/io/thingress/connection.go
@@ -101,7 +101,10 @@
 // further request is to be read.
 func (c *connection) await(l limits) bool {
 	c.mu.Lock()
-	if c.closing {
+	// An answer that was written before the reader came here did not end the
+	// connection, and CloseIdle did not see it idle.
+	idle := c.pending == 0 && c.reader.Buffered() == 0
+	if c.closing || idle && c.server.stopping.Load() {
 		c.mu.Unlock()
 		return false
 	}
--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -63,6 +63,8 @@
 	open     map[*connection]struct{}
 	listener net.Listener
 	draining atomic.Bool
+	// stopping is set once connections without a request are to be closed.
+	stopping atomic.Bool
 	inFlight atomic.Int64
 }
 
@@ -138,6 +140,7 @@
 // taking new ones.
 func (s *Server) CloseIdle() {
 	s.Drain()
+	s.stopping.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.listener != nil {
--- a/io/thingress/server_test.go
+++ b/io/thingress/server_test.go
@@ -94,10 +94,15 @@
 }
 
 func newRig(t *testing.T) *rig {
+	t.Helper()
+	return newRigWith(t, nil)
+}
+
+func newRigWith(t *testing.T, submit func(task func()) error) *rig {
 	t.Helper()
 	g := &rig{t: t, runner: newRunner()}
 	g.server = thingress.New(thingress.Options{
-		Table: table, Runner: g.runner, Clock: thclock.System{},
+		Table: table, Runner: g.runner, Clock: thclock.System{}, Submit: submit,
 		Names: thmessage.Names{RequestID: "X-Id", Deadline: "X-Deadline", Own: "X-Own-"},
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -318,3 +323,23 @@
 	<-quiet
 	assert.NilError(t, ctx.Err())
 }
+
+// TestAnAnswerWrittenBeforeTheReaderWaitsEndsItsConnection has the reader come
+// back to its connection only after the answer has been written.
+func TestAnAnswerWrittenBeforeTheReaderWaitsEndsItsConnection(t *testing.T) {
+	answered := make(chan struct{})
+	g := newRigWith(t, func(task func()) error {
+		task()
+		<-answered
+		return nil
+	})
+	c := g.dial()
+	c.send("GET /safe/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n\r\n")
+	assert.Equal(t, c.answer().StatusCode(), 200)
+	g.server.CloseIdle()
+	close(answered)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	g.server.Quiet(ctx)
+	assert.NilError(t, ctx.Err())
+}
