thpick, thview: the floor counts refusals and leaves out what has just failed

The floor counted only ends of attempts, so it was not held: FLOOR at 8.0 s. Ruled out: lost notices and late beliefs; the suspects had failed 3 s before and were known to all. Change: each VM counts what it refuses, for the limit or for load, against what it sends, and holds the floor by that as well. A target that failed within 1.7 s is not counted, as it is not judged sound then, so fewer requests are spent on targets that are failing.

--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -25,6 +25,9 @@
 	Connected bool
 	// ColdUntil is until when the target is slow after its start.
 	ColdUntil thclock.Instant
+	// UsedAt is when a VM last had a request at the target, and FailedAt when a
+	// request last failed there; zero if none did.
+	UsedAt, FailedAt thclock.Instant
 }
 
 // Query is the request that a target is picked for.
--- a/core/thpick/floor.go
+++ b/core/thpick/floor.go
@@ -19,6 +19,8 @@
 type floorSlot struct {
 	number     int64
 	good, lost float64
+	// refused and ran count this VM's own requests.
+	refused, ran float64
 }
 
 const (
@@ -31,20 +33,20 @@
 	floorLoss = 0.08
 	// floorFew is how many lost requests say nothing yet.
 	floorFew = 2
-	// FloorUsed is how long a target counts as used after a request.
-	FloorUsed = 1700 * time.Millisecond
+	// floorUsed is how long a target counts as used after a request: the floor is
+	// judged over two seconds, and VMs hear of each other's requests a little later.
+	floorUsed = 1700 * time.Millisecond
+	// floorFailed is how long a target that failed is not counted; it is judged
+	// as sound again two seconds after.
+	floorFailed = 1700 * time.Millisecond
 	// floorMargin is added to the share that is to be used: VMs pick at the
 	// same time, and differ in what they know.
 	floorMargin = 0.05
 )
 
-// WithEnd returns the floor after a request was answered or lost.
+// WithEnd returns the floor after a request of any VM was answered or lost.
 func (f Floor) WithEnd(now thclock.Instant, good bool) Floor {
-	n := int64(now.Mono / floorSlotSpan)
-	s := &f.slots[n%floorSlots]
-	if s.number != n {
-		*s = floorSlot{number: n}
-	}
+	s := f.slot(now)
 	if good {
 		s.good++
 	} else {
@@ -53,28 +55,57 @@
 	return f
 }
 
-// Holds reports whether so many requests are lost that the floor is held.
+// WithRefusal returns the floor after this VM refused a request. Refusals for
+// the customer's limit are counted too: they are not served either.
+func (f Floor) WithRefusal(now thclock.Instant) Floor {
+	f.slot(now).refused++
+	return f
+}
+
+// WithRun returns the floor after this VM sent a request to a target.
+func (f Floor) WithRun(now thclock.Instant) Floor {
+	f.slot(now).ran++
+	return f
+}
+
+// slot returns the slot that now falls in, emptied if it held an older one.
+func (f *Floor) slot(now thclock.Instant) *floorSlot {
+	n := int64(now.Mono / floorSlotSpan)
+	s := &f.slots[n%floorSlots]
+	if s.number != n {
+		*s = floorSlot{number: n}
+	}
+	return s
+}
+
+// Holds reports whether so many requests are lost that the floor is held. What
+// the VMs refuse they do not tell each other, so each takes its own share of
+// refusals for that of the service.
 func (f Floor) Holds(now thclock.Instant) bool {
 	newest := int64(now.Mono / floorSlotSpan)
-	var good, lost float64
+	var sum floorSlot
 	for _, s := range f.slots {
 		if newest-s.number < floorSlots {
-			good += s.good
-			lost += s.lost
+			sum.good += s.good
+			sum.lost += s.lost
+			sum.refused += s.refused
+			sum.ran += s.ran
 		}
 	}
-	return lost > floorFew && lost > floorLoss*(good+lost)
+	return exceeds(sum.lost, sum.good) || exceeds(sum.refused, sum.ran)
 }
 
+func exceeds(lost, good float64) bool { return lost > floorFew && lost > floorLoss*(good+lost) }
+
 // spreadGain is how much more than the best target an unused one may cost to
 // be used all the same, while the service loses few requests.
 const spreadGain = 0.12
 
 // Spread returns the index of the unused candidate that costs least, if fewer
-// of the candidates than the share are in use. Used tells which are. Unless
-// the floor is held, it has to be about as good as the best one.
-func Spread(q Query, cs []Candidate, used []bool, share float64, held bool, best int) (int, bool) {
-	unused, ok := leastUnused(q, cs, used, share)
+// of the sound candidates than the share are in use. Unless the floor is held,
+// it has to be about as good as the best one.
+func Spread(q Query, cs []Candidate, share float64, held bool, best int) (int, bool) {
+	unused, ok := leastUnused(q, cs, share)
 	if !ok || !held && Cost(q, cs[unused]) > Cost(q, cs[best])+spreadGain {
 		return 0, false
 	}
@@ -83,23 +114,23 @@
 
 // leastUnused returns the unused candidate that costs least, and false if
 // enough of them are in use, which is told before any cost is worked out.
-func leastUnused(q Query, cs []Candidate, used []bool, share float64) (int, bool) {
-	all, inUse := 0, 0
-	for i, c := range cs {
-		if c.Target.Leaving {
+func leastUnused(q Query, cs []Candidate, share float64) (int, bool) {
+	sound, inUse := 0, 0
+	for _, c := range cs {
+		if !isSound(q, c) {
 			continue
 		}
-		all++
-		if used[i] {
+		sound++
+		if isUsed(q, c) {
 			inUse++
 		}
 	}
-	if float64(inUse) >= (share+floorMargin)*float64(all) {
+	if float64(inUse) >= (share+floorMargin)*float64(sound) {
 		return 0, false
 	}
 	best, least := -1, math.Inf(1)
 	for i, c := range cs {
-		if used[i] || !isOpen(q, c) {
+		if !isSound(q, c) || isUsed(q, c) || !isOpen(q, c) {
 			continue
 		}
 		if cost := Cost(q, c); cost < least {
@@ -108,3 +139,13 @@
 	}
 	return best, best >= 0
 }
+
+// isSound reports whether the floor counts the candidate: one that has just
+// failed need not be used.
+func isSound(q Query, c Candidate) bool {
+	return !c.Target.Leaving && (c.FailedAt == (thclock.Instant{}) || q.Now.Sub(c.FailedAt) >= floorFailed)
+}
+
+func isUsed(q Query, c Candidate) bool {
+	return c.UsedAt != (thclock.Instant{}) && q.Now.Sub(c.UsedAt) < floorUsed
+}
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -29,6 +29,8 @@
 	coldUntil thclock.Instant
 	// usedAt is when a VM last had a request at the target.
 	usedAt thclock.Instant
+	// failedAt is when a request last failed there.
+	failedAt thclock.Instant
 	// suspect is whether the target was told to be suspect.
 	suspect bool
 }
@@ -82,7 +84,6 @@
 	shares    map[string]*shares
 	outbox    outbox
 	cs        []thpick.Candidate
-	used      []bool
 }
 
 // New returns the view of a VM that knows nothing yet.
@@ -150,13 +151,17 @@
 	return k
 }
 
-// Admit counts a request against its customer's limit. If it is over the
-// limit, the time after which it may be repeated is returned.
-func (v *View) Admit(now thclock.Instant, c thtable.Customer) (wait time.Duration, ok bool) {
+// Admit counts a request on the route against its customer's limit. If it is
+// over the limit, the time after which it may be repeated is returned.
+func (v *View) Admit(now thclock.Instant, c thtable.Customer, r thtable.Route) (wait time.Duration, ok bool) {
 	k := v.customer(c)
 	share := thquota.Share(v.Fleet.Size(now))
 	k.bucket, ok = k.bucket.WithRequest(now, k.limit, share)
 	if !ok {
+		for _, b := range r.Backends {
+			s := v.service(b.Service)
+			s.floor = s.floor.WithRefusal(now)
+		}
 		return k.bucket.Wait(k.limit, share), false
 	}
 	k.admitted++
@@ -200,12 +205,14 @@
 	if !ok {
 		return Picked{}, &Refusal{After: retryAfterNone}
 	}
-	if spread, ok := v.spread(now, s, query, i); ok {
+	if spread, ok := thpick.Spread(query, v.cs, v.options.FloorShare, s.floor.Holds(now), i); ok {
 		i = spread
 	}
 	if wait, over := thpick.Overloaded(query, v.cs[i]); over && len(tried) == 0 {
+		s.floor = s.floor.WithRefusal(now)
 		return Picked{}, &Refusal{Overloaded: true, After: wait}
 	}
+	s.floor = s.floor.WithRun(now)
 	t := s.targets[i]
 	t.inFlight++
 	t.usedAt = now
@@ -221,15 +228,6 @@
 	return p, nil
 }
 
-// spread returns a target that the floor demands to be used, if any.
-func (v *View) spread(now thclock.Instant, s *service, q thpick.Query, best int) (int, bool) {
-	v.used = v.used[:0]
-	for _, t := range s.targets {
-		v.used = append(v.used, now.Sub(t.usedAt) < thpick.FloorUsed)
-	}
-	return thpick.Spread(q, v.cs, v.used, v.options.FloorShare, s.floor.Holds(now), best)
-}
-
 const (
 	// answerBytes is about how long an answer is.
 	answerBytes = 1500
@@ -249,7 +247,7 @@
 func (v *View) candidate(now thclock.Instant, t *target, repeatable bool) thpick.Candidate {
 	c := thpick.Candidate{
 		Target: t.Target, Belief: t.belief, ColdUntil: t.coldUntil,
-		InFlight: t.inFlight + v.Fleet.InFlight(now, t.key),
+		InFlight: t.inFlight + v.Fleet.InFlight(now, t.key), UsedAt: t.usedAt, FailedAt: t.failedAt,
 	}
 	if v.options.HasIdle != nil {
 		c.Connected = v.options.HasIdle(t.ID, repeatable)
@@ -310,6 +308,7 @@
 		s.floor = s.floor.WithEnd(now, true)
 	case thjudge.Failed, thjudge.Cut, thjudge.Silent:
 		s.floor = s.floor.WithEnd(now, false)
+		t.failedAt = now
 	default:
 		// The others did not run and are mostly sent elsewhere.
 	}
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -208,3 +208,24 @@
 	}
 	assert.DeepEqual(t, told, []string{"suspect", "well"})
 }
+
+// TestRefusalsOfTheLimitHoldTheFloor has a customer far over its rate while some
+// targets are suspect: what is refused is not served, so the floor binds.
+func TestRefusalsOfTheLimitHoldTheFloor(t *testing.T) {
+	w := newWorld(8, 8)
+	w.run(3*time.Second, 30)
+	for i := range 4 {
+		w.failsUntil[fmt.Sprintf("t%d", i)] = w.now + 20*time.Second
+	}
+	greedy := thtable.Customer{Name: "greedy", Rate: 0.1, Burst: 1}
+	route := thtable.Route{Name: "r", Backends: []thtable.Backend{{Service: "s", Weight: 1}}}
+	w.run(3*time.Second, 30)
+	clear(w.sent)
+	for until := w.now + 2*time.Second; w.now < until; w.now += time.Second / 60 {
+		for _, v := range w.views {
+			v.Admit(w.instant(), greedy, route)
+		}
+		w.request(thtable.Once, 100*time.Millisecond)
+	}
+	assert.Assert(t, len(w.sent) >= 6, "%v", w.sent)
+}
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -70,11 +70,11 @@
 	f.o.Sender.Retain(ts)
 }
 
-// Admit counts the request against its customer's limit over all VMs.
-func (f *Forwarder) Admit(c thtable.Customer) *thingress.Refusal {
+// Admit counts a request on the route against its customer's limit over all VMs.
+func (f *Forwarder) Admit(c thtable.Customer, r thtable.Route) *thingress.Refusal {
 	var wait time.Duration
 	var ok bool
-	f.With(func(now thclock.Instant, v *thview.View) { wait, ok = v.Admit(now, c) })
+	f.With(func(now thclock.Instant, v *thview.View) { wait, ok = v.Admit(now, c, r) })
 	if ok {
 		return nil
 	}
--- a/io/thingress/message.go
+++ b/io/thingress/message.go
@@ -154,7 +154,7 @@
 func (s *Server) serve(ctx context.Context, m *thmessage.Request, refusal *Refusal) (*thmessage.Answer, *Refusal) {
 	var answer *thmessage.Answer
 	if refusal == nil && m.Customer.Name != "" {
-		refusal = s.o.Runner.Admit(m.Customer)
+		refusal = s.o.Runner.Admit(m.Customer, m.Route)
 	}
 	if refusal == nil {
 		answer, refusal = s.o.Runner.Run(ctx, m)
--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -27,7 +27,7 @@
 // Runner has requests run.
 type Runner interface {
 	// Admit counts the request against its customer's limit.
-	Admit(c thtable.Customer) *Refusal
+	Admit(c thtable.Customer, r thtable.Route) *Refusal
 	// Run has the request run and returns its whole answer or a refusal. The
 	// context ends when the caller has left.
 	Run(ctx context.Context, q *thmessage.Request) (*thmessage.Answer, *Refusal)
