thpick, thview: the budget of repeats counts the requests of all VMs

Cause: a service's budget of repeats is a fifth of its requests and 56 more, summed over all VMs, but each VM counted repeats of all and requests of its own: in a fleet of 32 it used 42 of some 110. Ruled out: a shorter window; the slots are as before. Change: the end of another VM's attempt counts as an attempt, and what was told to be a repeat is taken off again.

--- a/core/thpick/budget.go
+++ b/core/thpick/budget.go
@@ -21,49 +21,55 @@
 	Ratio, Slack float64
 }
 
-// Budget counts a service's repeats. Requests are counted by this VM alone, so
-// the bound is on the safe side. It is immutable; the zero Budget is unused.
+// Budget counts a service's attempts and repeats over all VMs. An attempt of
+// another VM counts once its end is heard of, so the bound is on the safe side.
+// It is immutable; the zero Budget is unused.
 type Budget struct {
 	slots [budgetSlots]budgetSlot
 }
 
 type budgetSlot struct {
 	number            int64
-	requests, repeats float64
+	attempts, repeats float64
 }
 
-func (b Budget) with(now thclock.Instant, r BudgetRule, requests, repeats float64) Budget {
+// slot returns the slot that now falls in, emptied if it held an older one.
+func (b *Budget) slot(now thclock.Instant, r BudgetRule) *budgetSlot {
 	n := slotNumber(now, r)
 	s := &b.slots[n%budgetSlots]
 	if s.number != n {
 		*s = budgetSlot{number: n}
 	}
-	s.requests += requests
-	s.repeats += repeats
-	return b
+	return s
 }
 
 func slotNumber(now thclock.Instant, r BudgetRule) int64 {
 	return int64(now.Mono / max(1, r.Window/(budgetSlots-1)))
 }
 
-// WithRequest returns the budget after a request of this VM.
-func (b Budget) WithRequest(now thclock.Instant, r BudgetRule) Budget { return b.with(now, r, 1, 0) }
+// WithAttempts returns the budget after attempts of any VM, repeats among them.
+func (b Budget) WithAttempts(now thclock.Instant, r BudgetRule, n float64) Budget {
+	b.slot(now, r).attempts += n
+	return b
+}
 
-// WithRepeats returns the budget after repeats of any VM.
+// WithRepeats returns the budget after attempts of any VM turned out to be
+// repeats.
 func (b Budget) WithRepeats(now thclock.Instant, r BudgetRule, n float64) Budget {
-	return b.with(now, r, 0, n)
+	b.slot(now, r).repeats += n
+	return b
 }
 
 // Affords reports whether one more repeat is within the budget.
 func (b Budget) Affords(now thclock.Instant, r BudgetRule) bool {
 	newest := slotNumber(now, r)
-	var requests, repeats float64
+	var attempts, repeats float64
 	for _, s := range b.slots {
 		if newest-s.number < budgetSlots {
-			requests += s.requests
+			attempts += s.attempts
 			repeats += s.repeats
 		}
 	}
+	requests := max(0, attempts-repeats)
 	return repeats+1 <= budgetShare*(r.Slack+r.Ratio*requests)
 }
--- a/core/thpick/pick_test.go
+++ b/core/thpick/pick_test.go
@@ -181,9 +181,9 @@
 	var spent []time.Duration
 	for at := time.Hour; at < time.Hour+40*time.Second; at += 20 * time.Millisecond {
 		i := thclock.At(at)
-		b = b.WithRequest(i, rule)
+		b = b.WithAttempts(i, rule, 1)
 		if b.Affords(i, rule) {
-			b = b.WithRepeats(i, rule, 1)
+			b = b.WithAttempts(i, rule, 1).WithRepeats(i, rule, 1)
 			spent = append(spent, at)
 		}
 	}
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -218,12 +218,11 @@
 	t.usedAt = now
 	v.outbox.loads[t.key] = uint16(min(t.inFlight, math.MaxUint16))
 	p := Picked{Target: t.Target, Bad: v.cs[i].Belief.Bad(now), InFlight: v.cs[i].InFlight, Expected: query.Expected, key: t.key}
+	s.budget = s.budget.WithAttempts(now, v.options.Budget, 1)
 	if len(tried) > 0 {
 		s.budget = s.budget.WithRepeats(now, v.options.Budget, 1)
 		s.repeats++
 		v.outbox.repeats[s.key] = s.repeats
-	} else {
-		s.budget = s.budget.WithRequest(now, v.options.Budget)
 	}
 	return p, nil
 }
@@ -336,6 +335,8 @@
 			v.believe(now, t, withEnd(t.belief.WithReport(now, e.Outcome), e))
 			t.usedAt = t.usedAt.Later(now)
 			v.noteEnd(now, t, e)
+			s := v.service(t.Service)
+			s.budget = s.budget.WithAttempts(now, v.options.Budget, 1)
 		}
 	}
 	for _, l := range n.Loads {
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -229,3 +229,25 @@
 	}
 	assert.Assert(t, len(w.sent) >= 6, "%v", w.sent)
 }
+
+// TestTheBudgetOfRepeatsGrowsWithAllVMsRequests has one VM with few requests
+// of its own in a fleet that has many.
+func TestTheBudgetOfRepeatsGrowsWithAllVMsRequests(t *testing.T) {
+	repeats := func(perSecond int) int {
+		w := newWorld(16, 8)
+		w.run(10*time.Second, perSecond)
+		v := w.views[0]
+		q := &thmessage.Request{Objective: w.instant().Add(time.Minute), Deadline: w.instant().Add(time.Minute)}
+		n := 0
+		for ; v.Affords(w.instant(), "s"); n++ {
+			p, refusal := v.Pick(w.instant(), q, "s", []string{"another"}, true)
+			assert.Assert(t, refusal == nil)
+			v.Finish(w.instant(), p, q, thjudge.Answered, time.Millisecond)
+		}
+		return n
+	}
+	few, many := repeats(1), repeats(50)
+	// 0.2 of 490 requests more, of which three quarters are used.
+	assert.Assert(t, many >= few+65, "%d and %d repeats", few, many)
+	assert.Assert(t, many <= 56+500/5, "%d repeats", many)
+}
