thjudge, thview, thforward: tell all VMs of an attempt that is overdue

Ruled out: the load alone; in-flight counts steer away only once all slots are taken, so each such target swallowed some seven requests. Change: an attempt that takes 5.2 times its usual time, which one in fifty does at a well target, counts as evidence at once on all VMs, weaker on the others, since the path may be the cause. If it then times out, that is not counted twice. Its loss counts for the floor. The tests of thview and thforward fail without it.

--- a/core/thjudge/belief.go
+++ b/core/thjudge/belief.go
@@ -33,6 +33,9 @@
 	Rejected
 	// Unknown is no evidence: the request was given up too early to tell.
 	Unknown
+	// Overdue is an attempt that is still under way when almost all of a well
+	// target's are answered.
+	Overdue
 )
 
 // Bad reports whether the outcome speaks against the target.
@@ -68,10 +71,11 @@
 	Silent:   {0.6, 0.01},
 	Rejected: {0.5, 0.06},
 	Unknown:  {1, 1},
+	Overdue:  {0.5, 0.04},
 }
 
-// remoteSilent replaces the likelihood of Silent if another VM saw it: the
-// path between that VM and the target may be the cause.
+// remoteSilent replaces the likelihoods of Silent and Overdue if another VM saw
+// them: the path between that VM and the target may be the cause.
 var remoteSilent = likelihood{0.3, 0.1}
 
 // Belief is what is believed of one target. It is immutable. The zero Belief
@@ -112,7 +116,7 @@
 
 // WithReport returns the belief after an outcome that another VM saw.
 func (b Belief) WithReport(now thclock.Instant, o Outcome) Belief {
-	if o == Silent {
+	if o == Silent || o == Overdue {
 		return b.with(now, remoteSilent)
 	}
 	return b.with(now, likelihoods[o])
--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -126,6 +126,20 @@
 	return 0.5 * math.Erfc(-z/math.Sqrt2)
 }
 
+// overdueFactor is how many times its median time a request takes at a well
+// target in one case of fifty, by the spread above.
+const overdueFactor = 5.2
+
+// OverdueAfter returns after what time an attempt that is expected to take the
+// median time is overdue.
+func OverdueAfter(expected time.Duration) time.Duration {
+	return max(minOverdue, time.Duration(overdueFactor*float64(expected)))
+}
+
+// minOverdue bounds what counts as overdue from below: a round trip that is sent
+// again after a lost packet takes about 200 ms.
+const minOverdue = 400 * time.Millisecond
+
 // Pick returns the index of the candidate that costs least, and false if none
 // may be used. Targets that were tried are left out.
 func Pick(rng *rand.Rand, q Query, cs []Candidate) (int, bool) {
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -282,6 +282,16 @@
 	v.noteEnd(now, t, end)
 }
 
+// Overdue takes in that an attempt takes far longer than it should.
+func (v *View) Overdue(now thclock.Instant, p Picked) {
+	end := thfleet.End{Target: p.key, Outcome: thjudge.Overdue, Pace: thfleet.PaceUnknown}
+	v.outbox.ends = append(v.outbox.ends, end)
+	if t := v.byKey[p.key]; t != nil {
+		v.believe(now, t, t.belief.WithOutcome(now, thjudge.Overdue))
+		v.noteEnd(now, t, end)
+	}
+}
+
 // believe replaces the belief in a target, and tells if that made it suspect
 // or cleared it.
 func (v *View) believe(now thclock.Instant, t *target, b thjudge.Belief) {
@@ -308,6 +318,8 @@
 	case thjudge.Failed, thjudge.Cut, thjudge.Silent:
 		s.floor = s.floor.WithEnd(now, false)
 		t.failedAt = now
+	case thjudge.Overdue:
+		s.floor = s.floor.WithEnd(now, false)
 	default:
 		// The others did not run and are mostly sent elsewhere.
 	}
@@ -333,8 +345,11 @@
 	for _, e := range news.Ends {
 		if t := v.byKey[e.Target]; t != nil {
 			v.believe(now, t, withEnd(t.belief.WithReport(now, e.Outcome), e))
-			t.usedAt = t.usedAt.Later(now)
 			v.noteEnd(now, t, e)
+			if e.Outcome == thjudge.Overdue {
+				continue // the attempt's end will follow
+			}
+			t.usedAt = t.usedAt.Later(now)
 			s := v.service(t.Service)
 			s.budget = s.budget.WithAttempts(now, v.options.Budget, 1)
 		}
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -251,3 +251,47 @@
 	assert.Assert(t, many >= few+65, "%d and %d repeats", few, many)
 	assert.Assert(t, many <= 56+500/5, "%d repeats", many)
 }
+
+// TestATargetThatHangsIsAvoidedBeforeItsRequestsTimeOut is the differential
+// test against VMs that learn of a hanging target only from its time-outs.
+func TestATargetThatHangsIsAvoidedBeforeItsRequestsTimeOut(t *testing.T) {
+	swallowed := func(overdue bool) int {
+		w := newWorld(8, 6)
+		w.run(5*time.Second, 40)
+		type hanging struct {
+			vm int
+			p  thview.Picked
+			at time.Duration
+		}
+		var hung []hanging
+		sick, n := "", 0
+		for until := w.now + 6*time.Second; w.now < until; w.now += 25 * time.Millisecond {
+			vm := w.rng.IntN(len(w.views))
+			q := &thmessage.Request{
+				Route:     thtable.Route{Name: "r", Safety: thtable.Once, ObjectiveMillis: 800},
+				Objective: w.instant().Add(800 * time.Millisecond), Deadline: w.instant().Add(6 * time.Second),
+			}
+			p, refusal := w.views[vm].Pick(w.instant(), q, "s", nil, false)
+			assert.Assert(t, refusal == nil)
+			w.tell(vm)
+			if sick == "" {
+				sick = p.Target.ID
+			}
+			if p.Target.ID == sick {
+				n++
+				hung = append(hung, hanging{vm, p, w.now})
+			} else {
+				w.views[vm].Finish(w.instant(), p, q, thjudge.Answered, 100*time.Millisecond)
+				w.tell(vm)
+			}
+			for len(hung) > 0 && overdue && w.now-hung[0].at > thpick.OverdueAfter(100*time.Millisecond) {
+				w.views[hung[0].vm].Overdue(w.instant(), hung[0].p)
+				w.tell(hung[0].vm)
+				hung = hung[1:]
+			}
+		}
+		return n
+	}
+	with, without := swallowed(true), swallowed(false)
+	assert.Assert(t, with < without, "%d with, %d without", with, without)
+}
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -126,7 +127,7 @@
 		return nil, f.refuse(t, refusal), true
 	}
 	f.o.Stir()
-	r := f.o.Sender.Send(ctx, picked.Target, t.q, t.most)
+	r := f.send(ctx, t, picked)
 	t.attempts = t.attempts.WithEnd(r.End)
 	t.tried = append(t.tried, picked.Target.ID)
 	d := f.finish(t, picked, r)
@@ -145,6 +146,22 @@
 	return nil, nil, false
 }
 
+// send makes the attempt, and tells all VMs if it is overdue.
+func (f *Forwarder) send(ctx context.Context, t *trip, p thview.Picked) thsend.Result {
+	var overdue atomic.Bool
+	timer := time.AfterFunc(thpick.OverdueAfter(p.Expected), func() {
+		overdue.Store(true)
+		f.With(func(now thclock.Instant, v *thview.View) { v.Overdue(now, p) })
+		f.o.Stir()
+	})
+	r := f.o.Sender.Send(ctx, p.Target, t.q, t.most)
+	timer.Stop()
+	if r.End == thpick.Late && overdue.Load() {
+		r.Outcome = thjudge.Unknown // the same silence was told already
+	}
+	return r
+}
+
 // after is when a refused caller may try again.
 func (f *Forwarder) after(k therror.Kind, p thview.Picked) time.Duration {
 	if k.Answer().Outcome != therror.NotRun {
--- a/io/thforward/forwarder_test.go
+++ b/io/thforward/forwarder_test.go
@@ -152,3 +152,30 @@
 		assert.Equal(t, s.cancellations(), 0)
 	}
 }
+
+func TestAnAttemptThatIsOverdueIsToldBeforeItEnds(t *testing.T) {
+	release := make(chan struct{})
+	f, _ := newForwarder(func(context.Context, int) thsend.Result {
+		<-release
+		return good
+	})
+	done := make(chan struct{})
+	go func() {
+		_, refusal := f.Run(context.Background(), request(thtable.Once, 40*time.Millisecond))
+		assert.Check(t, refusal == nil)
+		close(done)
+	}()
+	told := func() (overdue bool) {
+		f.With(func(_ thclock.Instant, v *thview.View) {
+			for _, e := range v.Notice().Ends {
+				overdue = overdue || e.Outcome == thjudge.Overdue
+			}
+		})
+		return overdue
+	}
+	for until := time.Now().Add(patience); !told(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "nothing was told")
+	}
+	close(release)
+	<-done
+}
