thfleet, thsource: one VM reads the platform's store for all zones

Ruled out: reading less often; after the reader's death two seconds of drain leave no room. Change: of the leaders of the zones the best by rank reads and tells the other leaders, which fetch what changed and tell their zones. The next in rank steps in, among leaders as within a zone. A leader that the store turns away passes on what another zone read. A VM that knows nothing follows a reader that it hears instead of reading for itself.

--- a/core/thfleet/fleet_test.go
+++ b/core/thfleet/fleet_test.go
@@ -114,7 +114,7 @@
 	for now := time.Duration(0); now < 30*time.Second; now += 100 * time.Millisecond {
 		if now > 0 && now%(8*time.Second) == 0 {
 			for i := range fleets {
-				if !dead[i] && fleets[i].ShouldRead(at(now)) {
+				if !dead[i] && fleets[i].Duty(at(now)) == thfleet.Read {
 					dead[i] = true
 				}
 			}
@@ -126,7 +126,7 @@
 				continue
 			}
 			n := notice(i, number)
-			if now%thfleet.ReadEvery == 0 && fleets[i].ShouldRead(at(now)) {
+			if now%thfleet.ReadEvery == 0 && fleets[i].Duty(at(now)) == thfleet.Read {
 				readers++
 				n.Reading = &thfleet.Reading{Table: 1, Targets: 1}
 			}
--- a/core/thfleet/reading.go
+++ b/core/thfleet/reading.go
@@ -1,6 +1,9 @@
 package thfleet
 
 import (
+	"maps"
+	"math"
+	"slices"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -8,9 +11,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Only a few VMs read the platform's store: in each zone the first by rank
-// among those heard. It tells the others of its zone each time that it has
-// read. The next in rank steps in when nothing is heard for a while.
+// Only one VM reads the platform's store. In each zone the first by rank among
+// those heard leads: it tells the others of its zone each time that the store
+// was read. The best of the leaders reads, and tells the other leaders. The
+// next in rank steps in, among leaders and within a zone, when nothing is heard
+// for a while.
 const (
 	// ReadEvery is how often the reader reads the list of targets. A target
 	// that leaves gets no new requests after two seconds, so two readings may
@@ -51,14 +56,77 @@
 	return last
 }
 
-// ShouldRead reports whether this VM is to read the store: it is the first of
-// its zone, or has heard of no reading for too long.
-func (f *Fleet) ShouldRead(now thclock.Instant) bool {
+// leads reports whether this VM sees to it that its zone is current: it is the
+// first of its zone, or has heard of no reading for too long.
+func (f *Fleet) leads(now thclock.Instant) bool {
 	rank := f.Rank(now)
-	if rank == 0 {
-		return true
+	return rank == 0 || now.Sub(f.LastRead()) >= patience(rank)
+}
+
+// patience is how long the VM with the rank waits for a better one to read.
+func patience(rank int) time.Duration {
+	return firstStep + time.Duration(min(rank, maxSteps))*step
+}
+
+// Duty is what a VM does to keep its zone current.
+type Duty uint8
+
+const (
+	// Follow is to fetch what the zone's leader tells of.
+	Follow Duty = iota
+	// Relay is to lead the zone and fetch what the fleet's reader tells of.
+	Relay
+	// Read is to lead the zone and read the store.
+	Read
+)
+
+// Duty returns what this VM has to do.
+func (f *Fleet) Duty(now thclock.Instant) Duty {
+	if !f.leads(now) {
+		return Follow
+	}
+	own, rank := rankKey(f.self.ID), 0
+	for _, p := range f.Leaders(now) {
+		if rankKey(p.Identity.ID) < own {
+			rank++
+		}
+	}
+	if rank > 0 && now.Sub(f.lastReadElsewhere(own)) < patience(rank) {
+		return Relay
+	}
+	return Read
+}
+
+// lastReadElsewhere returns when a VM of another zone whose rank is below the
+// bound last told that it has read the store.
+func (f *Fleet) lastReadElsewhere(bound uint64) thclock.Instant {
+	var last thclock.Instant
+	for _, p := range f.peers {
+		if p.Identity.Zone != f.self.Zone && rankKey(p.Identity.ID) < bound {
+			last = last.Later(p.readAt)
+		}
+	}
+	return last
+}
+
+// ReadElsewhere reports whether a VM of another zone, whatever its rank, has
+// told lately that it has read the store.
+func (f *Fleet) ReadElsewhere(now thclock.Instant) bool {
+	return now.Sub(f.lastReadElsewhere(math.MaxUint64)) < firstStep
+}
+
+// Leaders returns the VM of each other zone that is the first of those heard.
+func (f *Fleet) Leaders(now thclock.Instant) []Peer {
+	first := make(map[string]Peer)
+	for _, p := range f.Peers() {
+		if p.Identity.Zone == f.self.Zone || !p.IsHeard(now) {
+			continue
+		}
+		if best, ok := first[p.Identity.Zone]; !ok || rankKey(p.Identity.ID) < rankKey(best.Identity.ID) {
+			first[p.Identity.Zone] = p
+		}
 	}
-	return now.Sub(f.LastRead()) >= firstStep+time.Duration(min(rank, maxSteps))*step
+	return slices.Collect(maps.Values(first))
 }
 
 // Route returns the VMs that a notice is sent to directly, and those of other
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -179,13 +179,17 @@
 	return x.tokens > 0
 }
 
-// Tell tells the heard VMs of this zone what this VM read.
-func (x *Exchange) Tell(r thfleet.Reading) {
+// Tell tells the heard VMs of this zone what this VM knows that is current and,
+// if the VM has read it itself, the leaders of the other zones.
+func (x *Exchange) Tell(r thfleet.Reading, read bool) {
 	var n thfleet.Notice
 	var to []thfleet.Peer
 	x.o.Guard.With(func(now thclock.Instant, v *thview.View) {
 		n = v.Greeting(false)
 		to = v.Fleet.Zone(now, n.From)
+		if read {
+			to = append(to, v.Fleet.Leaders(now)...)
+		}
 	})
 	n.Reading = &r
 	x.sendTo(n, to)
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -147,7 +147,7 @@
 		return therror.Wrap(therror.Internal, err, "socket for notices")
 	}
 	n.exchange, err = thgossip.New(thgossip.Options{
-		Guard: n.forwarder, Log: n.o.Log, Heard: func() { n.source.WakeIfBehind() },
+		Guard: n.forwarder, Log: n.o.Log, Heard: func() { n.source.Heard() },
 	}, socket)
 	if err != nil {
 		return therror.Wrap(therror.Internal, err, "codec of notices")
@@ -232,9 +232,14 @@
 // fleet shows the source the other VMs.
 type fleet struct{ n *Node }
 
-func (f fleet) ShouldRead() (should bool) {
-	f.n.forwarder.With(func(now thclock.Instant, v *thview.View) { should = v.Fleet.ShouldRead(now) })
-	return should
+func (f fleet) Duty() (d thfleet.Duty) {
+	f.n.forwarder.With(func(now thclock.Instant, v *thview.View) { d = v.Fleet.Duty(now) })
+	return d
+}
+
+func (f fleet) ReadElsewhere() (read bool) {
+	f.n.forwarder.With(func(now thclock.Instant, v *thview.View) { read = v.Fleet.ReadElsewhere(now) })
+	return read
 }
 
 func (f fleet) Ahead(have thfleet.Reading) (i thfleet.Identity, ok bool) {
@@ -255,4 +260,4 @@
 	f.n.exchange.Introduce()
 }
 
-func (f fleet) Tell(r thfleet.Reading) { f.n.exchange.Tell(r) }
+func (f fleet) Tell(r thfleet.Reading, read bool) { f.n.exchange.Tell(r, read) }
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -1,9 +1,9 @@
 // Package thsource keeps a VM's routing table and list of targets current.
 //
-// In each zone one VM reads the platform's store and tells the others of its
-// zone; those fetch from it what they lack. A VM that hears of no reading reads
-// for itself, and one that cannot reach the store asks any VM that knows more.
-// Versions only rise.
+// One VM reads the platform's store and tells the leaders of the other zones; a
+// leader fetches what it lacks and tells the others of its zone, which fetch
+// from it. A VM that hears of no reading reads for itself, and one that cannot
+// reach the store asks any VM that knows more. Versions only rise.
 package thsource
 
 import (
@@ -35,14 +35,17 @@
 
 // Fleet is what the source asks of the fleet of VMs.
 type Fleet interface {
-	// ShouldRead reports whether this VM is to read the store.
-	ShouldRead() bool
+	// Duty returns what this VM has to do to keep its zone current.
+	Duty() thfleet.Duty
+	// ReadElsewhere reports whether a VM of another zone has read the store lately.
+	ReadElsewhere() bool
 	// Ahead returns a VM that knows what this one lacks.
 	Ahead(have thfleet.Reading) (thfleet.Identity, bool)
 	// Introduce takes in VMs that are listed.
 	Introduce(all []thfleet.Identity)
-	// Tell tells the zone what this VM read.
-	Tell(r thfleet.Reading)
+	// Tell tells the zone what this VM knows that is current and, if the VM has
+	// read it itself, the leaders of the other zones.
+	Tell(r thfleet.Reading, read bool)
 }
 
 // Options are what a Source is made of.
@@ -133,9 +136,10 @@
 	return thfleet.Reading{Table: s.table.Version(), Targets: s.targets.Version}
 }
 
-// WakeIfBehind makes the source fetch at once if another VM knows more.
-func (s *Source) WakeIfBehind() {
-	if _, behind := s.o.Fleet.Ahead(s.have()); !behind {
+// Heard makes the source act at once on what another VM has told of its
+// reading: this VM may lack it, or be the one to pass it on.
+func (s *Source) Heard() {
+	if _, behind := s.o.Fleet.Ahead(s.have()); !behind && s.o.Fleet.Duty() != thfleet.Relay {
 		return
 	}
 	select {
@@ -159,22 +163,34 @@
 	pause := time.Duration(0)
 	for sleep(ctx, pause, s.wake) {
 		s.fetch(ctx)
-		should := s.o.Fleet.ShouldRead() || !s.Known()
-		s.note(should)
-		if !should {
+		duty := s.o.Fleet.Duty()
+		s.note(duty == thfleet.Read)
+		switch {
+		case duty == thfleet.Follow:
 			pause = lookEvery
-			continue
-		}
-		if s.readTargets(ctx) {
+		case duty == thfleet.Relay:
+			pause = lookEvery
+			s.o.Fleet.Tell(s.have(), false)
+		case s.readTargets(ctx):
 			pause = thfleet.ReadEvery
-			s.o.Fleet.Tell(s.have())
-			continue
+			s.o.Fleet.Tell(s.have(), true)
+		default:
+			pause = min(maxRetryPause, max(retryPause, 2*pause))
+			s.readFailed(ctx)
 		}
-		pause = min(maxRetryPause, max(retryPause, 2*pause))
-		s.askSeeds(ctx)
 	}
 }
 
+// readFailed makes the best of a store that does not answer: what a VM of
+// another zone has read is as good, and spares the zone a further reader.
+func (s *Source) readFailed(ctx context.Context) {
+	if s.Known() && s.o.Fleet.ReadElsewhere() {
+		s.o.Fleet.Tell(s.have(), false)
+		return
+	}
+	s.askSeeds(ctx)
+}
+
 // sleep waits for the pause or a wake-up, and returns false if the context
 // ended.
 func sleep(ctx context.Context, pause time.Duration, wake <-chan struct{}) bool {
@@ -271,7 +287,7 @@
 func (s *Source) followTable(ctx context.Context) {
 	pause := time.Duration(0)
 	for sleep(ctx, pause, nil) {
-		if !s.isReading() && s.have().Table > 0 {
+		if s.o.Fleet.Duty() != thfleet.Read {
 			pause = lookEvery
 			continue
 		}
@@ -292,7 +308,7 @@
 			continue
 		}
 		if s.isReading() {
-			s.o.Fleet.Tell(s.have())
+			s.o.Fleet.Tell(s.have(), true)
 		}
 	}
 }
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -71,12 +71,17 @@
 	ahead  thfleet.Identity
 }
 
-func (f *fleet) ShouldRead() bool {
+func (f *fleet) Duty() thfleet.Duty {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.should
+	if f.should {
+		return thfleet.Read
+	}
+	return thfleet.Follow
 }
 
+func (f *fleet) ReadElsewhere() bool { return false }
+
 func (f *fleet) read(should bool) {
 	f.mu.Lock()
 	f.should = should
@@ -85,7 +90,7 @@
 
 func (f *fleet) Ahead(thfleet.Reading) (thfleet.Identity, bool) { return f.ahead, f.ahead.ID != "" }
 func (f *fleet) Introduce([]thfleet.Identity)                   {}
-func (f *fleet) Tell(thfleet.Reading)                           {}
+func (f *fleet) Tell(thfleet.Reading, bool)                     {}
 
 func targets(ids ...string) []thtable.Target {
 	ts := make([]thtable.Target, 0, len(ids))
