thforward: a second attempt beside one that is overdue, where there is room

Cause: an idempotent request at a target that hangs, or whose answer was lost, waited until its time ran out. Change: when an attempt is overdue, one more is made beside it if the request may run more than once, its attempts and the budget of repeats allow it, and the picked target has a free slot and is not suspect. The first whole answer counts; the other attempt is given up.

--- a/core/thpick/next.go
+++ b/core/thpick/next.go
@@ -105,3 +105,10 @@
 	}
 	return Refuse{therror.Shed}
 }
+
+// Beside decides whether a further attempt is made beside the one that is under
+// way and overdue. Only what may run more than once is sent again.
+func Beside(now thclock.Instant, r Rules, a Attempts, affordable bool) bool {
+	inTime := now.Add(r.Expected / 2).Before(r.Deadline)
+	return r.Repeatable && affordable && inTime && a.Ran+1 < r.MaxAttempts
+}
--- a/core/thpick/pick_test.go
+++ b/core/thpick/pick_test.go
@@ -205,3 +205,29 @@
 	}
 	assert.Assert(t, e.Median(800*time.Millisecond) > 400*time.Millisecond)
 }
+
+func TestBeside(t *testing.T) {
+	rules := thpick.Rules{Repeatable: true, MaxAttempts: 2, Expected: 100 * time.Millisecond, Deadline: now.Add(time.Second)}
+	once, single, late := rules, rules, rules
+	once.Repeatable = false
+	single.MaxAttempts = 1
+	late.Deadline = now.Add(10 * time.Millisecond)
+	for _, c := range []struct {
+		name       string
+		rules      thpick.Rules
+		before     thpick.Attempts
+		affordable bool
+		want       bool
+	}{
+		{"may be repeated", rules, thpick.Attempts{}, true, true},
+		{"no budget", rules, thpick.Attempts{}, false, false},
+		{"may run once", once, thpick.Attempts{}, true, false},
+		{"one attempt", single, thpick.Attempts{}, true, false},
+		{"one ran before", rules, thpick.Attempts{Ran: 1, Sends: 1}, true, false},
+		{"too late", late, thpick.Attempts{}, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Equal(t, thpick.Beside(now, c.rules, c.before, c.affordable), c.want)
+		})
+	}
+}
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -192,15 +192,7 @@
 // there; Finish must follow. Tried are the targets that the request was sent to.
 func (v *View) Pick(now thclock.Instant, q *thmessage.Request, name string, tried []string, repeatable bool) (Picked, *Refusal) {
 	s := v.service(name)
-	query := thpick.Query{
-		Now: now, Zone: v.options.Self.Zone, Repeatable: repeatable, Bytes: len(q.Body) + answerBytes,
-		Expected: v.Expected(q.Route), Objective: q.Objective, Deadline: q.Deadline,
-		Priority: priorityOf(q), Tried: tried,
-	}
-	v.cs = v.cs[:0]
-	for _, t := range s.targets {
-		v.cs = append(v.cs, v.candidate(now, t, q.Route.IsIdempotent()))
-	}
+	query := v.query(now, q, s, tried, repeatable)
 	i, ok := thpick.Pick(v.options.Rand, query, v.cs)
 	if !ok {
 		return Picked{}, &Refusal{After: retryAfterNone}
@@ -212,19 +204,49 @@
 		s.floor = s.floor.WithRefusal(now)
 		return Picked{}, &Refusal{Overloaded: true, After: wait}
 	}
+	return v.take(now, s, query, i), nil
+}
+
+// PickBeside picks a target for a further attempt beside one that is under way,
+// as Pick does, but only one that has a free slot: under overload, second
+// attempts would add to it.
+func (v *View) PickBeside(now thclock.Instant, q *thmessage.Request, name string, tried []string, repeatable bool) (Picked, bool) {
+	s := v.service(name)
+	query := v.query(now, q, s, tried, repeatable)
+	i, ok := thpick.Pick(v.options.Rand, query, v.cs)
+	if !ok || v.cs[i].InFlight >= max(1, v.cs[i].Target.Slots) || v.cs[i].Belief.Bad(now) > suspectBad {
+		return Picked{}, false
+	}
+	return v.take(now, s, query, i), true
+}
+
+// query returns the question of which target to pick, and fills the candidates.
+func (v *View) query(now thclock.Instant, q *thmessage.Request, s *service, tried []string, repeatable bool) thpick.Query {
+	v.cs = v.cs[:0]
+	for _, t := range s.targets {
+		v.cs = append(v.cs, v.candidate(now, t, q.Route.IsIdempotent()))
+	}
+	return thpick.Query{
+		Now: now, Zone: v.options.Self.Zone, Repeatable: repeatable, Bytes: len(q.Body) + answerBytes,
+		Expected: v.Expected(q.Route), Objective: q.Objective, Deadline: q.Deadline,
+		Priority: priorityOf(q), Tried: tried,
+	}
+}
+
+// take counts the request as in flight at the candidate.
+func (v *View) take(now thclock.Instant, s *service, query thpick.Query, i int) Picked {
 	s.floor = s.floor.WithRun(now)
 	t := s.targets[i]
 	t.inFlight++
 	t.usedAt = now
 	v.outbox.loads[t.key] = uint16(min(t.inFlight, math.MaxUint16))
-	p := Picked{Target: t.Target, Bad: v.cs[i].Belief.Bad(now), InFlight: v.cs[i].InFlight, Expected: query.Expected, key: t.key}
 	s.budget = s.budget.WithAttempts(now, v.options.Budget, 1)
-	if len(tried) > 0 {
+	if len(query.Tried) > 0 {
 		s.budget = s.budget.WithRepeats(now, v.options.Budget, 1)
 		s.repeats++
 		v.outbox.repeats[s.key] = s.repeats
 	}
-	return p, nil
+	return Picked{Target: t.Target, Bad: v.cs[i].Belief.Bad(now), InFlight: v.cs[i].InFlight, Expected: query.Expected, key: t.key}
 }
 
 const (
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -126,42 +125,21 @@
 	if refusal != nil {
 		return nil, f.refuse(t, refusal), true
 	}
-	f.o.Stir()
-	r := f.send(ctx, t, picked)
-	t.attempts = t.attempts.WithEnd(r.End)
-	t.tried = append(t.tried, picked.Target.ID)
-	d := f.finish(t, picked, r)
-	f.o.Stir()
-	f.noteAttempt(t, picked, r)
+	e := f.send(ctx, t, picked)
+	d := f.decide(t, e)
 	if ctx.Err() != nil {
 		return nil, f.refuse(t, gone()), true
 	}
 	switch d := d.(type) {
 	case thpick.Deliver:
-		f.noteAnswer(t, picked, r)
-		return r.Answer, nil, true
+		f.noteAnswer(t, e.picked, e.result)
+		return e.result.Answer, nil, true
 	case thpick.Refuse:
-		return nil, f.refuse(t, &thingress.Refusal{Err: therror.New(d.Kind, "%s", detailOf(d.Kind)), After: f.after(d.Kind, picked)}), true
+		return nil, f.refuse(t, &thingress.Refusal{Err: therror.New(d.Kind, "%s", detailOf(d.Kind)), After: f.after(d.Kind, e.picked)}), true
 	}
 	return nil, nil, false
 }
 
-// send makes the attempt, and tells all VMs if it is overdue.
-func (f *Forwarder) send(ctx context.Context, t *trip, p thview.Picked) thsend.Result {
-	var overdue atomic.Bool
-	timer := time.AfterFunc(thpick.OverdueAfter(p.Expected), func() {
-		overdue.Store(true)
-		f.With(func(now thclock.Instant, v *thview.View) { v.Overdue(now, p) })
-		f.o.Stir()
-	})
-	r := f.o.Sender.Send(ctx, p.Target, t.q, t.most)
-	timer.Stop()
-	if r.End == thpick.Late && overdue.Load() {
-		r.Outcome = thjudge.Unknown // the same silence was told already
-	}
-	return r
-}
-
 // after is when a refused caller may try again.
 func (f *Forwarder) after(k therror.Kind, p thview.Picked) time.Duration {
 	if k.Answer().Outcome != therror.NotRun {
@@ -213,15 +191,18 @@
 	return therror.New(therror.QueueFull, "no time was left to send the request")
 }
 
-// finish takes in the attempt and decides what follows.
-func (f *Forwarder) finish(t *trip, p thview.Picked, r thsend.Result) (d thpick.Decision) {
+// rules are what the request allows.
+func rules(t *trip, expected time.Duration) thpick.Rules {
+	return thpick.Rules{
+		Repeatable: t.q.Route.IsIdempotent(), MaxAttempts: t.q.Route.MaxAttempts,
+		Expected: expected, Deadline: t.q.Deadline,
+	}
+}
+
+// decide returns what follows the last of the request's attempts.
+func (f *Forwarder) decide(t *trip, e ended) (d thpick.Decision) {
 	f.With(func(now thclock.Instant, v *thview.View) {
-		v.Finish(now, p, t.q, outcomeOf(p, r), r.Took)
-		rules := thpick.Rules{
-			Repeatable: t.q.Route.IsIdempotent(), MaxAttempts: t.q.Route.MaxAttempts,
-			Expected: p.Expected, Deadline: t.q.Deadline,
-		}
-		d = thpick.Next(now, rules, t.attempts, r.End, v.Affords(now, t.service))
+		d = thpick.Next(now, rules(t, e.picked.Expected), t.attempts, e.result.End, v.Affords(now, t.service))
 	})
 	return d
 }
@@ -239,14 +220,14 @@
 	return r.Outcome
 }
 
-func (f *Forwarder) noteAttempt(t *trip, p thview.Picked, r thsend.Result) {
+func (f *Forwarder) noteAttempt(t *trip, p thview.Picked, r thsend.Result, number int) {
 	if f.o.Attempted != nil {
 		f.o.Attempted(t.service, r.End, r.Took, r.Connected)
 	}
 	if r.End == thpick.Answered {
 		return
 	}
-	fields := append(t.fields(), picked(p)...)
+	fields := append(t.fields(number), picked(p)...)
 	fields = append(fields, thevent.F("end", r.End.String()), thevent.F("tookMillis", r.Took.Milliseconds()))
 	if r.Answer != nil {
 		fields = append(fields, thevent.F("status", r.Answer.Status))
@@ -257,10 +238,10 @@
 	f.o.Log.Log(thevent.AttemptFailed, fields...)
 }
 
-func (t *trip) fields() []thevent.Field {
+func (t *trip) fields(sends int) []thevent.Field {
 	return []thevent.Field{
 		thevent.F("request", t.q.ID), thevent.F("route", t.q.Route.Name), thevent.F("service", t.service),
-		thevent.F("customer", t.q.Customer.Name), thevent.F("sends", t.attempts.Sends),
+		thevent.F("customer", t.q.Customer.Name), thevent.F("sends", sends),
 	}
 }
 
@@ -275,13 +256,13 @@
 func round(x float64) float64 { return float64(int(x*1000)) / 1000 }
 
 func (f *Forwarder) noteAnswer(t *trip, p thview.Picked, r thsend.Result) {
-	fields := append(t.fields(), picked(p)...)
+	fields := append(t.fields(t.attempts.Sends), picked(p)...)
 	f.o.Log.Log(thevent.RequestAnswered, append(fields, thevent.F("status", r.Answer.Status),
 		thevent.F("tookMillis", r.Took.Milliseconds()))...)
 }
 
 func (f *Forwarder) refuse(t *trip, r *thingress.Refusal) *thingress.Refusal {
-	f.o.Log.Log(thevent.RequestRefused, append(t.fields(), thevent.F("error", r.Err.Error()),
+	f.o.Log.Log(thevent.RequestRefused, append(t.fields(t.attempts.Sends), thevent.F("error", r.Err.Error()),
 		thevent.F("afterMillis", r.After.Milliseconds()))...)
 	return r
 }
--- a/io/thforward/forwarder_test.go
+++ b/io/thforward/forwarder_test.go
@@ -179,3 +179,47 @@
 	close(release)
 	<-done
 }
+
+func TestASecondAttemptBesideOneThatIsOverdue(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		safety thtable.Safety
+		second thsend.Result
+		sends  int
+	}{
+		{"may be repeated", thtable.Idempotent, good, 2},
+		{"may be repeated, and the second fails", thtable.Idempotent, failed, 2},
+		{"may run once", thtable.Once, good, 1},
+		{"an upload", thtable.Upload, good, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, s := newForwarder(func(ctx context.Context, number int) thsend.Result {
+				if number > 1 {
+					return c.second
+				}
+				select {
+				case <-ctx.Done():
+					return lost
+				case <-time.After(time.Second): // longer than until it is overdue
+					return good
+				}
+			})
+			answer, refusal := f.Run(context.Background(), request(c.safety, 40*time.Millisecond))
+			assert.Assert(t, refusal == nil)
+			assert.Equal(t, answer.Status, 200)
+			assert.Equal(t, len(s.sends()), c.sends)
+			for until := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+				inFlight := 0
+				f.With(func(now thclock.Instant, v *thview.View) {
+					for _, st := range v.Standings(now) {
+						inFlight += st.InFlight
+					}
+				})
+				if inFlight == 0 {
+					break
+				}
+				assert.Assert(t, time.Now().Before(until), "%d in flight", inFlight)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/thforward/send.go
@@ -0,0 +1,92 @@
+package thforward
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thjudge"
+	"tamarackhollow/core/thpick"
+	"tamarackhollow/core/thview"
+	"tamarackhollow/io/thsend"
+)
+
+// ended is an attempt and how it ended.
+type ended struct {
+	picked thview.Picked
+	result thsend.Result
+}
+
+// send makes an attempt at the picked target. If the request may run more than
+// once and the attempt is overdue, a second one is made beside it; the first
+// whole answer counts, and the other attempt is given up. What is returned is
+// the attempt that decides.
+func (f *Forwarder) send(ctx context.Context, t *trip, p thview.Picked) ended {
+	t.tried = append(t.tried, p.Target.ID)
+	if !t.q.Route.IsIdempotent() {
+		e := f.exchange(ctx, t, p, t.attempts.Sends+1, func() {})
+		t.attempts = t.attempts.WithEnd(e.result.End)
+		return e
+	}
+	both, cancel := context.WithCancel(ctx)
+	defer cancel()
+	overdue := make(chan struct{}, 1)
+	ends := make(chan ended, 2)
+	begin := func(p thview.Picked, number int, late func()) {
+		go func() { ends <- f.exchange(both, t, p, number, late) }()
+	}
+	begin(p, t.attempts.Sends+1, func() { overdue <- struct{}{} })
+	for underWay := 1; ; {
+		select {
+		case <-overdue:
+			if second, ok := f.pickBeside(t, p); ok {
+				t.tried = append(t.tried, second.Target.ID)
+				begin(second, t.attempts.Sends+2, func() {})
+				underWay++
+			}
+		case e := <-ends:
+			underWay--
+			t.attempts = t.attempts.WithEnd(e.result.End)
+			if underWay == 0 || e.result.End == thpick.Answered {
+				// An attempt that is given up may have run.
+				t.attempts.Ran += underWay
+				return e
+			}
+		}
+	}
+}
+
+// pickBeside picks a target for a second attempt, if there is to be one.
+func (f *Forwarder) pickBeside(t *trip, p thview.Picked) (second thview.Picked, ok bool) {
+	f.With(func(now thclock.Instant, v *thview.View) {
+		r := rules(t, p.Expected)
+		if !thpick.Beside(now, r, t.attempts, v.Affords(now, t.service)) {
+			return
+		}
+		second, ok = v.PickBeside(now, t.q, t.service, t.tried, t.attempts.Ran+2 < r.MaxAttempts)
+	})
+	return second, ok
+}
+
+// exchange makes the attempt of that number and takes in how it ended. If it is
+// overdue, all VMs and the function are told.
+func (f *Forwarder) exchange(ctx context.Context, t *trip, p thview.Picked, number int, late func()) ended {
+	f.o.Stir()
+	var overdue atomic.Bool
+	timer := time.AfterFunc(thpick.OverdueAfter(p.Expected), func() {
+		overdue.Store(true)
+		f.With(func(now thclock.Instant, v *thview.View) { v.Overdue(now, p) })
+		f.o.Stir()
+		late()
+	})
+	r := f.o.Sender.Send(ctx, p.Target, t.q, t.most)
+	timer.Stop()
+	if r.End == thpick.Late && overdue.Load() {
+		r.Outcome = thjudge.Unknown // the same silence was told already
+	}
+	f.With(func(now thclock.Instant, v *thview.View) { v.Finish(now, p, t.q, outcomeOf(p, r), r.Took) })
+	f.o.Stir()
+	f.noteAttempt(t, p, r, number)
+	return ended{p, r}
+}
