--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -208,13 +208,13 @@
 }
 
 // PickBeside picks a target for a further attempt beside one that is under way,
-// as Pick does, but only one that has a free slot: under overload, second
-// attempts would add to it.
+// as Pick does, but only one with a short wait: under overload, second attempts
+// would add to it.
 func (v *View) PickBeside(now thclock.Instant, q *thmessage.Request, name string, tried []string, repeatable bool) (Picked, bool) {
 	s := v.service(name)
 	query := v.query(now, q, s, tried, repeatable)
 	i, ok := thpick.Pick(v.options.Rand, query, v.cs)
-	if !ok || v.cs[i].InFlight >= max(1, v.cs[i].Target.Slots) || v.cs[i].Belief.Bad(now) > suspectBad {
+	if !ok || thpick.Wait(query, v.cs[i]) > query.Expected || v.cs[i].Belief.Bad(now) > suspectBad {
 		return Picked{}, false
 	}
 	return v.take(now, s, query, i), true
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -295,3 +295,42 @@
 	with, without := swallowed(true), swallowed(false)
 	assert.Assert(t, with < without, "%d with, %d without", with, without)
 }
+
+// TestPickBeside picks among one target in all states in which a second attempt
+// may find it.
+func TestPickBeside(t *testing.T) {
+	now := thclock.At(time.Hour)
+	q := &thmessage.Request{
+		Route:     thtable.Route{Name: "r", Safety: thtable.Idempotent, ObjectiveMillis: 800},
+		Objective: now.Add(time.Second), Deadline: now.Add(10 * time.Second),
+	}
+	for _, c := range []struct {
+		name     string
+		inFlight int
+		failures int
+		tried    []string
+		want     bool
+	}{
+		{name: "free", want: true},
+		{name: "a short wait", inFlight: 2, want: true},
+		{name: "a long wait", inFlight: 6},
+		{name: "suspect", failures: 3},
+		{name: "tried", tried: []string{"t"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := thview.New(thview.Options{Self: thfleet.Identity{ID: "vm"}, Rand: rand.New(rand.NewPCG(1, 1))})
+			v.SetTargets(now, []thtable.Target{{ID: "t", Service: "s", Slots: 2}})
+			for range c.failures {
+				p, refusal := v.Pick(now, q, "s", nil, true)
+				assert.Assert(t, refusal == nil)
+				v.Finish(now, p, q, thjudge.Failed, time.Millisecond)
+			}
+			for range c.inFlight {
+				_, refusal := v.Pick(now, q, "s", nil, true)
+				assert.Assert(t, refusal == nil)
+			}
+			_, ok := v.PickBeside(now, q, "s", c.tried, true)
+			assert.Equal(t, ok, c.want)
+		})
+	}
+}
