thsend: an idle connection outlives the deadline of its last request

Whether an idle connection is quiet was asked with RawConn.Read, which fails once the read deadline has passed: that of the last request, one to two seconds after it. Change: RawConn.Control, which knows no deadline. The new test fails without the change (2 connections for 2 requests).

--- a/io/thsend/client_test.go
+++ b/io/thsend/client_test.go
@@ -279,3 +279,21 @@
 	c.Retain([]thtable.Target{{ID: "t", Leaving: true}})
 	assert.Assert(t, !c.HasIdle("t", true))
 }
+
+// TestAConnectionOutlivesTheDeadlinesOfItsRequests lets the deadline of a
+// request that was answered pass before the next one is sent.
+func TestAConnectionOutlivesTheDeadlinesOfItsRequests(t *testing.T) {
+	const short = 200 * time.Millisecond
+	s := newScripted(t, func(_ *scripted, c net.Conn, _ *bufio.Reader, _ int, id string) bool {
+		return write(c, answer(id, "body", "Keep-Alive: timeout=60"))
+	})
+	client := newClient()
+	target := thtable.Target{ID: "t", Address: s.address}
+	for i := range 2 {
+		r := client.Send(context.Background(), target, request(fmt.Sprint(i), thtable.Idempotent, short), 0)
+		assert.Equal(t, r.End, thpick.Answered)
+		time.Sleep(2 * short)
+	}
+	_, opened := s.counts()
+	assert.Equal(t, opened, 1)
+}
--- a/io/thsend/connection.go
+++ b/io/thsend/connection.go
@@ -85,11 +85,12 @@
 		return true
 	}
 	quiet := false
-	err := n.raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, does not fail once the deadline of the last request
+	// has passed.
+	err := n.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
