--- a/cmd/tamarackhollow/front.go
+++ b/cmd/tamarackhollow/front.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thsettings"
 	"tamarackhollow/io/thlog"
 	"tamarackhollow/io/thnode"
@@ -15,34 +12,51 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
+// frontCommand runs a VM's process by its settings until the context ends.
 func frontCommand() *ffcli.Command {
-	return vmCommand("front", "run one VM's process on the platform until SIGTERM, then drain it", front)
+	r := thsettings.NewReader()
+	return &ffcli.Command{
+		Name:       "front",
+		ShortUsage: "tamarackhollow front --settings vm.toml [flags]",
+		ShortHelp:  "run one VM's process on the platform until SIGTERM, then drain it",
+		FlagSet:    r.FlagSet(),
+		Options:    r.Options(),
+		Exec: func(ctx context.Context, _ []string) error {
+			s, err := r.Settings()
+			if err != nil {
+				return err
+			}
+			return front(ctx, s)
+		},
+	}
 }
 
 // front runs the VM until the context ends, and then drains it.
 func front(ctx context.Context, s thsettings.Settings) error {
-	bounds, err := platform.ParseBounds(s.Platform.Bounds)
+	rules, err := rulesOf(s)
 	if err != nil {
 		return err
 	}
 	log := thlog.New(os.Stdout, s.VM.ID)
 	store := platform.New(s.Platform.Address, s.LocalIP(), log)
 	n, err := thnode.Start(thnode.Options{
-		Settings: s, Store: store, StoreCalls: store.Calls, Names: platform.Names(), ReadinessPath: platform.ReadinessPath,
-		Budget: bounds.Repeats, FloorShare: bounds.Floor, Grace: bounds.Grace, Log: log,
+		Settings: s, Rules: rules, Store: store, StoreCalls: store.Calls, Names: platform.Names(),
+		ReadinessPath: platform.ReadinessPath, Log: log,
 	})
 	if err != nil {
 		return err
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	for {
-		select {
-		case <-hangups:
-			log.Log(thevent.SettingsChanged)
-		case <-ctx.Done():
-			n.Stop()
-			return nil
-		}
-	}
+	f := follower{settings: s, log: log, adopt: n.Adopt}
+	f.follow(ctx)
+	n.Stop()
+	return nil
+}
+
+// rulesOf returns what may change while the VM runs.
+func rulesOf(s thsettings.Settings) (thnode.Rules, error) {
+	bounds, err := platform.ParseBounds(s.Platform.Bounds)
+	return thnode.Rules{
+		Budget: bounds.Repeats, FloorShare: bounds.Floor, Grace: bounds.Grace,
+		Seeds: s.Peers.Seeds, MemoryMegabytes: s.VM.MemoryMegabytes,
+	}, err
 }
--- a/core/thburn/alert.go
+++ b/core/thburn/alert.go
@@ -1,7 +1,5 @@
 package thburn
 
-import "tamarackhollow/core/thconfig"
-
 // Severity is how urgent an alert is.
 type Severity string
 
@@ -43,7 +41,7 @@
 
 // Burn returns how many times faster than the objective allows the error
 // budget is spent. An objective without a budget gives 0.
-func Burn(c Counts, objective thconfig.Objective) float64 {
+func Burn(c Counts, objective Objective) float64 {
 	budget := 1 - objective.Availability
 	if c.Valid() == 0 || objective.Availability <= 0 || budget <= 0 {
 		return 0
@@ -52,7 +50,7 @@
 }
 
 // Alerts returns the alerts that the counts of the windows raise.
-func Alerts(counts func(Window) Counts, objective thconfig.Objective) []Alert {
+func Alerts(counts func(Window) Counts, objective Objective) []Alert {
 	var all []Alert
 	for _, r := range rules {
 		long := counts(r.long)
--- a/core/thburn/counts.go
+++ b/core/thburn/counts.go
@@ -2,14 +2,13 @@
 // service's error budget burns: per customer and service, over several windows,
 // merged over all VMs, in fixed memory.
 //
-// Every VM counts what its own callers saw, minute by minute. The counts of one
-// customer go to one VM, its home, whose Ledger keeps the windows.
+// Every VM counts what its own callers saw, minute by minute, in a Ledger that
+// ends with its process. Reports of several VMs are merged where they are read.
 package thburn
 
 import (
 	"time"
 
-	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
 )
 
@@ -42,7 +41,7 @@
 	Refused   uint32 `json:"refused,omitempty"`
 	OverLimit uint32 `json:"overLimit,omitempty"`
 	// WithinRate is how many of OverLimit were refused although the customer
-	// had asked for no more than its rate over all VMs in that minute.
+	// had asked for no more than its rate over all VMs in the window.
 	WithinRate   uint32 `json:"withinRate,omitempty"`
 	CallersFault uint32 `json:"callersFault,omitempty"`
 }
@@ -101,6 +100,14 @@
 	return float64(c.Good) / float64(c.Valid())
 }
 
+// Objective is what a service promises its callers.
+type Objective struct {
+	// Availability is the share of requests, 0 to 1, to be answered well.
+	Availability float64 `json:"availability"`
+	// LatencyMillis is how long a good answer may take; 0 is no bound.
+	LatencyMillis int64 `json:"latencyMillis"`
+}
+
 // Observation is one request as its caller saw it end.
 type Observation struct {
 	// Customer is empty on open routes and where no key was known.
@@ -119,7 +126,7 @@
 
 // Classify returns how the request ended by the service's objective. A zero
 // objective bounds no latency.
-func Classify(o Observation, objective thconfig.Objective) Class {
+func Classify(o Observation, objective Objective) Class {
 	if o.Refused {
 		return ClassOf(o.Kind)
 	}
@@ -138,7 +145,7 @@
 	switch k {
 	case therror.KeyMissing, therror.KeyUnknown, therror.RouteUnknown, therror.RouteForbidden,
 		therror.RequestMalformed, therror.RequestTooLarge, therror.CallerGone,
-		therror.ClaimMismatch, therror.ClaimRunning, therror.Quarantined, therror.NotFound:
+		therror.RequestSlow, therror.HeaderTooLarge, therror.Quarantined:
 		return CallersFault
 	case therror.OverLimit:
 		return OverLimit
--- a/core/thburn/report.go
+++ b/core/thburn/report.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
 	"tamarackhollow/core/thclock"
-	"tamarackhollow/core/thconfig"
 )
 
 // Query says what a report is about.
@@ -38,10 +38,12 @@
 // total is empty.
 type Row struct {
 	Name
-	Objective thconfig.Objective `json:"objective"`
-	Windows   []WindowCounts     `json:"windows"`
-	Alerts    []Alert            `json:"alerts,omitempty"`
-	Kinds     []KindCount        `json:"kinds,omitempty"`
+	// Rate is the customer's, in requests a second over all VMs; 0 is no limit.
+	Rate      float64        `json:"rate,omitempty"`
+	Objective Objective      `json:"objective"`
+	Windows   []WindowCounts `json:"windows"`
+	Alerts    []Alert        `json:"alerts,omitempty"`
+	Kinds     []KindCount    `json:"kinds,omitempty"`
 }
 
 // CustomerShare is how a customer fared over the last hour, over all services.
@@ -64,45 +66,34 @@
 	WithinRate uint64 `json:"withinRate"`
 	// Left out is how many rows the query's Top cut off.
 	LeftOut int `json:"leftOut,omitempty"`
-	// Missing are the parts whose home did not answer.
-	Missing []int `json:"missing,omitempty"`
+	// Missing are the VMs that did not answer.
+	Missing []string `json:"missing,omitempty"`
 }
 
 // minShare is how many requests a customer must have had in an hour to count
 // as the worst served.
 const minShare = 20
 
-// Objectives returns a service's objective.
-type Objectives func(service string) thconfig.Objective
+// Rules tell what a service promises and a customer may ask for.
+type Rules struct {
+	Objective func(service string) Objective
+	// Rate returns 0 for a customer without a limit.
+	Rate func(customer string) float64
+}
 
-// Report returns the ledger's report.
-func (l *Ledger) Report(now thclock.Instant, q Query, objectives Objectives) Report {
+// Report returns the ledger's report. It is one VM's part of the fleet's.
+func (l *Ledger) Report(now thclock.Instant, rules Rules) Report {
 	minute := MinuteOf(now)
 	var r Report
-	totals := map[string]Row{}
-	shares := map[string]CustomerShare{}
 	for _, n := range l.names() {
-		if q.Customer != "" && q.Customer != n.Customer || q.Service != "" && q.Service != n.Service {
-			continue
-		}
 		s := l.series[n]
-		row := Row{Name: n, Objective: objectives(n.Service), Kinds: s.recentKinds(minute)}
+		row := Row{Name: n, Rate: rules.Rate(n.Customer), Objective: rules.Objective(n.Service), Kinds: s.recentKinds(minute)}
 		for _, w := range Windows() {
-			row.Windows = append(row.Windows, WindowCounts{Window: w.Name, Counts: s.window(w, minute, l.closed)})
+			row.Windows = append(row.Windows, WindowCounts{Window: w.Name, Counts: s.window(w, minute)})
 		}
-		row = row.judged()
 		r.Rows = append(r.Rows, row)
-		totals[n.Service] = plusRow(totals[n.Service], row)
-		hour := row.count(oneHour)
-		r.WithinRate += uint64(hour.WithinRate)
-		share := shares[n.Customer]
-		shares[n.Customer] = CustomerShare{Customer: n.Customer, Counts: share.Counts.Plus(hour)}
 	}
-	for _, s := range shares {
-		r.Worst = worse(r.Worst, s)
-	}
-	r.Services = ordered(totals)
-	return r.cut(q.top())
+	return r
 }
 
 // judged returns the row with its burn rates and alerts worked out anew.
@@ -124,10 +115,9 @@
 	return Counts{}
 }
 
-// plusRow adds a row to its service's total.
+// plusRow adds the counts of a row to another.
 func plusRow(total, r Row) Row {
 	if total.Windows == nil {
-		total = Row{Name: Name{Service: r.Service}, Objective: r.Objective}
 		for _, w := range Windows() {
 			total.Windows = append(total.Windows, WindowCounts{Window: w.Name})
 		}
@@ -136,14 +126,15 @@
 	for i, w := range Windows() {
 		total.Windows[i].Counts = total.Windows[i].Counts.Plus(r.count(w))
 	}
+	total.Rate, total.Objective = r.Rate, r.Objective
 	total.Kinds = plusKinds(total.Kinds, r.Kinds)
-	return total.judged()
+	return total
 }
 
 func ordered(totals map[string]Row) []Row {
 	rows := make([]Row, 0, len(totals))
 	for _, t := range totals {
-		rows = append(rows, t)
+		rows = append(rows, t.judged())
 	}
 	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Service, b.Service) })
 	return rows
@@ -192,24 +183,56 @@
 	return u
 }
 
-// Merged returns the report over all parts' reports. No customer is in two.
+// Merged returns the report over the parts of all VMs.
 func Merged(q Query, parts []Report) Report {
+	rows := make(map[Name]Row)
 	var all Report
-	totals := map[string]Row{}
 	for _, p := range parts {
-		all.Rows = append(all.Rows, p.Rows...)
-		all.WithinRate += p.WithinRate
-		all.LeftOut += p.LeftOut
 		all.Missing = append(all.Missing, p.Missing...)
-		all.Worst = worse(all.Worst, p.Worst)
-		for _, s := range p.Services {
-			totals[s.Service] = plusRow(totals[s.Service], s)
+		for _, r := range p.Rows {
+			n := plusRow(rows[r.Name], r)
+			n.Name = r.Name
+			rows[r.Name] = n
 		}
 	}
+	judgeRates(rows)
+	totals, shares := make(map[string]Row), make(map[string]CustomerShare)
+	for _, n := range slices.SortedFunc(maps.Keys(rows), compare) {
+		if q.Customer != "" && q.Customer != n.Customer || q.Service != "" && q.Service != n.Service {
+			continue
+		}
+		row := rows[n].judged()
+		all.Rows = append(all.Rows, row)
+		total := plusRow(totals[n.Service], row)
+		total.Name, total.Rate = Name{Service: n.Service}, 0
+		totals[n.Service] = total
+		hour := row.count(oneHour)
+		all.WithinRate += uint64(hour.WithinRate)
+		shares[n.Customer] = CustomerShare{Customer: n.Customer, Counts: shares[n.Customer].Counts.Plus(hour)}
+	}
+	for _, s := range shares {
+		all.Worst = worse(all.Worst, s)
+	}
 	all.Services = ordered(totals)
 	return all.cut(q.top())
 }
 
+// judgeRates finds the refusals over the limit of customers that asked for no
+// more than their rate over the window.
+func judgeRates(rows map[Name]Row) {
+	for i, w := range Windows() {
+		offered := make(map[string]uint64)
+		for n, r := range rows {
+			offered[n.Customer] += r.Windows[i].Counts.Offered()
+		}
+		for n, r := range rows {
+			if r.Rate > 0 && float64(offered[n.Customer]) <= r.Rate*w.Span.Seconds() {
+				r.Windows[i].Counts.WithinRate = r.Windows[i].Counts.OverLimit
+			}
+		}
+	}
+}
+
 // Paging reports whether any row or service raises a page.
 func (r Report) Paging() bool {
 	return slices.ContainsFunc(slices.Concat(r.Rows, r.Services), func(row Row) bool {
--- a/core/thburn/series.go
+++ b/core/thburn/series.go
@@ -18,8 +18,7 @@
 	Count uint32 `json:"count"`
 }
 
-// series holds one name's windows. Minutes go into the longer rings once they
-// are closed, when it is known whether the customer was within its rate.
+// series holds one name's windows.
 type series struct {
 	minutes   ring
 	halfHours ring
@@ -44,22 +43,15 @@
 	}
 }
 
-// add counts a minute's requests. A minute that is closed already goes into
-// the longer rings too.
-func (s *series) add(minute, closed int64, c Counts) {
+// add counts a minute's requests.
+func (s *series) add(minute int64, c Counts) {
 	s.minutes.add(minute, c)
-	if minute <= closed {
-		s.addClosed(minute, c)
-	}
-}
-
-func (s *series) addClosed(minute int64, c Counts) {
 	s.halfHours.add(minute, c)
 	s.sixHours.add(minute, c)
 }
 
-func (s *series) addKinds(minute int64, kinds []KindCount) {
-	if len(kinds) == 0 || minute < 0 {
+func (s *series) addKind(minute int64, k therror.Kind) {
+	if minute < 0 {
 		return
 	}
 	hour := minute / hourMinutes
@@ -68,30 +60,18 @@
 		*h = kindHour{Hour: hour}
 	}
 	if h.Hour == hour {
-		h.Counts = plusKinds(h.Counts, kinds)
+		h.Counts = plusKind(h.Counts, k)
 	}
 }
 
-// window sums a window up to now. Minutes that are not closed are in the
-// minutes' ring only.
-func (s *series) window(w Window, now, closed int64) Counts {
+// window sums a window up to now.
+func (s *series) window(w Window, now int64) Counts {
+	r := s.minutes
 	switch w {
-	case sixHours, threeDays:
-		c := s.coarse(w, now)
-		for m := max(closed, now-minuteSlots) + 1; m <= now; m++ {
-			if o := s.minutes.at(m); o != nil {
-				c = c.Plus(o.counts)
-			}
-		}
-		return c
-	}
-	return s.minutes.sum(now, int64(w.Span.Minutes()))
-}
-
-func (s *series) coarse(w Window, now int64) Counts {
-	r := s.sixHours
-	if w == sixHours {
+	case sixHours:
 		r = s.halfHours
+	case threeDays:
+		r = s.sixHours
 	}
 	return r.sum(now, int64(w.Span.Minutes())/r.minutes)
 }
@@ -125,15 +105,3 @@
 	}
 	return sum
 }
-
-// KindsOf returns the counts of the kinds that are not zero.
-func KindsOf(counts []uint32) []KindCount {
-	var all []KindCount
-	for _, k := range therror.Kinds() {
-		if int(k) < len(counts) && counts[k] > 0 {
-			all = append(all, KindCount{k.String(), counts[k]})
-		}
-	}
-	slices.SortFunc(all, func(a, b KindCount) int { return compareNames(a.Kind, b.Kind) })
-	return all
-}
--- a/core/thburn/window.go
+++ b/core/thburn/window.go
@@ -24,7 +24,7 @@
 }
 
 const (
-	minuteSlots = 64 // one hour and a few minutes for late counts
+	minuteSlots = 61 // one hour and the minute that is filling
 	coarseSlots = 13 // twelve and the one that is filling
 	halfHourMin = 30 // minutes in a slot of the middle ring
 	sixHoursMin = 360
@@ -61,16 +61,6 @@
 	}
 }
 
-// at returns the slot of a minute, or nil if it has passed out of the ring.
-func (r ring) at(minute int64) *slot {
-	n := r.number(minute)
-	s := &r.slots[n%int64(len(r.slots))]
-	if s.at != n {
-		return nil
-	}
-	return s
-}
-
 // sum adds up the stretches of the last n lengths up to the minute.
 func (r ring) sum(minute, n int64) Counts {
 	last := r.number(minute)
--- a/core/thconfig/check.go
+++ b/core/thconfig/check.go
@@ -3,15 +3,18 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thtable"
 )
 
 const (
 	maxNameBytes = 128
 	maxRate      = 1e6 // requests a second
 	maxBurst     = 1e7 // requests
+	maxAttempts  = 10  // targets that may run one request
 )
 
 func invalid(format string, args ...any) error {
@@ -44,8 +47,6 @@
 		return invalid("service %s: connections %d must be at least 1", s.Name, s.Connections)
 	case s.TimeoutMillis < 0:
 		return invalid("service %s: timeoutMillis %d must not be negative", s.Name, s.TimeoutMillis)
-	case s.ShedStatus != 0 && (s.ShedStatus < 400 || s.ShedStatus > 599):
-		return invalid("service %s: shedStatus %d must be an HTTP error status", s.Name, s.ShedStatus)
 	}
 	seen := make(map[string]bool, len(s.Targets))
 	for _, t := range s.Targets {
@@ -60,15 +61,23 @@
 	return nil
 }
 
-func (c Config) checkRoute(d Deployment, r Route) error {
+func checkRoute(d Deployment, r Route) error {
 	if err := checkName("route", r.Name); err != nil {
 		return err
 	}
+	if r.Host == "" {
+		return invalid("route %s: host is missing", r.Name)
+	}
 	if !strings.HasPrefix(r.Prefix, "/") || len(r.Prefix) > 1 && strings.HasSuffix(r.Prefix, "/") {
 		return invalid("route %s: prefix %q must begin with / and not end with it", r.Name, r.Prefix)
 	}
-	if o, taken := c.routes.get(r.Prefix); taken {
-		return invalid("route %s: prefix %s belongs to route %s already", r.Name, r.Prefix, o.Name)
+	switch r.Safety {
+	case "", string(thtable.Idempotent), string(thtable.Once), string(thtable.Upload):
+	default:
+		return invalid("route %s: safety %q must be idempotent, once or upload", r.Name, r.Safety)
+	}
+	if r.Attempts < 0 || r.Attempts > maxAttempts {
+		return invalid("route %s: attempts %d must lie between 0 and %d", r.Name, r.Attempts, maxAttempts)
 	}
 	for _, s := range d.Services {
 		if s.Name == r.Service {
@@ -78,7 +87,7 @@
 	return invalid("route %s: the deployment %s has no service %q", r.Name, d.Name, r.Service)
 }
 
-func (c Config) checkCustomer(u Customer) error {
+func checkCustomer(d Deployment, u Customer) error {
 	if err := checkName("customer", u.Name); err != nil {
 		return err
 	}
@@ -88,42 +97,73 @@
 	if u.Burst < 1 || u.Burst > maxBurst {
 		return invalid("customer %s: burst %d must lie between 1 and %v", u.Name, u.Burst, maxBurst)
 	}
-	d, ok := c.deployments.get(u.Deployment)
-	if !ok {
-		return invalid("customer %s: no deployment %q", u.Name, u.Deployment)
-	}
 	for _, name := range u.Routes {
-		if !hasRoute(d, name) {
+		if !slices.ContainsFunc(d.Routes, func(r Route) bool { return r.Name == name }) {
 			return invalid("customer %s: the deployment %s has no route %q", u.Name, d.Name, name)
 		}
 	}
 	return nil
 }
 
-func hasRoute(d Deployment, name string) bool {
-	for _, r := range d.Routes {
-		if r.Name == name {
-			return true
+// checkKeys refuses keys that are empty or held by two customers.
+func checkKeys(customers []Customer) error {
+	holder := make(map[string]string)
+	for _, u := range customers {
+		for _, key := range u.Keys {
+			if o, ok := holder[key]; ok || key == "" {
+				return invalid("customer %s: a key is empty or held by customer %s too", u.Name, o)
+			}
+			holder[key] = u.Name
 		}
 	}
-	return false
+	return nil
 }
 
-func (c Config) checkKey(k Key) error {
-	if err := checkName("key", k.ID); err != nil {
+// Check reports what is wrong with a deployment and its customers. It fails
+// with ChangeInvalid, naming the place and the reason.
+func Check(d Deployment, customers []Customer) error {
+	if err := checkName("deployment", d.Name); err != nil {
 		return err
 	}
-	if len(k.Hash) != hashDigits {
-		return invalid("key %s: the hash must have %d hexadecimal digits", k.ID, hashDigits)
+	if err := checkEach("service", d.Services, checkService, func(s Service) string { return s.Name }); err != nil {
+		return err
+	}
+	if err := checkEach("route", d.Routes, func(r Route) error { return checkRoute(d, r) }, func(r Route) string { return r.Name }); err != nil {
+		return err
+	}
+	if err := checkPrefixes(d.Routes); err != nil {
+		return err
 	}
-	if _, ok := c.customers.get(k.Customer); !ok {
-		return invalid("key %s: no customer %q", k.ID, k.Customer)
+	if err := checkKeys(customers); err != nil {
+		return err
 	}
-	if _, ok := c.keys.get(k.ID); ok {
-		return invalid("key %s: stands already", k.ID)
+	return checkEach("customer", customers, func(u Customer) error { return checkCustomer(d, u) }, func(u Customer) string { return u.Name })
+}
+
+// checkEach checks all and that no name stands twice.
+func checkEach[T any](what string, all []T, check func(T) error, name func(T) string) error {
+	seen := make(map[string]bool, len(all))
+	for _, t := range all {
+		if err := check(t); err != nil {
+			return err
+		}
+		if seen[name(t)] {
+			return invalid("%s %s: stands twice", what, name(t))
+		}
+		seen[name(t)] = true
 	}
-	if _, ok := c.withdrawn.get(k.ID); ok {
-		return invalid("key %s: was withdrawn and cannot come back", k.ID)
+	return nil
+}
+
+func checkPrefixes(routes []Route) error {
+	type place struct{ host, prefix string }
+	taken := make(map[place]string, len(routes))
+	for _, r := range routes {
+		p := place{r.Host, r.Prefix}
+		if o, ok := taken[p]; ok {
+			return invalid("route %s: host %s and prefix %s belong to route %s already", r.Name, r.Host, r.Prefix, o)
+		}
+		taken[p] = r.Name
 	}
 	return nil
 }
--- a/core/therror/kind.go
+++ b/core/therror/kind.go
@@ -15,12 +15,8 @@
 	RequestMalformed
 	RequestTooLarge
 	OverLimit
-	LimitUnavailable
-	NotFresh
 	NotReady
-	Draining
 	QueueFull
-	QueueTimeout
 	NoTarget
 	ConnectFailed
 	Shed
@@ -28,10 +24,6 @@
 	AnswerBroken
 	AnswerLate
 	CallerGone
-	ClaimUnavailable
-	ClaimRunning
-	ClaimMismatch
-	ClaimOutcomeLost
 	Quarantined
 	CredentialMissing
 	ChangeInvalid
@@ -40,7 +32,6 @@
 	StoreOutcomeUnknown
 	MessageMalformed
 	MessageTooLarge
-	MessageStale
 	NotFound
 	SettingsInvalid
 	HeaderTooLarge
@@ -79,12 +70,8 @@
 	RequestMalformed:    {"requestMalformed", 400, NotRun, false},
 	RequestTooLarge:     {"requestTooLarge", 413, NotRun, false},
 	OverLimit:           {"overLimit", 429, NotRun, true},
-	LimitUnavailable:    {"limitUnavailable", 503, NotRun, true},
-	NotFresh:            {"notFresh", 503, NotRun, true},
 	NotReady:            {"notReady", 503, NotRun, true},
-	Draining:            {"draining", 503, NotRun, true},
 	QueueFull:           {"queueFull", 503, NotRun, true},
-	QueueTimeout:        {"queueTimeout", 504, NotRun, true},
 	NoTarget:            {"noTarget", 503, NotRun, true},
 	ConnectFailed:       {"connectFailed", 502, NotRun, true},
 	Shed:                {"shed", 503, NotRun, true},
@@ -92,11 +79,7 @@
 	AnswerBroken:        {"answerBroken", 502, OutcomeUnknown, false},
 	AnswerLate:          {"answerLate", 504, OutcomeUnknown, false},
 	CallerGone:          {"callerGone", 499, OutcomeUnknown, false},
-	ClaimUnavailable:    {"claimUnavailable", 503, NotRun, true},
-	ClaimRunning:        {"claimRunning", 409, OutcomeUnknown, true},
-	ClaimMismatch:       {"claimMismatch", 422, NotRun, false},
-	ClaimOutcomeLost:    {"claimOutcomeLost", 409, OutcomeUnknown, false},
-	Quarantined:         {"quarantined", 422, NotRun, false},
+	Quarantined:         {"quarantined", 503, NotRun, false},
 	CredentialMissing:   {"credentialMissing", 401, NotRun, false},
 	ChangeInvalid:       {"changeInvalid", 422, NotRun, false},
 	ChangeConflict:      {"changeConflict", 409, NotRun, true},
@@ -104,7 +87,6 @@
 	StoreOutcomeUnknown: {"storeOutcomeUnknown", 503, OutcomeUnknown, true},
 	MessageMalformed:    {"messageMalformed", 400, NotRun, false},
 	MessageTooLarge:     {"messageTooLarge", 413, NotRun, false},
-	MessageStale:        {"messageStale", 409, NotRun, false},
 	NotFound:            {"notFound", 404, NotRun, false},
 	SettingsInvalid:     {"settingsInvalid", 422, NotRun, false},
 	HeaderTooLarge:      {"headerTooLarge", 431, NotRun, false},
--- a/core/thevent/event.go
+++ b/core/thevent/event.go
@@ -49,7 +49,7 @@
 
 // Catalogue returns every event, ordered by number.
 func Catalogue() []Event {
-	all := slices.Concat(processEvents, configEvents, rosterEvents, limitEvents, targetEvents, requestEvents, platformEvents, peerEvents)
+	all := slices.Concat(processEvents, targetEvents, requestEvents, platformEvents, peerEvents)
 	slices.SortFunc(all, func(a, b Event) int { return int(a.ID) - int(b.ID) })
 	return all
 }
--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -74,6 +74,7 @@
 	// if it came before itself.
 	Stale, Again bool
 	Ends         []End
+	Deaths       []Death
 	// Admitted and Repeats are what was added since the last notice.
 	Admitted, Repeats []Total
 	// Joined is set if the sender's identity is new.
@@ -129,7 +130,7 @@
 		// Totals only rise, so a notice that was overtaken adds nothing but its ends.
 		news.Stale = true
 		if news.Again = n.Start < p.start || p.saw(n.Number); !news.Again {
-			news.Ends = n.Ends
+			news.Ends, news.Deaths = n.Ends, n.Deaths
 		}
 		return news
 	case n.Start > p.start:
@@ -145,7 +146,7 @@
 		return news
 	}
 	f.receiveLoads(now, n)
-	news.Ends = n.Ends
+	news.Ends, news.Deaths = n.Ends, n.Deaths
 	news.Admitted = rise(p.admitted, n.Admitted, known)
 	news.Repeats = rise(p.repeats, n.Repeats, known)
 	if n.Reading != nil {
--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -30,6 +30,15 @@
 	Pace int8
 }
 
+// Death is a target's end while it ran a request.
+type Death struct {
+	_ struct{} `cbor:",toarray"`
+	// Customer and Request are the key of the request's quarantine.
+	Customer string
+	Request  uint64
+	Target   Key
+}
+
 // PaceUnknown marks an attempt whose time says nothing about the target.
 const PaceUnknown = -128
 
@@ -71,7 +80,8 @@
 	Reading  *Reading  `cbor:"9,keyasint,omitempty"`
 	Leaving  bool      `cbor:"10,keyasint,omitempty"`
 	// Asking is set if the sender wants the receiver's identity.
-	Asking bool `cbor:"11,keyasint,omitempty"`
+	Asking bool    `cbor:"11,keyasint,omitempty"`
+	Deaths []Death `cbor:"13,keyasint,omitempty"`
 	// Relay is set if the receiver is to pass the notice on within its zone.
 	Relay bool `cbor:"12,keyasint,omitempty"`
 }
--- a/core/thmessage/message.go
+++ b/core/thmessage/message.go
@@ -61,6 +61,15 @@
 	Own string
 }
 
+// OwnNames are the header fields of the product itself, where no platform sets
+// others.
+func OwnNames() Names {
+	return Names{
+		RequestID: "Tamarack-Request-Id", Deadline: "Tamarack-Deadline-Millis", Target: "Tamarack-Target",
+		Customer: "Tamarack-Customer", Signature: "Tamarack-Signature", NotRun: "Tamarack-Not-Run", Own: "Tamarack-",
+	}
+}
+
 // fields that concern one connection and are not passed on.
 var connectionFields = [...]string{
 	"connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
--- a/core/thquarantine/suspect.go
+++ b/core/thquarantine/suspect.go
@@ -7,9 +7,8 @@
 )
 
 const (
-	// sameDeath is the time within which two deaths of a target are one, which
-	// two VMs saw whose clocks differ. A target that died takes longer to come
-	// back and die again.
+	// sameDeath is the time within which two deaths of a target are one that two
+	// VMs tell of. A target that died takes longer to come back and die again.
 	sameDeath = 500 * time.Millisecond
 	// confirmWithin is how soon after a cut a target has to refuse connections
 	// for the cut to have been its death.
@@ -34,24 +33,24 @@
 
 // Death is one end of a target while it ran a request.
 type Death struct {
-	Target string `json:"target"`
-	// At is the wall reading.
-	At time.Duration `json:"atWall"`
+	Target string
+	// At is when the VM heard of it, by its steady clock.
+	At time.Duration
 	// Confirmed is set if the target refused connections right after.
-	Confirmed bool `json:"confirmed,omitempty"`
+	Confirmed bool
 	// Answering is set if the connection ended within an answer, which counts
 	// only if the death is confirmed: the answer may just have been wrong.
-	Answering bool `json:"answering,omitempty"`
+	Answering bool
 }
 
 // Suspect is what is known of one request that coincided with deaths. It is
 // immutable. The zero Suspect is of no deaths.
 type Suspect struct {
-	Key Key `json:"key"`
+	Key Key
 	// Deaths are ordered by time.
-	Deaths []Death `json:"deaths"`
+	Deaths []Death
 	// ClearedAt is when a target last answered the request whole.
-	ClearedAt time.Duration `json:"clearedAtWall,omitempty"`
+	ClearedAt time.Duration
 }
 
 // WithDeath returns the suspect with the death added, or joined to the same
@@ -90,14 +89,6 @@
 	return s
 }
 
-// WithSuspect returns the suspect merged with what another VM knows.
-func (s Suspect) WithSuspect(o Suspect) Suspect {
-	for _, d := range o.Deaths {
-		s = s.WithDeath(d)
-	}
-	return s.WithAnswer(o.ClearedAt)
-}
-
 // counted returns the deaths that still count.
 func (s Suspect) counted() []Death {
 	i := slices.IndexFunc(s.Deaths, func(d Death) bool { return d.At > s.ClearedAt })
@@ -130,7 +121,7 @@
 	return deaths*weightDeath + cuts*weightCut
 }
 
-// HeldUntil returns when the request may be tried again, by the wall clock;
+// HeldUntil returns when the request may be tried again, by the steady clock;
 // zero if it is not quarantined.
 func (s Suspect) HeldUntil() time.Duration {
 	over := s.weight() - enough
--- a/core/thquarantine/table.go
+++ b/core/thquarantine/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -12,8 +11,8 @@
 	// maxSuspects bounds the table, and maxOfCustomer one customer's part of it.
 	maxSuspects   = 512
 	maxOfCustomer = 64
-	// clearedMemory is how long an answer is remembered, so that it clears the
-	// request at the other VMs as well.
+	// clearedMemory is how long an answer is remembered, so that a death before
+	// it that another VM tells of late does not count.
 	clearedMemory = time.Minute
 )
 
@@ -29,7 +28,7 @@
 // Cut takes in that the connection to the target ended while it ran the
 // request, or, if answering is set, while it answered.
 func (t *Table) Cut(now thclock.Instant, k Key, target string, answering bool) {
-	t.set(now, t.get(k).WithDeath(Death{Target: target, At: now.Wall, Answering: answering}))
+	t.set(now, t.get(k).WithDeath(Death{Target: target, At: now.Mono, Answering: answering}))
 }
 
 // Refused takes in that the target refuses connections, and reports whether
@@ -37,7 +36,7 @@
 func (t *Table) Refused(now thclock.Instant, target string) bool {
 	confirmed := false
 	for _, s := range t.suspects {
-		n := s.WithRefusal(target, now.Wall)
+		n := s.WithRefusal(target, now.Mono)
 		if n.weight() != s.weight() {
 			confirmed = true
 			t.suspects[n.Key] = n
@@ -53,55 +52,14 @@
 	if !ok {
 		return false
 	}
-	t.suspects[k] = s.WithAnswer(now.Wall)
+	t.suspects[k] = s.WithAnswer(now.Mono)
 	return true
 }
 
-// Merge takes in what another VM knows. Its clock does not count for more than
-// this VM's: nothing that it saw lies in the future.
-func (t *Table) Merge(now thclock.Instant, others []Suspect) {
-	for _, o := range others {
-		o.ClearedAt = min(o.ClearedAt, now.Wall)
-		o.Deaths = slices.Clone(o.Deaths)
-		for i := range o.Deaths {
-			o.Deaths[i].At = min(o.Deaths[i].At, now.Wall)
-		}
-		t.set(now, t.get(o.Key).WithSuspect(o))
-	}
-}
-
 // Held reports whether the request is quarantined.
 func (t *Table) Held(now thclock.Instant, k Key) bool {
 	s, ok := t.suspects[k]
-	return ok && now.Wall < s.HeldUntil()
-}
-
-// Blamed reports whether a death of the target just now is put down to a
-// request, this one or another, and so does not count against the target.
-func (t *Table) Blamed(now thclock.Instant, target string) bool {
-	for _, s := range t.suspects {
-		if s.weight() <= weightDeath {
-			continue
-		}
-		if slices.ContainsFunc(s.counted(), func(d Death) bool {
-			return d.Target == target && (now.Wall-d.At).Abs() < confirmWithin
-		}) {
-			return true
-		}
-	}
-	return false
-}
-
-// Suspects returns the suspects ordered by key.
-func (t *Table) Suspects() []Suspect {
-	ss := make([]Suspect, 0, len(t.suspects))
-	for _, s := range t.suspects {
-		ss = append(ss, s)
-	}
-	slices.SortFunc(ss, func(a, b Suspect) int {
-		return cmp.Or(cmp.Compare(a.Key.Customer, b.Key.Customer), cmp.Compare(a.Key.Hash, b.Key.Hash))
-	})
-	return ss
+	return ok && now.Mono < s.HeldUntil()
 }
 
 // Sweep forgets what has expired.
@@ -114,7 +72,7 @@
 }
 
 func (t *Table) expired(now thclock.Instant, s Suspect) bool {
-	return now.Wall >= s.Expires() && now.Wall >= s.ClearedAt+clearedMemory
+	return now.Mono >= s.Expires() && now.Mono >= s.ClearedAt+clearedMemory
 }
 
 func (t *Table) get(k Key) Suspect {
--- a/core/thtable/document.go
+++ b/core/thtable/document.go
@@ -1,5 +1,7 @@
 package thtable
 
+import "slices"
+
 // Document is a routing table as it passes between VMs, in JSON. Package
 // platform decodes the operator's configuration into one.
 type Document struct {
@@ -72,6 +74,13 @@
 	Rate float64 `json:"rate"`
 	// Burst is in requests.
 	Burst float64 `json:"burst"`
+	// Routes are the names of the routes open to the customer; empty means all.
+	Routes []string `json:"routes,omitempty"`
+}
+
+// Allows reports whether the route is open to the customer.
+func (c Customer) Allows(r Route) bool {
+	return len(c.Routes) == 0 || slices.Contains(c.Routes, r.Name)
 }
 
 // Limits bound what a caller may send.
--- a/core/thtemplate/example_test.go
+++ b/core/thtemplate/example_test.go
@@ -24,6 +24,7 @@
 
 [[routes]]
 name = "stock"
+host = "stock.example"
 prefix = "/stock"
 service = "stock"
 `)
--- a/core/thtemplate/expand.go
+++ b/core/thtemplate/expand.go
@@ -44,16 +44,15 @@
 	}
 	for _, u := range customers {
 		e.Customers = append(e.Customers, thconfig.Customer{
-			Name: u.Name, Rate: u.Rate, Burst: u.Burst, Routes: u.Routes, Deployment: deployment,
+			Name: u.Name, Rate: u.Rate, Burst: u.Burst, Routes: u.Routes, Keys: u.Keys, Priority: u.Priority,
 		})
 	}
 	return e, e.check(place)
 }
 
-// check tries the expansion on the empty configuration.
+// check adds the template's place to what is wrong with the expansion.
 func (e Expansion) check(place string) error {
-	var empty thconfig.Config
-	if err := empty.Check(thconfig.PutDeployment{Deployment: e.Deployment, Customers: e.Customers}); err != nil {
+	if err := thconfig.Check(e.Deployment, e.Customers); err != nil {
 		return invalid("%s%v", place, err)
 	}
 	return nil
--- a/core/thtemplate/parameter.go
+++ b/core/thtemplate/parameter.go
@@ -85,16 +85,17 @@
 
 // customerValue is one element of a parameter of the type Customers.
 type customerValue struct {
-	Name   string   `json:"name"`
-	Rate   float64  `json:"rate"`
-	Burst  int      `json:"burst"`
-	Routes []string `json:"routes,omitempty"`
+	Name     string   `json:"name"`
+	Rate     float64  `json:"rate"`
+	Burst    int      `json:"burst"`
+	Routes   []string `json:"routes,omitempty"`
+	Keys     []string `json:"keys,omitempty"`
+	Priority int      `json:"priority,omitempty"`
 }
 
 type targetValue struct {
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
-	Leaving bool   `json:"leaving,omitempty"`
 }
 
 // check returns the value that the JSON text stands for, or why it is not
--- a/core/thtemplate/template.go
+++ b/core/thtemplate/template.go
@@ -18,7 +18,6 @@
 // Template is a template that has been read and checked. It is immutable.
 type Template struct {
 	name       string
-	source     string
 	parameters []Parameter
 	body       body
 }
@@ -37,11 +36,6 @@
 // Parameters returns the declared parameters ordered by name.
 func (t Template) Parameters() []Parameter { return slices.Clone(t.parameters) }
 
-// Stored returns the template as the configuration keeps it.
-func (t Template) Stored() thconfig.Template {
-	return thconfig.Template{Name: t.name, Source: t.source}
-}
-
 // Expansion is a template filled in.
 type Expansion struct {
 	Deployment thconfig.Deployment
@@ -59,7 +53,7 @@
 	if err := toml.Unmarshal([]byte(source), &document); err != nil {
 		return Template{}, syntaxError("template", err)
 	}
-	t := Template{source: source}
+	var t Template
 	name, ok := document["template"].(string)
 	if !ok || name == "" {
 		return Template{}, invalid("template: the key template must give the template's name")
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -15,6 +15,7 @@
 	admitted map[thfleet.Key]uint32
 	repeats  map[thfleet.Key]uint32
 	ends     []thfleet.End
+	deaths   []thfleet.Death
 }
 
 func newOutbox(o Options) outbox {
@@ -47,8 +48,8 @@
 		n.Loads = append(n.Loads, thfleet.Load{Target: k, InFlight: c})
 	}
 	n.Admitted, n.Repeats = totals(o.admitted), totals(o.repeats)
-	n.Ends = o.ends
-	o.ends = nil
+	n.Ends, n.Deaths = o.ends, o.deaths
+	o.ends, o.deaths = nil, nil
 	clear(o.loads)
 	clear(o.admitted)
 	clear(o.repeats)
@@ -98,15 +99,22 @@
 	}
 }
 
-// State returns well, suspect or leaving.
+// The states of a target.
+const (
+	StateWell    = "well"
+	StateSuspect = "suspect"
+	StateLeaving = "leaving"
+)
+
+// State returns what the target's state is called.
 func (s Standing) State() string {
 	switch {
 	case s.Leaving:
-		return "leaving"
+		return StateLeaving
 	case s.Bad > suspectBad:
-		return "suspect"
+		return StateSuspect
 	}
-	return "well"
+	return StateWell
 }
 
 // suspectBad is the belief from which a target is reported as suspect.
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -16,6 +16,7 @@
 	"tamarackhollow/core/thjudge"
 	"tamarackhollow/core/thmessage"
 	"tamarackhollow/core/thpick"
+	"tamarackhollow/core/thquarantine"
 	"tamarackhollow/core/thquota"
 	"tamarackhollow/core/thtable"
 )
@@ -83,7 +84,10 @@
 	estimates map[string]thpick.Estimate
 	shares    map[string]*shares
 	outbox    outbox
-	cs        []thpick.Candidate
+	// quarantine holds the requests that coincided with deaths of targets.
+	quarantine thquarantine.Table
+	sweptAt    thclock.Instant
+	cs         []thpick.Candidate
 }
 
 // New returns the view of a VM that knows nothing yet.
@@ -151,6 +155,11 @@
 	return k
 }
 
+// SetRules replaces the bound on repeats and the floor.
+func (v *View) SetRules(budget thpick.BudgetRule, floorShare float64) {
+	v.options.Budget, v.options.FloorShare = budget, floorShare
+}
+
 // Admit counts a request on the route against its customer's limit. If it is
 // over the limit, the time after which it may be repeated is returned.
 func (v *View) Admit(now thclock.Instant, c thtable.Customer, r thtable.Route) (wait time.Duration, ok bool) {
@@ -294,6 +303,7 @@
 		end.Pace = encodePace(float64(took) / float64(max(p.Expected, 1)))
 	}
 	v.outbox.ends = append(v.outbox.ends, end)
+	v.noteDeath(now, p, q, o)
 	t := v.byKey[p.key]
 	if t == nil {
 		return
@@ -364,6 +374,7 @@
 // Receive takes in another VM's notice, and returns what it added.
 func (v *View) Receive(now thclock.Instant, n thfleet.Notice) thfleet.News {
 	news := v.Fleet.Receive(now, n)
+	v.receiveDeaths(now, news)
 	for _, e := range news.Ends {
 		if t := v.byKey[e.Target]; t != nil {
 			v.believe(now, t, withEnd(t.belief.WithReport(now, e.Outcome), e))
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -334,3 +334,44 @@
 		})
 	}
 }
+
+// TestARequestThatCrashesTargetsIsHeldByAllVMs sends one request through
+// different VMs to targets that it crashes, and others beside it.
+func TestARequestThatCrashesTargetsIsHeldByAllVMs(t *testing.T) {
+	w := newWorld(4, 8)
+	w.run(time.Second, 30)
+	request := func(body string) *thmessage.Request {
+		return &thmessage.Request{
+			Method: "POST", URI: "/orders/", Body: []byte(body), Customer: thtable.Customer{Name: "guild"},
+			Route:     thtable.Route{Name: "r", Safety: thtable.Once, ObjectiveMillis: 800},
+			Objective: w.instant().Add(time.Second), Deadline: w.instant().Add(2 * time.Second),
+		}
+	}
+	attempt := func(vm int, q *thmessage.Request, o thjudge.Outcome) {
+		p, refusal := w.views[vm].Pick(w.instant(), q, "s", nil, false)
+		assert.Assert(t, refusal == nil)
+		w.views[vm].Finish(w.instant(), p, q, o, time.Millisecond)
+		w.tell(vm)
+		if o != thjudge.Cut {
+			return
+		}
+		// Another VM finds the target's port closed.
+		other := (vm + 1) % len(w.views)
+		w.views[other].Finish(w.instant(), p, request("another"), thjudge.Refused, time.Millisecond)
+		w.tell(other)
+	}
+	for i := range 3 {
+		for _, v := range w.views {
+			assert.Assert(t, !v.Quarantined(w.instant(), request("poison")), "held after %d deaths", i)
+		}
+		attempt(i, request("poison"), thjudge.Cut)
+		attempt(i, request("well"), thjudge.Answered)
+		w.now += time.Second
+	}
+	for i, v := range w.views {
+		assert.Assert(t, v.Quarantined(w.instant(), request("poison")), "VM %d", i)
+		assert.Assert(t, !v.Quarantined(w.instant(), request("well")))
+	}
+	w.now += 12 * time.Minute
+	assert.Assert(t, !w.views[0].Quarantined(w.instant(), request("poison")))
+}
--- a/io/thcommand/command.go
+++ b/io/thcommand/command.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"flag"
 	"fmt"
 	"io"
@@ -23,23 +22,16 @@
 
 // Streams are what the commands read and write.
 type Streams struct {
-	In  io.Reader
 	Out io.Writer
 	Err io.Writer
-	// Random is where keys and change IDs are drawn from.
-	Random io.Reader
 }
 
-// System returns the process's own streams and the system's randomness.
-func System() Streams {
-	return Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Random: rand.Reader}
-}
+// System returns the process's own streams.
+func System() Streams { return Streams{Out: os.Stdout, Err: os.Stderr} }
 
 // All returns the operators' subcommands.
 func All(s Streams) []*ffcli.Command {
-	return []*ffcli.Command{
-		Check(s), Apply(s), Get(s), Customer(s), Key(s), Drain(s), Status(s), Report(s),
-	}
+	return []*ffcli.Command{Check(s), Render(s), Status(s), Report(s)}
 }
 
 const defaultWaitMillis = 10_000
@@ -60,7 +52,7 @@
 	fs.StringVar(&r.operators, "operators", "", "VMs' listeners for operators, IP:port separated by commas")
 	fs.StringVar(&r.credential, "credential", "", "credential of operators; better given as "+thsettings.EnvironmentPrefix+"_CREDENTIAL")
 	fs.BoolVar(&r.json, "json", false, "print JSON for programs")
-	fs.IntVar(&r.waitMillis, "waitMillis", defaultWaitMillis, "longest wait for a change to be accepted, in milliseconds")
+	fs.IntVar(&r.waitMillis, "waitMillis", defaultWaitMillis, "longest wait for the answer, in milliseconds")
 	return fs
 }
 
@@ -77,7 +69,7 @@
 		return nil, usage("no credential: set %s_CREDENTIAL", thsettings.EnvironmentPrefix)
 	}
 	wire := thwire.NewClient(thwire.Identity{Credential: r.credential, From: "operator"})
-	return thoperator.NewClient(wire, strings.Split(r.operators, ",")...).WithRandom(r.streams.Random), nil
+	return thoperator.NewClient(wire, strings.Split(r.operators, ",")...), nil
 }
 
 // bounded returns a context that ends after the longest wait.
@@ -85,29 +77,9 @@
 	return context.WithTimeout(ctx, time.Duration(r.waitMillis)*time.Millisecond)
 }
 
-// group returns a command that only has subcommands.
-func group(name, help string, streams Streams, subcommands ...*ffcli.Command) *ffcli.Command {
-	fs := flag.NewFlagSet("tamarackhollow "+name, flag.ContinueOnError)
-	fs.SetOutput(streams.Err)
-	return &ffcli.Command{
-		Name:        name,
-		ShortUsage:  "tamarackhollow " + name + " <subcommand> [flags]",
-		ShortHelp:   help,
-		FlagSet:     fs,
-		Subcommands: subcommands,
-		Exec: func(context.Context, []string) error {
-			names := make([]string, 0, len(subcommands))
-			for _, c := range subcommands {
-				names = append(names, c.Name)
-			}
-			return usage("%s needs one of %s", name, strings.Join(names, ", "))
-		},
-	}
-}
-
-// arguments refuses a wrong number of arguments.
-func arguments(args []string, low, high int, shape string) error {
-	if len(args) >= low && len(args) <= high {
+// noArguments refuses arguments of a command that takes flags only.
+func noArguments(args []string, shape string) error {
+	if len(args) == 0 {
 		return nil
 	}
 	return usage("usage: tamarackhollow %s", shape)
--- a/io/thcommand/page.go
+++ b/io/thcommand/page.go
@@ -6,6 +6,7 @@
 	"html/template"
 	"io"
 	"math"
+	"strings"
 	"time"
 
 	"tamarackhollow/core/thburn"
@@ -32,8 +33,7 @@
 	Time       string
 	Worst      string
 	WithinRate uint64
-	Missing    int
-	Parts      int
+	Missing    string
 	LeftOut    int
 	Paging     bool
 	Services   chart
@@ -76,7 +76,7 @@
 func writePage(w io.Writer, r thburn.Report, now time.Time) error {
 	p := page{
 		Time: now.UTC().Format("2006-01-02 15:04:05 MST"), Worst: worstServed(r.Worst), WithinRate: r.WithinRate,
-		Missing: len(r.Missing), Parts: thburn.Parts, LeftOut: r.LeftOut, Paging: r.Paging(),
+		Missing: strings.Join(r.Missing, ", "), LeftOut: r.LeftOut, Paging: r.Paging(),
 		Services:  drawChart(r.Services, func(row thburn.Row) string { return row.Service }),
 		Customers: drawChart(burning(r.Rows), func(row thburn.Row) string { return orOpen(row.Customer) + ", " + row.Service }),
 	}
--- a/io/thcommand/report.go
+++ b/io/thcommand/report.go
@@ -36,7 +36,7 @@
 		FlagSet:    fs,
 		Options:    options(),
 		Exec: func(ctx context.Context, args []string) error {
-			if err := arguments(args, 0, 0, "report [flags]"); err != nil {
+			if err := noArguments(args, "report [flags]"); err != nil {
 				return err
 			}
 			return r.report(ctx)
@@ -111,7 +111,7 @@
 	_, _ = fmt.Fprintf(out, "\nworst served in the last hour: %s\n", worstServed(report.Worst))
 	_, _ = fmt.Fprintf(out, "refused in the last hour although within rate: %d\n", report.WithinRate)
 	if len(report.Missing) > 0 {
-		_, _ = fmt.Fprintf(out, "%d of %d parts of the customers are missing: their homes did not answer\n", len(report.Missing), thburn.Parts)
+		_, _ = fmt.Fprintf(out, "missing, since they did not answer: %s\n", strings.Join(report.Missing, ", "))
 	}
 	return nil
 }
--- a/io/thcommand/status.go
+++ b/io/thcommand/status.go
@@ -16,11 +16,11 @@
 	return &ffcli.Command{
 		Name:       "status",
 		ShortUsage: "tamarackhollow status [flags]",
-		ShortHelp:  "show each VM's version, freshness, homes and the targets it holds back",
+		ShortHelp:  "show each VM's versions, its reach, and the targets that it holds back",
 		FlagSet:    r.flagSet("status"),
 		Options:    options(),
 		Exec: func(ctx context.Context, args []string) error {
-			if err := arguments(args, 0, 0, "status [flags]"); err != nil {
+			if err := noArguments(args, "status [flags]"); err != nil {
 				return err
 			}
 			return r.status(ctx)
@@ -35,42 +35,25 @@
 	}
 	ctx, cancel := r.bounded(ctx)
 	defer cancel()
-	a, err := c.Fleet(ctx)
+	f, err := c.Status(ctx)
 	if err != nil {
 		return err
 	}
 	if r.json {
-		return printJSON(r.streams.Out, a)
+		return printJSON(r.streams.Out, f)
 	}
-	headings := []string{"vm", "zone", "state", "version", "fresh for", "store", "roster", "homes", "in flight"}
-	if err := table(r.streams.Out, headings, rowsOf(a.VMs, statusRow)); err != nil {
+	headings := []string{"vm", "zone", "state", "table", "targets", "store", "reads", "vms heard", "in flight"}
+	if err := table(r.streams.Out, headings, rowsOf(f.VMs, statusRow)); err != nil {
 		return err
 	}
-	return r.printTargets(a.VMs)
+	return r.printTargets(f.VMs)
 }
 
 func statusRow(s thoperator.Status) []string {
-	if s.Failure != "" {
-		return []string{s.VM.ID, s.VM.Zone, "unreachable: " + s.Failure}
-	}
-	fresh := "not fresh"
-	if s.Fresh {
-		fresh = fmt.Sprintf("%d ms", s.FreshMillis)
-	}
 	return []string{
-		s.VM.ID, s.VM.Zone, stateOf(s), strconv.FormatUint(s.Version, 10), fresh, yesNo(s.StoreAnswers),
-		fmt.Sprintf("%d (version %d)", s.RosterSize, s.RosterVersion), strconv.Itoa(s.LimitHomes), strconv.Itoa(s.InFlight),
-	}
-}
-
-func stateOf(s thoperator.Status) string {
-	switch {
-	case s.Draining:
-		return "draining"
-	case s.Ready:
-		return "ready"
+		s.VM, s.Zone, s.State, strconv.FormatUint(s.TableVersion, 10), strconv.FormatUint(s.TargetsVersion, 10),
+		yesNo(s.StoreAnswers), yesNo(s.Reading), strconv.Itoa(s.VMsHeard), strconv.Itoa(s.InFlight),
 	}
-	return "not ready"
 }
 
 // printTargets lists the targets that some VM holds back.
@@ -78,7 +61,7 @@
 	var rows [][]string
 	for _, s := range vms {
 		for _, t := range s.Targets {
-			rows = append(rows, []string{t.Service, t.Address, t.State, s.VM.ID, t.Evidence})
+			rows = append(rows, []string{t.Service, t.Target, t.Address, t.State, s.VM, fmt.Sprintf("%.1f%%", float64(t.BadPerMille)/10)})
 		}
 	}
 	if len(rows) == 0 {
@@ -86,5 +69,13 @@
 		return nil
 	}
 	_, _ = fmt.Fprintln(r.streams.Out)
-	return table(r.streams.Out, []string{"service", "target", "state", "seen by", "evidence"}, rows)
+	return table(r.streams.Out, []string{"service", "target", "address", "state", "seen by", "likely to fail"}, rows)
+}
+
+func rowsOf[T any](all []T, row func(T) []string) [][]string {
+	rows := make([][]string, 0, len(all))
+	for _, t := range all {
+		rows = append(rows, row(t))
+	}
+	return rows
 }
--- a/io/thcommand/table.go
+++ b/io/thcommand/table.go
@@ -33,10 +33,3 @@
 	}
 	return "no"
 }
-
-func orAll(names []string) string {
-	if len(names) == 0 {
-		return "all"
-	}
-	return strings.Join(names, ",")
-}
--- a/io/thdemo/demo.go
+++ b/io/thdemo/demo.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net"
@@ -13,23 +14,33 @@
 	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thmessage"
+	"tamarackhollow/core/thpick"
 	"tamarackhollow/core/thsettings"
-	"tamarackhollow/core/thstore"
+	"tamarackhollow/core/thtable"
+	"tamarackhollow/core/thtemplate"
+	"tamarackhollow/io/thnode"
 	"tamarackhollow/io/thstand"
-	"tamarackhollow/io/thvm"
 )
 
 const (
 	loopback   = "127.0.0.1:0"
 	credential = "demo-credential"
-	// joinLimit bounds the wait until the VMs hold the configuration.
-	joinLimit = 20 * time.Second
-	joinStep  = 20 * time.Millisecond
-	vmCount   = 3
-
-	drainNoticeMillis = 100
+	host       = "nyabugogo.example"
+	// readyLimit bounds the wait until the VMs know table and targets.
+	readyLimit = 20 * time.Second
+	readyStep  = 20 * time.Millisecond
+
+	vmCount = 3
+	// grace is the time that a planned stop may take.
+	grace = 2 * time.Second
+	// floor is the share of a service's targets that stays in use.
+	floor = 0.6
 )
 
+// repeats bounds repeats over all VMs.
+var repeats = thpick.BudgetRule{Window: 10 * time.Second, Ratio: 0.2, Slack: 60}
+
 var zones = [vmCount]string{"kigali-1", "kigali-2", "kigali-3"}
 
 // Options are the demo's settings.
@@ -43,12 +54,12 @@
 
 // demo is a running demo.
 type demo struct {
-	o        Options
-	platform *thstand.Platform
-	address  string
-	targets  map[string][]*thstand.Target
-	vms      []*thvm.VM
-	keys     []customerKey
+	o       Options
+	store   *thstand.Store
+	targets map[string][]*thstand.Target
+	vms     []*thnode.Node
+	callers []string
+	keys    []customerKey
 }
 
 type customerKey struct{ customer, key string }
@@ -59,33 +70,20 @@
 	if o.Log == nil {
 		o.Log = thevent.Discard{}
 	}
-	d := &demo{o: o, targets: make(map[string][]*thstand.Target)}
+	d := &demo{o: o, store: &thstand.Store{}, targets: make(map[string][]*thstand.Target)}
 	defer d.close()
-	if err := d.start(); err != nil {
+	if err := d.startTargets(); err != nil {
 		return err
 	}
-	if err := d.configure(ctx); err != nil {
+	d.configure()
+	if err := d.startVMs(ctx); err != nil {
 		return err
 	}
 	t := newTally()
 	d.load(ctx, t)
-	err := d.drain()
+	d.drain()
 	t.print(o.Output, d)
-	return err
-}
-
-func (d *demo) start() error {
-	l, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return therror.Wrap(therror.Internal, err, "listener for the platform")
-	}
-	d.platform = &thstand.Platform{}
-	d.address = l.Addr().String()
-	d.platform.Start(l, credential)
-	if err := d.startTargets(); err != nil {
-		return err
-	}
-	return d.startVMs()
+	return nil
 }
 
 // serviceShape is one service of the demo's deployment.
@@ -93,12 +91,13 @@
 	name    string
 	targets int
 	path    string
+	safety  thtable.Safety
 }
 
 var services = []serviceShape{
-	{"inventory", 6, "/stock"},
-	{"dispatch", 10, "/dispatch"},
-	{"documents", 8, "/documents"},
+	{"inventory", 6, "/stock", thtable.Idempotent},
+	{"dispatch", 10, "/dispatch", thtable.Once},
+	{"documents", 8, "/documents", thtable.Idempotent},
 }
 
 // behaviour makes the second target of each service slow and the third one
@@ -120,61 +119,87 @@
 			if err != nil {
 				return therror.Wrap(therror.Internal, err, "listener for a target")
 			}
-			d.targets[s.name] = append(d.targets[s.name], thstand.StartTarget(l, behaviour(i), uint64(i)))
+			id := s.name + "/" + l.Addr().String()
+			d.targets[s.name] = append(d.targets[s.name], thstand.StartTarget(l, id, behaviour(i), uint64(i)))
 		}
 	}
 	return nil
 }
 
-func (d *demo) startVMs() error {
-	listed := make([]thstore.VM, 0, vmCount)
-	var seeds []string
+// configure fills the store with the expansion of the demo's deployment.
+func (d *demo) configure() {
+	e := thtemplate.Expansion{Deployment: d.deployment(), Customers: customers}
+	for i := range e.Customers {
+		key := rand.Text()
+		e.Customers[i].Keys = []string{key}
+		d.keys = append(d.keys, customerKey{e.Customers[i].Name, key})
+	}
+	d.store.PutTable(e.Document(1))
+	d.store.PutTargets(e.Targets())
+}
+
+func (d *demo) startVMs(ctx context.Context) error {
 	for i, zone := range zones {
-		l, err := net.Listen("tcp", loopback)
+		callers, err := freeAddress()
 		if err != nil {
-			return therror.Wrap(therror.Internal, err, "address for a VM")
+			return err
 		}
-		address := l.Addr().String()
-		_ = l.Close()
-		id := fmt.Sprintf("vm%d", i+1)
-		listed = append(listed, thstore.VM{ID: id, Zone: zone})
-		d.platform.SetVMs(listed)
-		v, err := thvm.Start(thvm.Options{Settings: d.settings(id, zone, address, seeds), Incarnation: uint64(time.Now().UnixMilli())}, d.o.Log)
+		peers, err := freeAddress()
 		if err != nil {
 			return err
 		}
-		seeds = append(seeds, address)
-		d.vms = append(d.vms, v)
+		n, err := thnode.Start(thnode.Options{
+			Settings: thsettings.Settings{
+				VM:     thsettings.VM{ID: fmt.Sprintf("vm%d", i+1), Zone: zone},
+				Listen: thsettings.Listen{Callers: callers, Peers: peers},
+				Peers:  thsettings.Peers{Credential: credential},
+			},
+			Store: d.store, Names: thmessage.OwnNames(), Log: d.o.Log,
+			Rules: thnode.Rules{Budget: repeats, FloorShare: floor, Grace: grace},
+		})
+		if err != nil {
+			return err
+		}
+		d.vms, d.callers = append(d.vms, n), append(d.callers, callers)
 	}
-	return nil
+	return d.awaitReady(ctx)
 }
 
-func (d *demo) settings(id, zone, peers string, seeds []string) thsettings.Settings {
-	return thsettings.Settings{
-		VM:        thsettings.VM{ID: id, Zone: zone},
-		Listen:    thsettings.Listen{Callers: loopback, Peers: peers, Operators: loopback},
-		Platform:  thsettings.Platform{Address: d.address, Credential: credential},
-		Peers:     thsettings.Peers{Credential: credential, Seeds: seeds},
-		Operators: thsettings.Operators{Credential: credential},
-		Drain:     thsettings.Drain{NoticeMillis: drainNoticeMillis},
+// freeAddress returns an address on loopback that nobody listens on.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", therror.Wrap(therror.Internal, err, "address for a VM")
 	}
+	return l.Addr().String(), l.Close()
 }
 
-func (d *demo) drain() error {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	defer cancel()
+func (d *demo) awaitReady(ctx context.Context) error {
+	for until := time.Now().Add(readyLimit); ; {
+		ready := 0
+		for _, n := range d.vms {
+			if n.Ready() {
+				ready++
+			}
+		}
+		switch {
+		case ready == len(d.vms):
+			return nil
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case time.Now().After(until):
+			return therror.New(therror.NotReady, "%d of %d VMs are ready", ready, len(d.vms))
+		}
+		time.Sleep(readyStep)
+	}
+}
+
+func (d *demo) drain() {
 	var all sync.WaitGroup
-	errs := make([]error, len(d.vms))
-	for i, v := range d.vms {
-		all.Go(func() { errs[i] = v.Stop(ctx) })
+	for _, n := range d.vms {
+		all.Go(n.Stop)
 	}
 	all.Wait()
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
 }
 
 func (d *demo) close() {
@@ -183,20 +208,22 @@
 			t.Close()
 		}
 	}
-	if d.platform != nil {
-		d.platform.Close()
-	}
 }
 
 func (d *demo) deployment() thconfig.Deployment {
 	n := thconfig.Deployment{Name: "nyabugogo"}
 	for _, s := range services {
-		service := thconfig.Service{Name: s.name, Slots: 2, Connections: 300, Floor: 0.5, TimeoutMillis: 2000}
+		service := thconfig.Service{
+			Name: s.name, Slots: 2, Connections: 300, Floor: floor, TimeoutMillis: 2000,
+			Objective: thconfig.Objective{Availability: 0.999, LatencyMillis: 250},
+		}
 		for i, t := range d.targets[s.name] {
 			service.Targets = append(service.Targets, thconfig.Target{Address: t.Address(), Zone: zones[i%vmCount]})
 		}
 		n.Services = append(n.Services, service)
-		n.Routes = append(n.Routes, thconfig.Route{Name: s.name, Prefix: s.path, Service: s.name})
+		n.Routes = append(n.Routes, thconfig.Route{
+			Name: s.name, Host: host, Prefix: s.path, Service: s.name, Safety: string(s.safety), Attempts: 2,
+		})
 	}
 	return n
 }
--- a/io/thdemo/load.go
+++ b/io/thdemo/load.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,17 +13,12 @@
 	"text/tabwriter"
 	"time"
 
-	"tamarackhollow/core/thconfig"
-	"tamarackhollow/core/therror"
-	"tamarackhollow/io/thagree"
+	"tamarackhollow/core/thmessage"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 const (
-	keyIDBytes     = 6
-	keySecretBytes = 24
-
 	callerTimeout   = 5 * time.Second
 	callersPerGroup = 4
 	// overdrive is how many times its rate the last customer sends.
@@ -35,70 +30,6 @@
 	latencyDigits    = 3
 )
 
-// configure loads the deployment and issues a key to each customer.
-func (d *demo) configure(ctx context.Context) error {
-	change := thconfig.PutDeployment{Deployment: d.deployment(), Customers: customers}
-	if err := d.apply(ctx, "demo-deployment", change); err != nil {
-		return err
-	}
-	for _, u := range customers {
-		id, secret := make([]byte, keyIDBytes), make([]byte, keySecretBytes)
-		_, _ = rand.Read(id)
-		_, _ = rand.Read(secret)
-		text, key := thconfig.NewKey(u.Name, hex.EncodeToString(id), secret)
-		if err := d.apply(ctx, "demo-key-"+u.Name, thconfig.IssueKey{Key: key}); err != nil {
-			return err
-		}
-		d.keys = append(d.keys, customerKey{u.Name, text})
-	}
-	return d.await(ctx)
-}
-
-// apply repeats a change under the same ID until the fleet has accepted it.
-func (d *demo) apply(ctx context.Context, id string, change thconfig.Change) error {
-	deadline := time.Now().Add(joinLimit)
-	for {
-		a, err := d.vms[0].Agreement().Apply(ctx, id, 0, change)
-		if err == nil && a.State == thagree.Accepted {
-			return nil
-		}
-		if therror.Is(err, therror.ChangeInvalid) || time.Now().After(deadline) {
-			return therror.Wrap(therror.NotReady, err, "change %s was not accepted: %+v", id, a)
-		}
-		if err := sleep(ctx, joinStep); err != nil {
-			return err
-		}
-	}
-}
-
-// await waits until every VM holds the newest configuration.
-func (d *demo) await(ctx context.Context) error {
-	version := d.vms[0].Agreement().Config().Version()
-	deadline := time.Now().Add(joinLimit)
-	for _, v := range d.vms {
-		for v.Agreement().Config().Version() < version {
-			if time.Now().After(deadline) {
-				return therror.New(therror.NotReady, "a VM does not hold version %d", version)
-			}
-			if err := sleep(ctx, joinStep); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // load has every customer call all VMs in turn until the demo's end.
 func (d *demo) load(ctx context.Context, t *tally) {
 	ctx, cancel := context.WithDeadline(ctx, d.o.Until)
@@ -128,9 +59,8 @@
 			return
 		case <-pace.C:
 		}
-		v := d.vms[n%len(d.vms)]
 		s := services[n%len(services)]
-		t.add(k.customer, send(c, v.CallerAddress(), s, k.key, n))
+		t.add(k.customer, send(c, d.callers[n%len(d.callers)], s, k.key, n))
 	}
 }
 
@@ -138,7 +68,6 @@
 type outcome struct {
 	kind    string
 	latency time.Duration
-	target  string
 }
 
 func send(c *http.Client, address string, s serviceShape, key string, n int) outcome {
@@ -150,19 +79,27 @@
 	if err != nil {
 		return outcome{kind: "broken"}
 	}
+	q.Host = host
 	q.Header.Set("Authorization", "Bearer "+key)
+	q.Header.Set(thmessage.OwnNames().RequestID, rand.Text())
 	began := time.Now()
 	a, err := c.Do(q)
 	if err != nil {
 		return outcome{kind: "broken", latency: time.Since(began)}
 	}
 	defer func() { _ = a.Body.Close() }()
-	_, err = io.Copy(io.Discard, a.Body)
-	o := outcome{kind: a.Header.Get("Tamarack-Error"), latency: time.Since(began), target: a.Header.Get("Ran-At")}
+	answer, err := io.ReadAll(a.Body)
+	o := outcome{latency: time.Since(began)}
+	var refusal struct {
+		Error string `json:"error"`
+	}
 	switch {
 	case err != nil:
 		o.kind = "broken"
-	case o.kind == "" && a.StatusCode != http.StatusOK:
+	case a.StatusCode == http.StatusOK:
+	case json.Unmarshal(answer, &refusal) == nil && refusal.Error != "":
+		o.kind = refusal.Error
+	default:
 		o.kind = fmt.Sprintf("target%d", a.StatusCode)
 	}
 	return o
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -168,6 +168,10 @@
 			refusal = &thingress.Refusal{Err: f.late(t)}
 			return
 		}
+		if v.Quarantined(now, t.q) {
+			refusal = &thingress.Refusal{Err: quarantined(t)}
+			return
+		}
 		repeatable := t.q.Route.IsIdempotent() && t.attempts.Ran+1 < t.q.Route.MaxAttempts
 		picked, none := v.Pick(now, t.q, t.service, t.tried, repeatable)
 		switch {
@@ -184,6 +188,13 @@
 	return p, refusal
 }
 
+func quarantined(t *trip) error {
+	if t.attempts.Ran > 0 {
+		return therror.New(therror.AnswerLost, "the request crashes the targets that run it")
+	}
+	return therror.New(therror.Quarantined, "the request has crashed the targets that ran it")
+}
+
 func (f *Forwarder) late(t *trip) error {
 	if t.attempts.Ran > 0 {
 		return therror.New(therror.AnswerLate, "the time ran out during a repeat")
--- a/io/thnode/monitor.go
+++ b/io/thnode/monitor.go
@@ -30,7 +30,7 @@
 		switch {
 		case string(c.Path()) != n.o.ReadinessPath:
 			c.SetStatusCode(fasthttp.StatusNotFound)
-		case !n.ready():
+		case !n.Ready():
 			c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
 	})
@@ -98,7 +98,7 @@
 
 func (m *monitor) gauges() {
 	gauge := func(name string, f func() float64) { m.set.NewGauge(name, f) }
-	gauge("ready", func() float64 { return boolean(m.n.ready()) })
+	gauge("ready", func() float64 { return boolean(m.n.Ready()) })
 	gauge("in_flight", func() float64 { return float64(m.n.ingress.InFlight()) })
 	gauge("caller_connections", func() float64 { return float64(m.n.ingress.Connections()) })
 	gauge("table_version", func() float64 { return float64(m.n.source.Status().TableVersion) })
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -10,6 +10,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -24,6 +25,7 @@
 	"tamarackhollow/io/thforward"
 	"tamarackhollow/io/thgossip"
 	"tamarackhollow/io/thingress"
+	"tamarackhollow/io/thoperator"
 	"tamarackhollow/io/thpool"
 	"tamarackhollow/io/thsend"
 	"tamarackhollow/io/thsource"
@@ -39,6 +41,15 @@
 	Names thmessage.Names
 	// ReadinessPath is where the balancer asks.
 	ReadinessPath string
+	// Rules are what may change while the VM runs.
+	Rules Rules
+	Log   thevent.Logger
+	// StoreCalls counts the calls to the store by outcome, for metrics.
+	StoreCalls func() map[string]uint64
+}
+
+// Rules are the settings that may change while a VM runs.
+type Rules struct {
 	// Budget bounds repeats over all VMs.
 	Budget thpick.BudgetRule
 	// FloorShare is the share of a service's targets that stays in use while
@@ -46,9 +57,10 @@
 	FloorShare float64
 	// Grace is the time between the order to stop and the end by force.
 	Grace time.Duration
-	Log   thevent.Logger
-	// StoreCalls counts the calls to the store by outcome, for metrics.
-	StoreCalls func() map[string]uint64
+	// Seeds are VMs that are asked while the store does not answer.
+	Seeds []string
+	// MemoryMegabytes is what the process may use; 0 is no bound.
+	MemoryMegabytes int
 }
 
 // Node is one running VM. Make one with Start.
@@ -61,10 +73,14 @@
 	sender    *thsend.Client
 	ingress   *thingress.Server
 	peers     *thwire.Server
+	operators *thwire.Server
+	burn      burn
 	pool      *thpool.Pool
 	monitor   *monitor
 	cancel    context.CancelFunc
 	wait      sync.WaitGroup
+	// grace is in nanoseconds.
+	grace atomic.Int64
 }
 
 const (
@@ -79,7 +95,7 @@
 
 // Start makes a VM of the options and begins to take callers.
 func Start(o Options) (*Node, error) {
-	tuneRuntime(o.Settings.VM.MemoryMegabytes)
+	debug.SetGCPercent(gcPercent)
 	n := &Node{o: o, clock: thclock.System{}}
 	callers, err := net.Listen("tcp", o.Settings.Listen.Callers)
 	if err != nil {
@@ -88,15 +104,19 @@
 	if err := n.assemble(); err != nil {
 		return nil, err
 	}
+	n.Adopt(o.Rules)
 	n.run(callers)
 	o.Log.Log(thevent.ProcessStarted, thevent.F("callers", o.Settings.Listen.Callers), thevent.F("zone", o.Settings.VM.Zone))
 	return n, nil
 }
 
-func tuneRuntime(megabytes int) {
-	debug.SetGCPercent(gcPercent)
-	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(megabytes) * megabyte))
+// Adopt takes the rules into effect. No request is cut by it.
+func (n *Node) Adopt(r Rules) {
+	n.grace.Store(int64(r.Grace))
+	n.source.SetSeeds(r.Seeds)
+	n.forwarder.With(func(_ thclock.Instant, v *thview.View) { v.SetRules(r.Budget, r.FloorShare) })
+	if r.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(r.MemoryMegabytes) * megabyte))
 	}
 }
 
@@ -110,7 +130,7 @@
 	n.pool = pool
 	n.sender = thsend.New(thsend.Options{LocalIP: t.LocalIP(), Clock: n.clock, Names: n.o.Names})
 	view := thview.New(thview.Options{
-		Self: self, Budget: n.o.Budget, FloorShare: n.o.FloorShare, Start: uint64(time.Now().UnixMilli()), HasIdle: n.sender.HasIdle,
+		Self: self, Start: uint64(time.Now().UnixMilli()), HasIdle: n.sender.HasIdle,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Changed: n.noteTarget,
 	})
 	n.forwarder = thforward.New(thforward.Options{
@@ -122,15 +142,18 @@
 	}
 	client := thwire.NewClient(thwire.Identity{Credential: t.Peers.Credential, From: t.VM.ID, LocalIP: t.LocalIP()})
 	n.source = thsource.New(thsource.Options{
-		Self: self, Seeds: t.Peers.Seeds, Store: n.o.Store, Fleet: fleet{n}, Client: client, Log: n.o.Log,
+		Self: self, Store: n.o.Store, Fleet: fleet{n}, Client: client, Log: n.o.Log,
 		ApplyTable: n.applyTable, ApplyTargets: n.forwarder.SetTargets,
 	})
 	n.peers = &thwire.Server{Credential: t.Peers.Credential, Log: n.o.Log}
 	n.source.Register(n.peers)
+	n.operators = &thwire.Server{Credential: t.Operators.Credential, Log: n.o.Log, Dropped: thevent.OperatorRefused}
+	answers := thoperator.Server{Status: n.status, Report: n.report, Peers: n.others, Client: client}
+	answers.Register(n.operators, n.peers)
 	n.monitor = newMonitor(n)
 	n.ingress = thingress.New(thingress.Options{
 		Table: n.table, Runner: n.forwarder, Clock: n.clock, Log: n.o.Log, Names: n.o.Names,
-		Submit: n.pool.Submit, Record: n.monitor.record,
+		Submit: n.pool.Submit, Record: n.record,
 	})
 	return nil
 }
@@ -155,16 +178,6 @@
 	return nil
 }
 
-// noteTarget logs that a target became suspect or was cleared.
-func (n *Node) noteTarget(s thview.Standing) {
-	id := thevent.TargetCleared
-	if s.State() == "suspect" {
-		id = thevent.TargetSuspected
-	}
-	n.o.Log.Log(id, thevent.F("target", s.ID), thevent.F("service", s.Service), thevent.F("address", s.Address),
-		thevent.F("badPerMille", int(s.Bad*1000)), thevent.F("inFlight", s.InFlight))
-}
-
 func (n *Node) table() thtable.Table { return n.source.Table() }
 
 func (n *Node) stir() { n.exchange.Stir() }
@@ -179,11 +192,8 @@
 func (n *Node) run(callers net.Listener) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	if l, err := net.Listen("tcp", n.o.Settings.Listen.Peers); err != nil {
-		n.o.Log.Log(thevent.AcceptFailed, thevent.F("address", n.o.Settings.Listen.Peers), thevent.F("error", err.Error()))
-	} else {
-		n.peers.Start(l)
-	}
+	n.listen(n.o.Settings.Listen.Peers, n.peers)
+	n.listen(n.o.Settings.Listen.Operators, n.operators)
 	n.exchange.Start()
 	n.wait.Go(func() { n.source.Run(ctx) })
 	n.wait.Go(func() { n.ingress.Serve(callers) })
@@ -191,8 +201,22 @@
 	n.monitor.start()
 }
 
-// ready reports whether the VM may take callers.
-func (n *Node) ready() bool { return !n.ingress.Draining() && n.source.Known() }
+// listen has a server take calls, unless there is no address for it. A VM whose
+// address is taken serves callers all the same.
+func (n *Node) listen(address string, s *thwire.Server) {
+	if address == "" {
+		return
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		n.o.Log.Log(thevent.AcceptFailed, thevent.F("address", address), thevent.F("error", err.Error()))
+		return
+	}
+	s.Start(l)
+}
+
+// Ready reports whether the VM may take callers.
+func (n *Node) Ready() bool { return !n.ingress.Draining() && n.source.Known() }
 
 const (
 	// idleShare and workShare are the parts of the grace after which idle
@@ -205,19 +229,19 @@
 // and idle connections are closed once the balancer has had time to notice.
 func (n *Node) Stop() {
 	n.o.Log.Log(thevent.ProcessDraining, thevent.F("inFlight", n.ingress.InFlight()))
-	began := time.Now()
+	began, grace := time.Now(), float64(n.grace.Load())
 	n.ingress.Drain()
 	leave, cancel := context.WithTimeout(context.Background(), time.Second)
 	if err := n.source.Leave(leave); err != nil {
 		n.o.Log.Log(thevent.StoreLost, thevent.F("error", err.Error()), thevent.F("during", "leave"))
 	}
 	cancel()
-	idle := began.Add(time.Duration(idleShare * float64(n.o.Grace)))
+	idle := began.Add(time.Duration(idleShare * grace))
 	for time.Now().Before(idle) && n.ingress.Connections() > 0 {
 		time.Sleep(50 * time.Millisecond)
 	}
 	n.ingress.CloseIdle()
-	work, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(workShare*float64(n.o.Grace))))
+	work, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(workShare*grace)))
 	n.ingress.Quiet(work)
 	cancel()
 	n.cancel()
--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -57,7 +57,10 @@
 // askSeeds asks the VMs that the settings name, while this VM knows nothing
 // and the store does not answer.
 func (s *Source) askSeeds(ctx context.Context) {
-	for _, address := range s.o.Seeds {
+	s.mu.Lock()
+	seeds := s.o.Seeds
+	s.mu.Unlock()
+	for _, address := range seeds {
 		if s.Known() {
 			return
 		}
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -148,6 +148,14 @@
 	}
 }
 
+// SetSeeds replaces the addresses of the VMs that are asked while the store
+// does not answer.
+func (s *Source) SetSeeds(seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.o.Seeds = seeds
+}
+
 // Run keeps table and targets current until the context ends.
 func (s *Source) Run(ctx context.Context) {
 	var all sync.WaitGroup
--- /dev/null
+++ b/io/thstand/store.go
@@ -0,0 +1,112 @@
+// Package thstand holds small stand-ins for what the fleet works with: the
+// platform's store, targets, and a network link that can be cut. The demo and
+// the tests use them.
+package thstand
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thtable"
+	"tamarackhollow/io/thsource"
+)
+
+// Store is a stand-in for the platform's store, in memory, as the product sees
+// it. The zero Store is empty and in reach.
+type Store struct {
+	mu      sync.Mutex
+	table   thtable.Document
+	targets thtable.TargetList
+	vms     []thfleet.Identity
+	down    bool
+}
+
+var _ thsource.Store = (*Store)(nil)
+
+// PutTable replaces the routing table.
+func (s *Store) PutTable(d thtable.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table = d
+}
+
+// PutTargets replaces the list of targets.
+func (s *Store) PutTargets(ts []thtable.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets = thtable.TargetList{Version: s.targets.Version + 1, Targets: ts}
+}
+
+// SetDown takes the store out of reach, or brings it back.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// pollEvery is how often a call that waits for a newer table looks for one.
+const pollEvery = 20 * time.Millisecond
+
+// Table implements thsource.Store.
+func (s *Store) Table(ctx context.Context, after uint64, wait time.Duration) (thtable.Document, error) {
+	for until := time.Now().Add(wait); ; {
+		s.mu.Lock()
+		d, err := s.table, s.reach()
+		s.mu.Unlock()
+		if err != nil || d.Version > after || time.Now().After(until) || ctx.Err() != nil {
+			return d, err
+		}
+		time.Sleep(pollEvery)
+	}
+}
+
+// reach returns an error while the store is out of reach. The lock is held.
+func (s *Store) reach() error {
+	if s.down {
+		return therror.New(therror.StoreUnavailable, "the stand-in is down")
+	}
+	return nil
+}
+
+// Targets implements thsource.Store.
+func (s *Store) Targets(context.Context) (thtable.TargetList, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets, s.reach()
+}
+
+// Join implements thsource.Store.
+func (s *Store) Join(_ context.Context, self thfleet.Identity) ([]thfleet.Identity, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.reach(); err != nil {
+		return nil, err
+	}
+	s.remove(self)
+	s.vms = append(s.vms, self)
+	return append([]thfleet.Identity(nil), s.vms...), nil
+}
+
+// Leave implements thsource.Store.
+func (s *Store) Leave(_ context.Context, self thfleet.Identity) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.reach(); err != nil {
+		return err
+	}
+	s.remove(self)
+	return nil
+}
+
+func (s *Store) remove(self thfleet.Identity) {
+	kept := s.vms[:0]
+	for _, i := range s.vms {
+		if i.ID != self.ID {
+			kept = append(kept, i)
+		}
+	}
+	s.vms = kept
+}
--- a/io/thstand/target.go
+++ b/io/thstand/target.go
@@ -1,14 +1,13 @@
 package thstand
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
 	"time"
 
-	"tamarackhollow/core/throute"
+	"tamarackhollow/core/thmessage"
 
 	"github.com/valyala/fasthttp"
 )
@@ -21,18 +20,12 @@
 	Hold <-chan struct{}
 	// FailShare is the share of requests, 0 to 1, that are answered 500.
 	FailShare float64
-	// ShedOver answers ShedStatus without running a request while this many
-	// run; 0 never sheds.
+	// ShedOver turns a request down without running it while this many run; 0
+	// never does.
 	ShedOver int
-	// ShedStatus is the status of a shed request.
-	ShedStatus int
 	// DropShare is the share of requests, 0 to 1, whose connection is closed
 	// after they ran.
 	DropShare float64
-	// Sick makes the health endpoint say so.
-	Sick bool
-	// Leaving makes the health endpoint and every answer say so.
-	Leaving bool
 	// DiesOf is a body that the target dies of; empty is none.
 	DiesOf string
 	// DownMillis is how long a target that died refuses connections.
@@ -45,8 +38,6 @@
 	Customer  string
 	Method    string
 	URI       string
-	// OrderKey is the request's idempotency key.
-	OrderKey string
 	// Body is the request's body.
 	Body string
 	// KeyShown is whether a field named Authorization reached the target.
@@ -55,6 +46,7 @@
 
 // Target is a stand-in for a target. Make one with StartTarget.
 type Target struct {
+	id      string
 	address string
 	http    *fasthttp.Server
 
@@ -69,18 +61,10 @@
 	closed    bool
 }
 
-// PathHealth is the health and load endpoint.
-const PathHealth = "/health"
-
-// health is the endpoint's answer.
-type health struct {
-	Status string `json:"status"`
-	Load   int    `json:"load"`
-}
-
-// StartTarget serves on the listener until Close.
-func StartTarget(l net.Listener, b TargetBehaviour, seed uint64) *Target {
-	t := &Target{listener: l, address: l.Addr().String(), behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
+// StartTarget serves on the listener until Close. The ID is the one that the
+// target is listed under; requests for another are turned down.
+func StartTarget(l net.Listener, id string, b TargetBehaviour, seed uint64) *Target {
+	t := &Target{id: id, listener: l, address: l.Addr().String(), behaviour: b, random: rand.New(rand.NewPCG(seed, seed))}
 	t.http = &fasthttp.Server{
 		Handler:               t.handle,
 		MaxRequestBodySize:    64 << 20,
@@ -118,14 +102,19 @@
 	_ = t.http.Shutdown()
 }
 
+var names = thmessage.OwnNames()
+
 func (t *Target) handle(c *fasthttp.RequestCtx) {
-	if string(c.Path()) == PathHealth {
-		t.health(c)
+	h := &c.Request.Header
+	c.Response.Header.SetBytesV(names.RequestID, h.Peek(names.RequestID))
+	if id := string(h.Peek(names.Target)); id != "" && id != t.id {
+		c.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
 	b, shed, fail, drop := t.begin(c)
 	if shed {
-		c.SetStatusCode(b.ShedStatus)
+		c.Response.Header.Set(names.NotRun, "busy")
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
 	if b.Hold != nil {
@@ -142,28 +131,14 @@
 		c.Hijack(func(conn net.Conn) { _ = conn.Close() })
 		return
 	}
-	if id := c.Request.Header.Peek("Tamarack-Request-Id"); len(id) > 0 {
-		c.Response.Header.SetBytesV("Tamarack-Request-Id", id)
-	}
-	t.describe(c, b)
+	c.Response.Header.Set(names.Signature, t.id)
 	if fail {
 		c.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	c.Response.Header.Set("Ran-At", t.Address())
 	c.SetBodyString("ran " + string(c.Method()) + " " + string(c.RequestURI()) + " " + strconv.Itoa(len(c.PostBody())))
 }
 
-// describe has the answer tell of the target's load and state.
-func (t *Target) describe(c *fasthttp.RequestCtx, b TargetBehaviour) {
-	t.mu.Lock()
-	c.Response.Header.Set(throute.HeaderLoad, strconv.Itoa(t.running))
-	t.mu.Unlock()
-	if b.Leaving {
-		c.Response.Header.Set(throute.HeaderState, throute.StateLeaving)
-	}
-}
-
 func (t *Target) begin(c *fasthttp.RequestCtx) (b TargetBehaviour, shed, fail, drop bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -174,13 +149,12 @@
 	t.running++
 	h := &c.Request.Header
 	t.runs = append(t.runs, Run{
-		RequestID: string(h.Peek("Tamarack-Request-Id")),
-		Customer:  string(h.Peek("Tamarack-Customer")),
+		RequestID: string(h.Peek(names.RequestID)),
+		Customer:  string(h.Peek(names.Customer)),
 		Method:    string(c.Method()),
 		URI:       string(c.RequestURI()),
-		OrderKey:  string(h.Peek("Idempotency-Key")),
 		Body:      string(c.PostBody()),
-		KeyShown:  len(h.Peek("Authorization")) > 0,
+		KeyShown:  len(h.Peek(fasthttp.HeaderAuthorization)) > 0,
 	})
 	return b, false, t.random.Float64() < b.FailShare, t.random.Float64() < b.DropShare
 }
@@ -191,24 +165,6 @@
 	t.running--
 }
 
-func (t *Target) health(c *fasthttp.RequestCtx) {
-	t.mu.Lock()
-	b := t.behaviour
-	h := health{Status: "ok", Load: t.running}
-	t.mu.Unlock()
-	t.describe(c, b)
-	if b.Leaving {
-		h.Status = throute.StateLeaving
-	}
-	if b.Sick {
-		h.Status = "sick"
-		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	}
-	data, _ := json.Marshal(h)
-	c.SetContentType("application/json")
-	c.SetBody(data)
-}
-
 // silent keeps fasthttp's own lines off the terminal.
 type silent struct{}
 
