thpick, thview, thfleet: repeats cost more as they run out; refusals are told; missing a deadline costs more than being late

Ruled out: late tables (each was in force on all VMs within 12 ms), loads that outlive their VM. Change: a failure costs a repeatable request from 0.3 of its credit, budget unused, to all of it, budget used up. Missing the deadline costs all credit. Refusals by service go to all VMs with their next notice.

--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -40,10 +40,10 @@
 	// window has a bit for each of the last notices that came: the lowest is
 	// that of number.
 	window uint64
-	// admitted and repeats hold the totals last heard.
-	admitted, repeats map[Key]uint32
-	reading           Reading
-	readAt            thclock.Instant
+	// admitted, repeats and refused hold the totals last heard.
+	admitted, repeats, refused map[Key]uint32
+	reading                    Reading
+	readAt                     thclock.Instant
 }
 
 // load is what one VM has in flight at one target.
@@ -75,8 +75,8 @@
 	Stale, Again bool
 	Ends         []End
 	Deaths       []Death
-	// Admitted and Repeats are what was added since the last notice.
-	Admitted, Repeats []Total
+	// Admitted, Repeats and Refused are what was added since the last notice.
+	Admitted, Repeats, Refused []Total
 	// Joined is set if the sender's identity is new.
 	Joined bool
 	// Stranger is set if the sender's identity is not known.
@@ -103,7 +103,7 @@
 }
 
 func newPeer(now thclock.Instant, key VMKey, i Identity) *Peer {
-	return &Peer{Identity: i, Key: key, KnownAt: now, admitted: make(map[Key]uint32), repeats: make(map[Key]uint32)}
+	return &Peer{Identity: i, Key: key, KnownAt: now, admitted: make(map[Key]uint32), repeats: make(map[Key]uint32), refused: make(map[Key]uint32)}
 }
 
 // Receive takes in a notice.
@@ -149,6 +149,7 @@
 	news.Ends, news.Deaths = n.Ends, n.Deaths
 	news.Admitted = rise(p.admitted, n.Admitted, known)
 	news.Repeats = rise(p.repeats, n.Repeats, known)
+	news.Refused = rise(p.refused, n.Refused, known)
 	if n.Reading != nil {
 		p.reading, p.readAt = *n.Reading, now
 	}
@@ -188,6 +189,7 @@
 func (f *Fleet) restart(p *Peer) {
 	clear(p.admitted)
 	clear(p.repeats)
+	clear(p.refused)
 	for _, vms := range f.loads {
 		delete(vms, p.Key)
 	}
--- a/core/thpick/budget.go
+++ b/core/thpick/budget.go
@@ -62,14 +62,25 @@
 
 // Affords reports whether one more repeat is within the budget.
 func (b Budget) Affords(now thclock.Instant, r BudgetRule) bool {
+	repeats, allowed := b.state(now, r)
+	return repeats+1 <= allowed
+}
+
+// Scarcity returns how much of the budget is used up, from 0 to 1.
+func (b Budget) Scarcity(now thclock.Instant, r BudgetRule) float64 {
+	repeats, allowed := b.state(now, r)
+	return min(1, (repeats+1)/max(1, allowed))
+}
+
+// state returns the window's repeats and how many are allowed.
+func (b Budget) state(now thclock.Instant, r BudgetRule) (repeats, allowed float64) {
 	newest := slotNumber(now, r)
-	var attempts, repeats float64
+	var attempts float64
 	for _, s := range b.slots {
 		if newest-s.number < budgetSlots {
 			attempts += s.attempts
 			repeats += s.repeats
 		}
 	}
-	requests := max(0, attempts-repeats)
-	return repeats+1 <= budgetShare*(r.Slack+r.Ratio*requests)
+	return repeats, budgetShare * (r.Slack + r.Ratio*max(0, attempts-repeats))
 }
--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -36,6 +36,8 @@
 	Zone string
 	// Repeatable is whether a failed attempt can be made good by another one.
 	Repeatable bool
+	// Scarcity is how much of the budget of repeats is used up, 0 to 1.
+	Scarcity float64
 	// Bytes is about how many bytes pass between the VM and the target.
 	Bytes int
 	// Expected is the median time that the request takes at a normal target.
@@ -54,8 +56,8 @@
 const (
 	// lateCost is what a late answer loses; from the platform's sheets.
 	lateCost = 0.7
-	// repeatCost is what a failure costs a request that can be repeated: time,
-	// and a place in the budget.
+	// repeatCost is what a failure costs a request that can be repeated, while
+	// the budget is unused. It rises to that of one that cannot.
 	repeatCost = 0.3
 	// spread is the standard deviation of the logarithm of how long a request
 	// takes; from the platform's sheets.
@@ -97,10 +99,11 @@
 // Cost returns what is expected to be lost if the target runs the request.
 func Cost(q Query, c Candidate) float64 {
 	bad := c.Belief.Bad(q.Now)
-	late := lateness(work(q, c)+Wait(q, c), q.Objective.Sub(q.Now))
-	cost := (1 - bad) * late * lateCost
+	took := work(q, c) + Wait(q, c)
+	late, missed := lateness(took, q.Objective.Sub(q.Now)), lateness(took, q.Deadline.Sub(q.Now))
+	cost := (1 - bad) * (late*lateCost + missed*(1-lateCost))
 	if q.Repeatable {
-		cost += bad * repeatCost
+		cost += bad * (repeatCost + (1-repeatCost)*q.Scarcity)
 	} else {
 		cost += bad
 	}
--- a/core/thpick/floor.go
+++ b/core/thpick/floor.go
@@ -19,8 +19,6 @@
 type floorSlot struct {
 	number     int64
 	good, lost float64
-	// refused and ran count this VM's own requests.
-	refused, ran float64
 }
 
 const (
@@ -44,27 +42,16 @@
 	floorMargin = 0.05
 )
 
-// WithEnd returns the floor after a request of any VM was answered or lost.
-func (f Floor) WithEnd(now thclock.Instant, good bool) Floor {
-	s := f.slot(now)
-	if good {
-		s.good++
-	} else {
-		s.lost++
-	}
+// WithGood returns the floor after a request of any VM was answered.
+func (f Floor) WithGood(now thclock.Instant) Floor {
+	f.slot(now).good++
 	return f
 }
 
-// WithRefusal returns the floor after this VM refused a request. Refusals for
-// the customer's limit are counted too: they are not served either.
-func (f Floor) WithRefusal(now thclock.Instant) Floor {
-	f.slot(now).refused++
-	return f
-}
-
-// WithRun returns the floor after this VM sent a request to a target.
-func (f Floor) WithRun(now thclock.Instant) Floor {
-	f.slot(now).ran++
+// WithLost returns the floor after requests of any VM were lost or refused.
+// Refusals for the customer's limit count too: they are not served either.
+func (f Floor) WithLost(now thclock.Instant, n float64) Floor {
+	f.slot(now).lost += n
 	return f
 }
 
@@ -78,25 +65,19 @@
 	return s
 }
 
-// Holds reports whether so many requests are lost that the floor is held. What
-// the VMs refuse they do not tell each other, so each takes its own share of
-// refusals for that of the service.
+// Holds reports whether so many requests are lost that the floor is held.
 func (f Floor) Holds(now thclock.Instant) bool {
 	newest := int64(now.Mono / floorSlotSpan)
-	var sum floorSlot
+	var good, lost float64
 	for _, s := range f.slots {
 		if newest-s.number < floorSlots {
-			sum.good += s.good
-			sum.lost += s.lost
-			sum.refused += s.refused
-			sum.ran += s.ran
+			good += s.good
+			lost += s.lost
 		}
 	}
-	return exceeds(sum.lost, sum.good) || exceeds(sum.refused, sum.ran)
+	return lost > floorFew && lost > floorLoss*(good+lost)
 }
 
-func exceeds(lost, good float64) bool { return lost > floorFew && lost > floorLoss*(good+lost) }
-
 // spreadGain is how much more than the best target an unused one may cost to
 // be used all the same, while the service loses few requests.
 const spreadGain = 0.12
--- a/core/thpick/pick_test.go
+++ b/core/thpick/pick_test.go
@@ -90,6 +90,23 @@
 	assert.Equal(t, pick(t, q, suspect, full), "full")
 	q.Repeatable = true
 	assert.Equal(t, pick(t, q, suspect, full), "suspect")
+	q.Scarcity = 1
+	assert.Equal(t, pick(t, q, suspect, full), "full")
+}
+
+// TestASuspectIsTriedRatherThanMissTheDeadline has a request choose between a
+// target that is busy for longer than its caller waits, and a doubtful one.
+func TestASuspectIsTriedRatherThanMissTheDeadline(t *testing.T) {
+	doubtful, busy := candidate("doubtful"), candidate("busy")
+	doubtful.Belief = doubtful.Belief.WithReport(now, thjudge.Failed)
+	for doubtful.Belief.Bad(now) < 0.75 {
+		doubtful.Belief = doubtful.Belief.WithReport(now, thjudge.Rejected)
+	}
+	busy.InFlight = 40
+	q := query()
+	assert.Equal(t, pick(t, q, busy, doubtful), "doubtful")
+	q.Deadline = now.Add(time.Hour)
+	assert.Equal(t, pick(t, q, busy, doubtful), "busy")
 }
 
 func TestTriedTargetsAreLeftOut(t *testing.T) {
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -14,8 +14,10 @@
 	loads    map[thfleet.Key]uint16
 	admitted map[thfleet.Key]uint32
 	repeats  map[thfleet.Key]uint32
-	ends     []thfleet.End
-	deaths   []thfleet.Death
+	// refused goes with the next notice and makes none by itself.
+	refused map[thfleet.Key]uint32
+	ends    []thfleet.End
+	deaths  []thfleet.Death
 }
 
 func newOutbox(o Options) outbox {
@@ -24,6 +26,7 @@
 		loads:    make(map[thfleet.Key]uint16),
 		admitted: make(map[thfleet.Key]uint32),
 		repeats:  make(map[thfleet.Key]uint32),
+		refused:  make(map[thfleet.Key]uint32),
 	}
 }
 
@@ -47,12 +50,13 @@
 	for k, c := range o.loads {
 		n.Loads = append(n.Loads, thfleet.Load{Target: k, InFlight: c})
 	}
-	n.Admitted, n.Repeats = totals(o.admitted), totals(o.repeats)
+	n.Admitted, n.Repeats, n.Refused = totals(o.admitted), totals(o.repeats), totals(o.refused)
 	n.Ends, n.Deaths = o.ends, o.deaths
 	o.ends, o.deaths = nil, nil
 	clear(o.loads)
 	clear(o.admitted)
 	clear(o.repeats)
+	clear(o.refused)
 	return n
 }
 
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -42,8 +42,8 @@
 	targets []*target
 	budget  thpick.Budget
 	floor   thpick.Floor
-	// repeats is the total of this VM's repeats.
-	repeats uint32
+	// repeats and refused are the totals of this VM's repeats and refusals.
+	repeats, refused uint32
 }
 
 // customer is what is left of a customer's limit.
@@ -168,8 +168,7 @@
 	k.bucket, ok = k.bucket.WithRequest(now, k.limit, share)
 	if !ok {
 		for _, b := range r.Backends {
-			s := v.service(b.Service)
-			s.floor = s.floor.WithRefusal(now)
+			v.noteRefusal(now, v.service(b.Service))
 		}
 		return k.bucket.Wait(k.limit, share), false
 	}
@@ -210,7 +209,7 @@
 		i = spread
 	}
 	if wait, over := thpick.Overloaded(query, v.cs[i]); over && len(tried) == 0 {
-		s.floor = s.floor.WithRefusal(now)
+		v.noteRefusal(now, s)
 		return Picked{}, &Refusal{Overloaded: true, After: wait}
 	}
 	return v.take(now, s, query, i), nil
@@ -238,13 +237,12 @@
 	return thpick.Query{
 		Now: now, Zone: v.options.Self.Zone, Repeatable: repeatable, Bytes: len(q.Body) + answerBytes,
 		Expected: v.Expected(q.Route), Objective: q.Objective, Deadline: q.Deadline,
-		Priority: priorityOf(q), Tried: tried,
+		Priority: priorityOf(q), Tried: tried, Scarcity: s.budget.Scarcity(now, v.options.Budget),
 	}
 }
 
 // take counts the request as in flight at the candidate.
 func (v *View) take(now thclock.Instant, s *service, query thpick.Query, i int) Picked {
-	s.floor = s.floor.WithRun(now)
 	t := s.targets[i]
 	t.inFlight++
 	t.usedAt = now
@@ -338,6 +336,13 @@
 	}
 }
 
+// noteRefusal counts a request to the service that this VM refused.
+func (v *View) noteRefusal(now thclock.Instant, s *service) {
+	s.floor = s.floor.WithLost(now, 1)
+	s.refused++
+	v.outbox.refused[s.key] = s.refused
+}
+
 // noteEnd counts an attempt's end for its service's floor.
 func (v *View) noteEnd(now thclock.Instant, t *target, e thfleet.End) {
 	s := v.services[t.Service]
@@ -346,12 +351,12 @@
 	}
 	switch e.Outcome {
 	case thjudge.Answered:
-		s.floor = s.floor.WithEnd(now, true)
+		s.floor = s.floor.WithGood(now)
 	case thjudge.Failed, thjudge.Cut, thjudge.Silent:
-		s.floor = s.floor.WithEnd(now, false)
+		s.floor = s.floor.WithLost(now, 1)
 		t.failedAt = now
 	case thjudge.Overdue:
-		s.floor = s.floor.WithEnd(now, false)
+		s.floor = s.floor.WithLost(now, 1)
 	default:
 		// The others did not run and are mostly sent elsewhere.
 	}
@@ -398,6 +403,11 @@
 			c.bucket = c.bucket.WithReport(now, c.limit, share, float64(a.Count))
 		}
 	}
+	for _, r := range news.Refused {
+		if s := v.byService[r.Key]; s != nil {
+			s.floor = s.floor.WithLost(now, float64(r.Count))
+		}
+	}
 	for _, r := range news.Repeats {
 		if s := v.byService[r.Key]; s != nil {
 			s.budget = s.budget.WithRepeats(now, v.options.Budget, float64(r.Count))
