thforward, thsend, thnode: fresh connections after a lost or overdue attempt

Cause: a new test over a fleet of real VMs and targets behind links silenced all open connections. An idempotent request hung on one, its second attempt on another, and ended with 504 after 4 s, although new connections worked. Ruled out: TCP_USER_TIMEOUT, which finds paths that drop packets; here the other end acknowledges what it loses. Before: TestConnectionsThatWentSilentCostNoIdempotentRequest fails (504).

--- a/io/thcommand/render.go
+++ b/io/thcommand/render.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"flag"
+	"strings"
 
+	"tamarackhollow/core/thconfig"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thtemplate"
 
@@ -15,21 +17,23 @@
 	fs := flag.NewFlagSet("tamarackhollow render", flag.ContinueOnError)
 	fs.SetOutput(s.Err)
 	version := fs.Uint64("version", 1, "version of the table")
+	var set parameterFlags
+	fs.Var(&set, "set", "name=value: set a parameter of the deployment; can be given several times")
 	return &ffcli.Command{
 		Name:       "render",
-		ShortUsage: "tamarackhollow render [--version N] TEMPLATE DEPLOYMENT",
+		ShortUsage: "tamarackhollow render [--version N] [--set name=value]… TEMPLATE DEPLOYMENT",
 		ShortHelp:  "print the routing table of a deployment made from a template, as JSON",
 		FlagSet:    fs,
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) != 2 {
-				return usage("usage: tamarackhollow render [--version N] TEMPLATE DEPLOYMENT")
+				return usage("usage: tamarackhollow render [--version N] [--set name=value]… TEMPLATE DEPLOYMENT")
 			}
-			return render(s, args, *version)
+			return render(s, args, *version, set)
 		},
 	}
 }
 
-func render(s Streams, paths []string, version uint64) error {
+func render(s Streams, paths []string, version uint64, set parameterFlags) error {
 	files, err := readFiles(paths)
 	if err != nil {
 		return err
@@ -45,9 +49,32 @@
 	if q.Template != t.Name() {
 		return files[1].wrap(therror.New(therror.ChangeInvalid, "the deployment is made from template %s, not %s", q.Template, t.Name()))
 	}
+	for _, p := range set {
+		q = q.WithParameter(p)
+	}
 	e, err := t.Expand(q.Deployment, q.Parameters)
 	if err != nil {
 		return files[1].wrap(err)
 	}
 	return printJSON(s.Out, e.Document(version))
 }
+
+// parameterFlags are parameters given by flags.
+type parameterFlags []thconfig.Parameter
+
+// String returns nothing: the flag has no default.
+func (f *parameterFlags) String() string { return "" }
+
+// Set takes one flag's value.
+func (f *parameterFlags) Set(text string) error {
+	name, value, ok := strings.Cut(text, "=")
+	if !ok {
+		return usage("--set %q: allowed is name=value", text)
+	}
+	p, err := thtemplate.ParseValue(name, value)
+	if err != nil {
+		return err
+	}
+	*f = append(*f, p)
+	return nil
+}
--- a/io/thcommand/run.go
+++ b/io/thcommand/run.go
@@ -4,6 +4,9 @@
 	"context"
 	"flag"
 
+	"tamarackhollow/core/therror"
+
+	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
@@ -24,7 +27,20 @@
 		fs.Usage()
 		return flag.ErrHelp
 	}
-	err := root.ParseAndRun(ctx, args)
+	err := parse(root, args)
+	if err == nil {
+		err = root.Run(ctx)
+	}
 	Explain(s.Err, err)
 	return Code(err)
 }
+
+// parse reads the command line. What it says of flags is the operator's
+// mistake; settings name theirs themselves.
+func parse(root *ffcli.Command, args []string) error {
+	err := root.Parse(args)
+	if err == nil || errors.Is(err, flag.ErrHelp) || therror.Is(err, therror.SettingsInvalid) {
+		return err
+	}
+	return usage("%v", err)
+}
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -23,7 +23,7 @@
 
 // Sender makes one attempt.
 type Sender interface {
-	Send(ctx context.Context, t thtable.Target, q *thmessage.Request, most int) thsend.Result
+	Send(ctx context.Context, t thtable.Target, q *thmessage.Request, m thsend.Manner) thsend.Result
 	Retain(targets []thtable.Target)
 }
 
@@ -86,7 +86,9 @@
 	q       *thmessage.Request
 	service string
 	// most bounds the connections to a target.
-	most     int
+	most int
+	// fresh is set once an attempt over an idle connection was lost or overdue.
+	fresh    bool
 	attempts thpick.Attempts
 	tried    []string
 }
--- a/io/thforward/send.go
+++ b/io/thforward/send.go
@@ -25,8 +25,8 @@
 func (f *Forwarder) send(ctx context.Context, t *trip, p thview.Picked) ended {
 	t.tried = append(t.tried, p.Target.ID)
 	if !t.q.Route.IsIdempotent() {
-		e := f.exchange(ctx, t, p, t.attempts.Sends+1, func() {})
-		t.attempts = t.attempts.WithEnd(e.result.End)
+		e := f.exchange(ctx, t, p, t.manner(), t.attempts.Sends+1, func() {})
+		t.end(e.result)
 		return e
 	}
 	both, cancel := context.WithCancel(ctx)
@@ -34,20 +34,22 @@
 	overdue := make(chan struct{}, 1)
 	ends := make(chan ended, 2)
 	begin := func(p thview.Picked, number int, late func()) {
-		go func() { ends <- f.exchange(both, t, p, number, late) }()
+		m := t.manner()
+		go func() { ends <- f.exchange(both, t, p, m, number, late) }()
 	}
 	begin(p, t.attempts.Sends+1, func() { overdue <- struct{}{} })
 	for underWay := 1; ; {
 		select {
 		case <-overdue:
 			if second, ok := f.pickBeside(t, p); ok {
+				t.fresh = true
 				t.tried = append(t.tried, second.Target.ID)
 				begin(second, t.attempts.Sends+2, func() {})
 				underWay++
 			}
 		case e := <-ends:
 			underWay--
-			t.attempts = t.attempts.WithEnd(e.result.End)
+			t.end(e.result)
 			if underWay == 0 || e.result.End == thpick.Answered {
 				// An attempt that is given up may have run.
 				t.attempts.Ran += underWay
@@ -57,6 +59,15 @@
 	}
 }
 
+func (t *trip) manner() thsend.Manner { return thsend.Manner{Most: t.most, Fresh: t.fresh} }
+
+// end takes in how an attempt ended. If one over an idle connection was lost,
+// others may be lost as well.
+func (t *trip) end(r thsend.Result) {
+	t.attempts = t.attempts.WithEnd(r.End)
+	t.fresh = t.fresh || r.End == thpick.Lost && !r.Connected
+}
+
 // pickBeside picks a target for a second attempt, if there is to be one.
 func (f *Forwarder) pickBeside(t *trip, p thview.Picked) (second thview.Picked, ok bool) {
 	f.With(func(now thclock.Instant, v *thview.View) {
@@ -71,7 +82,7 @@
 
 // exchange makes the attempt of that number and takes in how it ended. If it is
 // overdue, all VMs and the function are told.
-func (f *Forwarder) exchange(ctx context.Context, t *trip, p thview.Picked, number int, late func()) ended {
+func (f *Forwarder) exchange(ctx context.Context, t *trip, p thview.Picked, m thsend.Manner, number int, late func()) ended {
 	f.o.Stir()
 	var overdue atomic.Bool
 	timer := time.AfterFunc(thpick.OverdueAfter(p.Expected), func() {
@@ -80,7 +91,7 @@
 		f.o.Stir()
 		late()
 	})
-	r := f.o.Sender.Send(ctx, p.Target, t.q, t.most)
+	r := f.o.Sender.Send(ctx, p.Target, t.q, m)
 	timer.Stop()
 	if r.End == thpick.Late && overdue.Load() {
 		r.Outcome = thjudge.Unknown // the same silence was told already
--- a/io/thsend/client.go
+++ b/io/thsend/client.go
@@ -130,27 +130,36 @@
 	}
 }
 
+// Manner says by which connection an attempt is made.
+type Manner struct {
+	// Most bounds this VM's connections to the target; 0 means a default.
+	Most int
+	// Fresh asks for a new connection: the idle ones may have gone silent.
+	Fresh bool
+}
+
 // Send makes one attempt, which ends when the context or the request's
-// deadline does. Most bounds this VM's connections to the target; 0 means a
-// default.
-func (c *Client) Send(ctx context.Context, t thtable.Target, q *thmessage.Request, most int) Result {
+// deadline does.
+func (c *Client) Send(ctx context.Context, t thtable.Target, q *thmessage.Request, m Manner) Result {
 	began := c.options.Clock.Now()
-	if most <= 0 {
-		most = defaultConnections
+	if m.Most <= 0 {
+		m.Most = defaultConnections
 	}
-	r := c.attempt(ctx, t, q, most)
+	r := c.attempt(ctx, t, q, m)
 	r.Took = c.options.Clock.Now().Sub(began)
 	return r
 }
 
-func (c *Client) attempt(ctx context.Context, t thtable.Target, q *thmessage.Request, most int) Result {
+func (c *Client) attempt(ctx context.Context, t thtable.Target, q *thmessage.Request, m Manner) Result {
 	p := c.pool(t.ID)
-	if n := p.take(c.options.Clock.Now(), margin(q.Route.IsIdempotent())); n != nil {
-		if r, again := c.exchange(ctx, p, n, t, q); !again {
-			return r
+	if !m.Fresh {
+		if n := p.take(c.options.Clock.Now(), margin(q.Route.IsIdempotent())); n != nil {
+			if r, again := c.exchange(ctx, p, n, t, q); !again {
+				return r
+			}
 		}
 	}
-	n, err := c.connect(ctx, p, t, q, most)
+	n, err := c.connect(ctx, p, t, q, m.Most)
 	if err != nil {
 		return Result{End: thpick.NotSent, Outcome: dialOutcome(ctx, err), Err: err}
 	}
