thoperator, thnode: say which VMs gave no part, and count what the burn report leaves out

Cause: reading the change again: a VM's error on the way to a report was replaced by its name without a log line, and a full ledger dropped a request without a trace.

--- a/io/thnode/monitor.go
+++ b/io/thnode/monitor.go
@@ -18,14 +18,17 @@
 
 // monitor answers the balancer and serves metrics as text.
 type monitor struct {
-	n         *Node
-	set       *metrics.Set
+	n   *Node
+	set *metrics.Set
+	// uncounted are requests that the burn report has no room for.
+	uncounted *metrics.Counter
 	readiness *fasthttp.Server
 	metrics   *fasthttp.Server
 }
 
 func newMonitor(n *Node) *monitor {
 	m := &monitor{n: n, set: metrics.NewSet()}
+	m.uncounted = m.set.NewCounter("burn_uncounted_total")
 	m.readiness = small(func(c *fasthttp.RequestCtx) {
 		switch {
 		case string(c.Path()) != n.o.ReadinessPath:
--- a/io/thnode/operators.go
+++ b/io/thnode/operators.go
@@ -34,8 +34,11 @@
 		o.Service = e.Request.Route.Backends[0].Service
 	}
 	n.burn.mu.Lock()
-	defer n.burn.mu.Unlock()
-	n.burn.ledger.Count(n.clock.Now(), o, objectiveOf(e.Request.Route))
+	counted := n.burn.ledger.Count(n.clock.Now(), o, objectiveOf(e.Request.Route))
+	n.burn.mu.Unlock()
+	if !counted {
+		n.monitor.uncounted.Inc()
+	}
 }
 
 func objectiveOf(r thtable.Route) thburn.Objective {
--- a/io/thoperator/operator.go
+++ b/io/thoperator/operator.go
@@ -12,6 +12,7 @@
 
 	"tamarackhollow/core/thburn"
 	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thfleet"
 	"tamarackhollow/io/thwire"
 )
@@ -68,6 +69,8 @@
 	// Peers are the other VMs, and Client calls them.
 	Peers  func() []thfleet.Identity
 	Client *thwire.Client
+	// Log is told of VMs that do not answer; nil tells nobody.
+	Log thevent.Logger
 }
 
 // nothing is the question of a call that asks for all.
@@ -112,6 +115,7 @@
 		all.Go(func() {
 			a, err := thwire.Call[nothing, A](ctx, s.Client, p.Address, path, nothing{})
 			if err != nil {
+				s.noteMissing(p, path, err)
 				a = missing(p)
 			}
 			parts[i] = a
@@ -121,6 +125,12 @@
 	return parts
 }
 
+func (s *Server) noteMissing(p thfleet.Identity, path string, err error) {
+	if s.Log != nil {
+		s.Log.Log(thevent.PeerAsked, thevent.F("peer", p.ID), thevent.F("path", path), thevent.F("error", err.Error()))
+	}
+}
+
 // Client asks VMs on behalf of an operator.
 type Client struct {
 	wire      *thwire.Client
