thingress: an answer during a drain says that its connection ends, whoever is first

An answer ended its connection during a drain only if the reader already waited for the next request; one written before the reader came back left it open until the next answer or the end of the grace. Change: the reader notes, when it has a request whole, whether anything is buffered behind it. If not, the answer may end the connection at once. Before: the new test, which holds the reader back, fails. After: it passes, the package 40 times with the race detector. Conclusion: mended.

--- a/io/thingress/connection.go
+++ b/io/thingress/connection.go
@@ -56,6 +56,9 @@
 	pending int
 	// waiting is set while the reader waits for the first byte of a request.
 	waiting bool
+	// settled is set while the reader has the last request whole and nothing
+	// behind it; a connection that is closed then takes no request with it.
+	settled bool
 	// closing is set once no further request is taken.
 	closing bool
 }
@@ -114,6 +117,7 @@
 	_, err := c.reader.Peek(1)
 	c.mu.Lock()
 	c.waiting = false
+	c.settled = c.settled && err != nil
 	closing := c.closing
 	c.mu.Unlock()
 	if err == nil {
@@ -205,6 +209,7 @@
 func (c *connection) begin() *call {
 	c.mu.Lock()
 	c.pending++
+	c.settled = c.reader.Buffered() == 0
 	c.mu.Unlock()
 	return &call{done: make(chan struct{}), written: make(chan struct{})}
 }
@@ -261,7 +266,7 @@
 func (c *connection) writeReply(bw *bufio.Writer, next *call) bool {
 	c.mu.Lock()
 	c.pending--
-	last := c.server.Draining() && c.pending == 0 && c.waiting
+	last := c.server.Draining() && c.pending == 0 && c.settled
 	if last || next.reply.close {
 		c.closing = true
 	}
--- a/io/thingress/server_test.go
+++ b/io/thingress/server_test.go
@@ -343,3 +343,20 @@
 	g.server.Quiet(ctx)
 	assert.NilError(t, ctx.Err())
 }
+
+// TestAnAnswerDuringADrainSaysThatItsConnectionEnds has the answer written
+// while the reader has not come back to its connection.
+func TestAnAnswerDuringADrainSaysThatItsConnectionEnds(t *testing.T) {
+	answered := make(chan struct{})
+	g := newRigWith(t, func(task func()) error {
+		task()
+		<-answered
+		return nil
+	})
+	c := g.dial()
+	g.server.Drain()
+	c.send("GET /safe/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n\r\n")
+	a := c.answer()
+	close(answered)
+	assert.Assert(t, a.ConnectionClose())
+}
