--- /dev/null
+++ b/core/thtable/bench_test.go
@@ -0,0 +1,62 @@
+package thtable_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"tamarackhollow/core/thtable"
+
+	"gotest.tools/v3/assert"
+)
+
+// document has the given number of routes, a service for each twenty of them,
+// and customers with a key each.
+func document(routes, customers int) thtable.Document {
+	d := thtable.Document{Version: 1, Keyed: true}
+	for i := range routes {
+		service := fmt.Sprintf("service-%d", i/20)
+		if i%20 == 0 {
+			d.Services = append(d.Services, thtable.Service{Name: service, Connections: 300})
+		}
+		d.Routes = append(d.Routes, thtable.Route{
+			Name: fmt.Sprintf("route-%d", i), Host: fmt.Sprintf("host-%d.example", i%100), Prefix: fmt.Sprintf("/path-%d/", i),
+			Safety: thtable.Once, TimeoutMillis: 2000, ObjectiveMillis: 800, Priority: 1, MaxAttempts: 2,
+			Backends: []thtable.Backend{{Service: service, Weight: 1}},
+		})
+	}
+	for i := range customers {
+		d.Customers = append(d.Customers, thtable.Customer{
+			Name: fmt.Sprintf("customer-%d", i), Keys: []string{fmt.Sprintf("key-%016x", i)}, Rate: 10, Burst: 20,
+		})
+	}
+	return d
+}
+
+// BenchmarkTable makes a table from its JSON form, and reports the size of it.
+func BenchmarkTable(b *testing.B) {
+	for _, z := range []struct{ routes, customers int }{{20, 8}, {400, 80}, {1600, 6000}, {1600, 24000}} {
+		b.Run(fmt.Sprintf("%d/%d", z.routes, z.customers), func(b *testing.B) {
+			data, err := json.Marshal(document(z.routes, z.customers))
+			assert.NilError(b, err)
+			b.ResetTimer()
+			for range b.N {
+				var d thtable.Document
+				assert.NilError(b, json.Unmarshal(data, &d))
+				assert.Equal(b, thtable.New(d).Version(), uint64(1))
+			}
+			b.ReportMetric(float64(len(data)), "B")
+		})
+	}
+}
+
+// BenchmarkRoute finds route and customer of a request.
+func BenchmarkRoute(b *testing.B) {
+	t := thtable.New(document(1600, 24000))
+	b.ResetTimer()
+	for i := range b.N {
+		_, ok := t.Route("host-77.example", "/path-177/a/b/c")
+		_, known := t.Authenticate("key-0000000000000fff")
+		assert.Assert(b, ok && known, "%d", i)
+	}
+}
--- /dev/null
+++ b/io/thgossip/bench_test.go
@@ -0,0 +1,69 @@
+package thgossip_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thjudge"
+	"tamarackhollow/core/thmessage"
+	"tamarackhollow/core/thpick"
+	"tamarackhollow/core/thtable"
+	"tamarackhollow/core/thview"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+)
+
+// newView returns a VM's view before targets of services of ten each.
+func newView(id string, targets int) *thview.View {
+	v := thview.New(thview.Options{
+		Self:   thfleet.Identity{ID: id, Zone: "z", Address: "10.0.0.1:1"},
+		Budget: thpick.BudgetRule{Window: 10 * time.Second, Ratio: 0.2, Slack: 56}, FloorShare: 0.7,
+		Start: 1_700_000_000_000, Rand: rand.New(rand.NewPCG(1, 1)),
+	})
+	var ts []thtable.Target
+	for i := range targets {
+		ts = append(ts, thtable.Target{ID: fmt.Sprintf("i-%08x", i), Service: fmt.Sprintf("s%d", i/10), Zone: "z", Slots: 4})
+	}
+	v.SetTargets(thclock.At(time.Hour), ts)
+	v.SetTable(thtable.New(thtable.Document{Customers: []thtable.Customer{{Name: "c", Rate: 1e6, Burst: 1e6}}}))
+	return v
+}
+
+// BenchmarkRequest has one VM pick and finish a request, and another take in
+// the two notices of it; it reports their bytes.
+func BenchmarkRequest(b *testing.B) {
+	for _, targets := range []int{30, 270, 4800} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			from, to := newView("vm-1", targets), newView("vm-2", targets)
+			bytes := 0
+			pass := func(now thclock.Instant) {
+				data, err := cbor.Marshal(from.Notice())
+				assert.NilError(b, err)
+				bytes += len(data)
+				var n thfleet.Notice
+				assert.NilError(b, cbor.Unmarshal(data, &n))
+				to.Receive(now, n)
+			}
+			customer := thtable.Customer{Name: "c", Rate: 1e6, Burst: 1e6}
+			for i := range b.N {
+				now := thclock.At(time.Hour + time.Duration(i)*time.Millisecond)
+				q := &thmessage.Request{
+					Customer: customer, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second),
+					Route: thtable.Route{Name: "r", MaxAttempts: 1, ObjectiveMillis: 1000},
+				}
+				from.Admit(now, customer, q.Route)
+				p, refusal := from.Pick(now, q, fmt.Sprintf("s%d", i%max(1, targets/10)), nil, false)
+				assert.Assert(b, refusal == nil)
+				pass(now)
+				from.Finish(now.Add(time.Millisecond), p, q, thjudge.Answered, time.Millisecond)
+				pass(now.Add(time.Millisecond))
+			}
+			b.ReportMetric(float64(bytes)/float64(2*b.N), "B/notice")
+		})
+	}
+}
