--- a/io/thingress/server_test.go
+++ b/io/thingress/server_test.go
@@ -324,39 +324,35 @@
 	assert.NilError(t, ctx.Err())
 }
 
-// TestAnAnswerWrittenBeforeTheReaderWaitsEndsItsConnection has the reader come
-// back to its connection only after the answer has been written.
-func TestAnAnswerWrittenBeforeTheReaderWaitsEndsItsConnection(t *testing.T) {
+// answerBeforeTheReader makes a request whose answer is written while the
+// reader has not come back to its connection; release lets it come back.
+func answerBeforeTheReader(t *testing.T, prepare func(s *thingress.Server)) (g *rig, a *fasthttp.Response, release func()) {
+	t.Helper()
 	answered := make(chan struct{})
-	g := newRigWith(t, func(task func()) error {
+	g = newRigWith(t, func(task func()) error {
 		task()
 		<-answered
 		return nil
 	})
+	prepare(g.server)
 	c := g.dial()
 	c.send("GET /safe/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n\r\n")
-	assert.Equal(t, c.answer().StatusCode(), 200)
+	return g, c.answer(), func() { close(answered) }
+}
+
+func TestAnAnswerWrittenBeforeTheReaderWaitsEndsItsConnection(t *testing.T) {
+	g, a, release := answerBeforeTheReader(t, func(*thingress.Server) {})
+	assert.Equal(t, a.StatusCode(), 200)
 	g.server.CloseIdle()
-	close(answered)
+	release()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	g.server.Quiet(ctx)
 	assert.NilError(t, ctx.Err())
 }
 
-// TestAnAnswerDuringADrainSaysThatItsConnectionEnds has the answer written
-// while the reader has not come back to its connection.
 func TestAnAnswerDuringADrainSaysThatItsConnectionEnds(t *testing.T) {
-	answered := make(chan struct{})
-	g := newRigWith(t, func(task func()) error {
-		task()
-		<-answered
-		return nil
-	})
-	c := g.dial()
-	g.server.Drain()
-	c.send("GET /safe/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n\r\n")
-	a := c.answer()
-	close(answered)
+	_, a, release := answerBeforeTheReader(t, (*thingress.Server).Drain)
+	release()
 	assert.Assert(t, a.ConnectionClose())
 }
