thsettings, thevent, thwire: name what is there after the old path

Cause: reading the whole change again: the flag set still called itself serve, which shows in its usage text, and two comments named claims and a client that are gone. Change: the names; nothing else. Left: the quarantine knows deaths within an answer, which no caller of it reports yet.

--- a/core/thevent/request.go
+++ b/core/thevent/request.go
@@ -1,6 +1,6 @@
 package thevent
 
-// Events 600 to 699 concern requests, claims and quarantine.
+// Events 600 to 699 concern requests and attempts.
 const (
 	RequestAnswered ID = 603
 	RequestRefused  ID = 604
--- a/core/thsettings/parse.go
+++ b/core/thsettings/parse.go
@@ -65,7 +65,7 @@
 
 // NewReader returns a reader that has read nothing yet.
 func NewReader() *Reader {
-	r := &Reader{flags: flag.NewFlagSet("tamarackhollow serve", flag.ContinueOnError)}
+	r := &Reader{flags: flag.NewFlagSet("tamarackhollow front", flag.ContinueOnError)}
 	r.flags.StringVar(&r.file, flagFile, "", "TOML file with the settings")
 	r.definitions = definitions(&r.settings)
 	for _, d := range r.definitions {
--- a/io/thwire/server.go
+++ b/io/thwire/server.go
@@ -1,5 +1,5 @@
 // Package thwire carries typed calls between processes over HTTP with JSON:
-// peers, operators and the platform's client all use it.
+// between VMs, and from operators to VMs.
 package thwire
 
 import (
