--- a/core/thevent/peer.go
+++ b/core/thevent/peer.go
@@ -8,6 +8,7 @@
 	VMLost             ID = 803
 	VMHeard            ID = 804
 	NoticeUnsent       ID = 805
+	NoticeDelayed      ID = 806
 )
 
 var peerEvents = []Event{
@@ -17,4 +18,5 @@
 	{VMLost, Warn, "vmLost", "another VM is no longer live: its notices stopped"},
 	{VMHeard, Info, "vmHeard", "another VM is live again"},
 	{NoticeUnsent, Warn, "noticeUnsent", "a notice could not be encoded or sent"},
+	{NoticeDelayed, Warn, "noticeDelayed", "a notice waited because the rate of notices was used up"},
 }
--- a/core/thevent/platform.go
+++ b/core/thevent/platform.go
@@ -11,6 +11,7 @@
 	TableApplied  ID = 705
 	TableRefused  ID = 706
 	PeerAsked     ID = 707
+	TableUnread   ID = 708
 )
 
 var platformEvents = []Event{
@@ -22,4 +23,5 @@
 	{TableApplied, Info, "tableApplied", "a new routing table was applied"},
 	{TableRefused, Warn, "tableRefused", "a routing table from the store could not be decoded; the VM keeps using the previous one"},
 	{PeerAsked, Info, "peerAsked", "another VM was asked for its routing table and targets, or did not give its status or report"},
+	{TableUnread, Warn, "tableUnread", "the platform's store did not answer the request for a newer routing table"},
 }
--- a/core/thevent/request.go
+++ b/core/thevent/request.go
@@ -5,10 +5,12 @@
 	RequestAnswered ID = 603
 	RequestRefused  ID = 604
 	AttemptFailed   ID = 605
+	RetryDecided    ID = 606
 )
 
 var requestEvents = []Event{
 	{RequestAnswered, Info, "requestAnswered", "a target answered a request"},
 	{RequestRefused, Info, "requestRefused", "a request was refused"},
 	{AttemptFailed, Info, "attemptFailed", "an attempt to run a request on a target failed"},
+	{RetryDecided, Info, "retryDecided", "a request whose attempt failed is retried or not"},
 }
--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -278,6 +278,18 @@
 	return p.startMillis != 0 && now.Sub(p.LastHeardAt) < LiveTimeout
 }
 
+// OldestNotice returns the time since the last notice of the live VM that was
+// heard least recently; 0 if no VM is live.
+func (f *Fleet) OldestNotice(now thclock.Instant) time.Duration {
+	var oldest time.Duration
+	for _, p := range f.peers {
+		if p.IsLive(now) {
+			oldest = max(oldest, now.Sub(p.LastHeardAt))
+		}
+	}
+	return oldest
+}
+
 // Size returns how many VMs are live and how many are members of the fleet. Both
 // counts include this VM.
 func (f *Fleet) Size(now thclock.Instant) (live, members int) {
--- a/core/thpick/budget.go
+++ b/core/thpick/budget.go
@@ -71,20 +71,20 @@
 
 // HasRoom reports whether one more retry is within the budget.
 func (b RetryBudget) HasRoom(now thclock.Instant, r RetryBudgetRule) bool {
-	retries, allowed := b.usage(now, r)
+	retries, allowed := b.Usage(now, r)
 	return retries+1 <= allowed
 }
 
 // UsedShare returns the share of the budget that would be in use after one more
 // retry, at most 1.
 func (b RetryBudget) UsedShare(now thclock.Instant, r RetryBudgetRule) float64 {
-	retries, allowed := b.usage(now, r)
+	retries, allowed := b.Usage(now, r)
 	return min(1, (retries+1)/max(1, allowed))
 }
 
-// usage returns the number of retries made in the window and the number
+// Usage returns the number of retries made in the window and the number
 // allowed in it.
-func (b RetryBudget) usage(now thclock.Instant, r RetryBudgetRule) (retries, allowed float64) {
+func (b RetryBudget) Usage(now thclock.Instant, r RetryBudgetRule) (retries, allowed float64) {
 	newest := slotNumber(now, r)
 	var attempts float64
 	for _, s := range b.slots {
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -304,6 +304,30 @@
 	return c
 }
 
+// RetryBudgetStatus is what this VM knows of a service's retry budget.
+type RetryBudgetStatus struct {
+	// HasRoom is whether the budget has room for one more retry.
+	HasRoom bool
+	// Retries and Allowed are the retries of all VMs counted in the window and the
+	// number allowed in it.
+	Retries, Allowed float64
+	// OwnRetries is the number of this VM's retries since its start.
+	OwnRetries uint32
+	// OldestNotice is the time since the last notice of the live VM that was heard
+	// least recently.
+	OldestNotice time.Duration
+}
+
+// RetryBudget returns the status of the service's retry budget.
+func (v *View) RetryBudget(now thclock.Instant, name string) RetryBudgetStatus {
+	s := v.service(name)
+	retries, allowed := s.retryBudget.Usage(now, v.options.RetryBudgetRule)
+	return RetryBudgetStatus{
+		HasRoom: s.retryBudget.HasRoom(now, v.options.RetryBudgetRule), Retries: retries, Allowed: allowed,
+		OwnRetries: s.retries, OldestNotice: v.Fleet.OldestNotice(now),
+	}
+}
+
 // HasRetryBudget reports whether the service's retry budget has room for one more
 // retry.
 func (v *View) HasRetryBudget(now thclock.Instant, name string) bool {
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -233,12 +233,26 @@
 
 // decide returns what follows the attempt: the answer, a refusal or a retry.
 func (f *Forwarder) decide(s *requestState, a attemptResult) (d thpick.Decision) {
+	var budget thview.RetryBudgetStatus
 	f.WithView(func(now thclock.Instant, v *thview.View) {
-		d = thpick.Decide(now, retryRules(s, a.picked.ExpectedLatency), s.attempts, a.result.End, v.HasRetryBudget(now, s.service))
+		budget = v.RetryBudget(now, s.service)
+		d = thpick.Decide(now, retryRules(s, a.picked.ExpectedLatency), s.attempts, a.result.End, budget.HasRoom)
 	})
+	if a.result.End != thpick.Answered {
+		f.logDecision(s, d, budget)
+	}
 	return d
 }
 
+// logDecision logs whether a request is retried after an attempt that failed, with
+// the state of the retry budget.
+func (f *Forwarder) logDecision(s *requestState, d thpick.Decision, b thview.RetryBudgetStatus) {
+	_, retry := d.(thpick.Retry)
+	f.options.Log.Log(thevent.RetryDecided, append(s.logFields(s.attempts.Total), thevent.F("retry", retry),
+		thevent.F("budgetRetries", int(b.Retries)), thevent.F("budgetAllowed", int(b.Allowed)), thevent.F("ownRetries", b.OwnRetries),
+		thevent.F("oldestNoticeMillis", b.OldestNotice.Milliseconds()))...)
+}
+
 // minTimeoutFactor is the least ratio of waiting time to expected time at which an
 // attempt that timed out counts as evidence against the target.
 const minTimeoutFactor = 3
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -57,6 +57,8 @@
 // includes SendErrors.
 type Stats struct {
 	Sent, SentBytes, Received, ReceivedBytes, Malformed, SendErrors uint64
+	// RelayedBytes is the part of SentBytes that forwarded other VMs' notices.
+	RelayedBytes uint64
 }
 
 // Exchange sends and receives notices. Create it with New.
@@ -74,6 +76,12 @@
 	// negative if more were sent.
 	tokens     float64
 	refilledAt time.Time
+	// relayedBytes is how many bytes of other VMs' notices were sent since this VM's
+	// last own one.
+	relayedBytes uint64
+	// heldSince is when the rate first held back the pending notice; zero if it does
+	// not.
+	heldSince time.Time
 	// broadcastAt is when the last notice was broadcast.
 	broadcastAt time.Time
 	// introducedAt holds the time of the last introduction to each silent VM.
@@ -174,10 +182,28 @@
 		}
 	})
 	if send {
+		x.logDelay()
 		x.broadcast(n, urgent)
 	}
 }
 
+// loggedNoticeDelay is the delay from which a notice that the rate held back is
+// logged.
+const loggedNoticeDelay = 250 * time.Millisecond
+
+// logDelay logs how long the rate held back the notice that is about to be sent,
+// and what used up the rate.
+func (x *Exchange) logDelay() {
+	x.mu.Lock()
+	held, relayed, tokens := x.heldSince, x.relayedBytes, x.tokens
+	x.heldSince, x.relayedBytes = time.Time{}, 0
+	x.mu.Unlock()
+	if delay := time.Since(held); !held.IsZero() && delay >= loggedNoticeDelay {
+		x.options.Log.Log(thevent.NoticeDelayed, thevent.F("delayMillis", delay.Milliseconds()),
+			thevent.F("relayedBytes", relayed), thevent.F("rateBytesLeft", int(tokens)))
+	}
+}
+
 // maySend refills the tokens and reports whether the rate allows a notice now.
 func (x *Exchange) maySend(urgent bool) bool {
 	x.mu.Lock()
@@ -185,10 +211,11 @@
 	now := time.Now()
 	x.tokens = min(burstBytes, x.tokens+now.Sub(x.refilledAt).Seconds()*bytesPerSecond)
 	x.refilledAt = now
-	if urgent {
-		return x.tokens > -urgentBytes
+	may := x.tokens > 0 || urgent && x.tokens > -urgentBytes
+	if !may && x.heldSince.IsZero() {
+		x.heldSince = now
 	}
-	return x.tokens > 0
+	return may
 }
 
 // AnnounceVersions sends the versions that this VM holds to the live VMs of its
@@ -269,7 +296,11 @@
 	var to []thfleet.Peer
 	x.options.LockedView.WithView(func(now thclock.Instant, v *thview.View) { to = v.Fleet.LivePeersInZone(now, n.From) })
 	n.Relay = false
-	x.sendTo(n, to)
+	bytes := x.sendTo(n, to)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.relayedBytes += bytes
+	x.stats.RelayedBytes += bytes
 }
 
 // startIntroduction reports whether an introduction to a VM that is not live is
@@ -299,15 +330,16 @@
 	}
 }
 
-// sendTo sends a notice to the VMs and charges its bytes to the rate.
-func (x *Exchange) sendTo(n thfleet.Notice, to []thfleet.Peer) {
+// sendTo sends a notice to the VMs, charges its bytes to the rate and returns their
+// number.
+func (x *Exchange) sendTo(n thfleet.Notice, to []thfleet.Peer) uint64 {
 	if len(to) == 0 {
-		return
+		return 0
 	}
 	data, err := x.encode.Marshal(n)
 	if err != nil {
 		x.options.Log.Log(thevent.NoticeUnsent, thevent.F("error", err.Error()))
-		return
+		return 0
 	}
 	failed := 0
 	for _, p := range to {
@@ -317,10 +349,12 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.tokens -= float64((len(data) + headerBytes) * len(to))
+	bytes := uint64((len(data) + headerBytes) * len(to))
+	x.tokens -= float64(bytes)
 	x.stats.Sent += uint64(len(to))
-	x.stats.SentBytes += uint64((len(data) + headerBytes) * len(to))
+	x.stats.SentBytes += bytes
 	x.stats.SendErrors += uint64(failed)
+	return bytes
 }
 
 func (x *Exchange) write(data []byte, address string) error {
--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -52,7 +52,9 @@
 // fetchFromNewest fetches from the VM that has announced the newest versions, if
 // this VM lacks any.
 func (s *Source) fetchFromNewest(ctx context.Context) {
-	if p, ok := s.options.Fleet.FindNewerPeer(s.versions()); ok {
+	p, ok := s.options.Fleet.FindNewerPeer(s.versions())
+	s.recordBehind(ok)
+	if ok {
 		s.fetchFrom(ctx, p.Address)
 	}
 }
@@ -77,16 +79,22 @@
 func (s *Source) fetchFrom(ctx context.Context, address string) {
 	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	have := s.versions()
-	k, err := thwire.Call[knownRequest, knownResponse](callCtx, s.options.Client, address, pathKnown, knownRequest{have.Table, have.Targets})
+	have, startedAt := s.versions(), time.Now()
+	k, size, err := thwire.CallSized[knownRequest, knownResponse](callCtx, s.options.Client, address, pathKnown, knownRequest{have.Table, have.Targets})
+	fields := []thevent.Field{thevent.F("peer", address), thevent.F("bytes", size), thevent.F("tookMillis", time.Since(startedAt).Milliseconds())}
+	s.mu.Lock()
+	if !s.behindSince.IsZero() {
+		fields = append(fields, thevent.F("behindMillis", time.Since(s.behindSince).Milliseconds()))
+	}
+	s.mu.Unlock()
 	if err != nil {
-		s.options.Log.Log(thevent.PeerAsked, thevent.F("peer", address), thevent.F("error", err.Error()))
+		s.options.Log.Log(thevent.PeerAsked, append(fields, thevent.F("error", err.Error()))...)
 		return
 	}
-	s.options.Log.Log(thevent.PeerAsked, thevent.F("peer", address), thevent.F("table", k.Table != nil), thevent.F("targets", k.Targets != nil))
+	s.options.Log.Log(thevent.PeerAsked, append(fields, thevent.F("table", k.Table != nil), thevent.F("targets", k.Targets != nil))...)
 	s.options.Fleet.RecordPeers(k.VMs)
 	if k.Table != nil {
-		s.applyTable(*k.Table)
+		s.applyTable(*k.Table, address)
 	}
 	if k.Targets != nil {
 		s.applyTargets(*k.Targets)
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -100,6 +100,9 @@
 	answeredAt time.Time
 	// storeLost tells whether the last call of Targets or Join failed.
 	storeLost bool
+	// behindSince is when this VM learned that another VM has newer versions; zero
+	// if it knows of none.
+	behindSince time.Time
 	// storeLostAt is when the store first failed to answer in the last outage.
 	// Until keepUnlistedUntil, targets that are no longer listed are kept.
 	storeLostAt, keepUnlistedUntil time.Time
@@ -153,7 +156,9 @@
 // HandleAnnouncement makes the source act at once on versions that another VM has
 // announced, if this VM lacks them or relays them within its zone.
 func (s *Source) HandleAnnouncement() {
-	if _, behind := s.options.Fleet.FindNewerPeer(s.versions()); !behind && s.options.Fleet.Role() != thfleet.Relayer {
+	_, behind := s.options.Fleet.FindNewerPeer(s.versions())
+	s.recordBehind(behind)
+	if !behind && s.options.Fleet.Role() != thfleet.Relayer {
 		return
 	}
 	select {
@@ -162,6 +167,20 @@
 	}
 }
 
+// recordBehind records whether another VM is known to have newer versions, and
+// returns since when.
+func (s *Source) recordBehind(behind bool) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !behind:
+		s.behindSince = time.Time{}
+	case s.behindSince.IsZero():
+		s.behindSince = time.Now()
+	}
+	return s.behindSince
+}
+
 // SetSeeds replaces the addresses of the VMs to fetch from while the store does
 // not answer.
 func (s *Source) SetSeeds(seeds []string) {
@@ -328,14 +347,16 @@
 		d, err := s.options.Store.Table(callCtx, s.versions().Table, tableLongPoll)
 		cancel()
 		if err != nil {
+			id := thevent.TableUnread
 			if therror.Is(err, therror.MessageMalformed) {
-				s.options.Log.Log(thevent.TableRefused, thevent.F("error", err.Error()))
+				id = thevent.TableRefused
 			}
+			s.options.Log.Log(id, thevent.F("error", err.Error()), thevent.F("tookMillis", time.Since(startedAt).Milliseconds()))
 			delay = min(maxRetryDelay, max(minRetryDelay, 2*delay))
 			continue
 		}
 		delay = 0
-		if !s.applyTable(d) && time.Since(startedAt) < minRetryDelay {
+		if !s.applyTable(d, sourceStore) && time.Since(startedAt) < minRetryDelay {
 			delay = minRetryDelay // a store that has dropped its history or has no table answers at once
 			continue
 		}
@@ -351,9 +372,12 @@
 	return s.reader
 }
 
+// sourceStore names the store in log lines that say where a table came from.
+const sourceStore = "store"
+
 // applyTable applies the table if it is newer than the current one, and reports
-// whether it is.
-func (s *Source) applyTable(d thtable.Document) bool {
+// whether it is. The origin is sourceStore or the address of a VM.
+func (s *Source) applyTable(d thtable.Document, origin string) bool {
 	s.mu.Lock()
 	if d.Version <= s.table.Version() {
 		s.mu.Unlock()
@@ -363,7 +387,7 @@
 	s.table = t
 	s.mu.Unlock()
 	s.options.ApplyTable(t)
-	s.options.Log.Log(thevent.TableApplied, thevent.F("version", d.Version), thevent.F("routes", len(d.Routes)), thevent.F("customers", len(d.Customers)))
+	s.options.Log.Log(thevent.TableApplied, thevent.F("version", d.Version), thevent.F("routes", len(d.Routes)), thevent.F("customers", len(d.Customers)), thevent.F("origin", origin))
 	return true
 }
 
--- a/io/thwire/client.go
+++ b/io/thwire/client.go
@@ -71,19 +71,25 @@
 // can't be encoded or the answer is not valid JSON for its type, and AnswerBroken if the server's error
 // could not be read. Otherwise it is the kind that the server named.
 func Call[Request, Answer any](ctx context.Context, c *Client, address, path string, request Request) (Answer, error) {
-	var answer Answer
+	answer, _, err := CallSized[Request, Answer](ctx, c, address, path, request)
+	return answer, err
+}
+
+// CallSized is like Call, and also returns the length of the answer's body in
+// bytes, 0 if none arrived.
+func CallSized[Request, Answer any](ctx context.Context, c *Client, address, path string, request Request) (answer Answer, size int, err error) {
 	data, err := json.Marshal(request)
 	if err != nil {
-		return answer, therror.Wrap(therror.MessageMalformed, err, "call to %s", path)
+		return answer, 0, therror.Wrap(therror.MessageMalformed, err, "call to %s", path)
 	}
 	body, err := c.post(ctx, address, path, data)
 	if err != nil {
-		return answer, err
+		return answer, 0, err
 	}
 	if err := json.Unmarshal(body, &answer); err != nil {
-		return answer, therror.Wrap(therror.MessageMalformed, err, "answer of %s", path)
+		return answer, len(body), therror.Wrap(therror.MessageMalformed, err, "answer of %s", path)
 	}
-	return answer, nil
+	return answer, len(body), nil
 }
 
 // post sends one request body to a path and returns the body of the answer.
