--- a/io/thnode/node_test.go
+++ b/io/thnode/node_test.go
@@ -54,14 +54,6 @@
 	return l
 }
 
-// freeAddress returns a local address whose port was free just now.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l := listen(t)
-	defer func() { assert.NilError(t, l.Close()) }()
-	return l.Addr().String()
-}
-
 // newTable returns a routing table with a route for idempotent and one for other
 // requests, and one customer with the keys.
 func newTable(version uint64, keys ...string) thtable.Document {
@@ -113,9 +105,11 @@
 // start starts a VM.
 func (g *fixture) start(id string) {
 	g.t.Helper()
+	addresses, err := thfake.FreeAddresses(3)
+	assert.NilError(g.t, err)
 	s := thsettings.Settings{
 		VM:        thsettings.VM{ID: id, Zone: "a"},
-		Listen:    thsettings.Listen{Callers: freeAddress(g.t), Peers: freeAddress(g.t), Operators: freeAddress(g.t)},
+		Listen:    thsettings.Listen{Callers: addresses[0], Peers: addresses[1], Operators: addresses[2]},
 		Peers:     thsettings.Peers{Credential: credential},
 		Operators: thsettings.Operators{Credential: credential},
 	}
