--- /dev/null
+++ b/io/thgossip/gossip_test.go
@@ -0,0 +1,153 @@
+package thgossip_test
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thmessage"
+	"tamarackhollow/core/thtable"
+	"tamarackhollow/core/thview"
+	"tamarackhollow/io/thgossip"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+)
+
+// testTimeout bounds every wait of these tests; only a failing test reaches it.
+const testTimeout = 15 * time.Second
+
+// lockedView is the view of the exchange under test.
+type lockedView struct {
+	mu   sync.Mutex
+	view *thview.View
+}
+
+func (l *lockedView) WithView(visit func(now thclock.Instant, v *thview.View)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	visit(thclock.System{}.Now(), l.view)
+}
+
+func listenUDP(t *testing.T) *net.UDPConn {
+	t.Helper()
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	return socket
+}
+
+// zone is the zone of the VMs that newView returns.
+const zone = "z"
+
+// fixture is an exchange of a VM, and the sockets of the other VMs of
+// its zone.
+type fixture struct {
+	t        *testing.T
+	view     *lockedView
+	exchange *thgossip.Exchange
+	address  string
+	peers    []*net.UDPConn
+	// sent counts the notices of the VM in another zone.
+	sent uint32
+}
+
+// newFixture starts an exchange that knows the given number of VMs in its zone, all
+// live, and one target of the service "s".
+func newFixture(t *testing.T, peers int) *fixture {
+	t.Helper()
+	socket := listenUDP(t)
+	g := &fixture{t: t, address: socket.LocalAddr().String()}
+	g.view = &lockedView{view: newView("self", 1)}
+	x, err := thgossip.New(thgossip.Options{LockedView: g.view, Log: thevent.Discard{}}, socket)
+	assert.NilError(t, err)
+	g.exchange = x
+	x.Start()
+	t.Cleanup(x.Close)
+	for i := range peers {
+		p := listenUDP(t)
+		t.Cleanup(func() { _ = p.Close() })
+		g.peers = append(g.peers, p)
+		g.sendFromPeer(i, 1)
+	}
+	g.waitUntil("all peers are live", func() bool {
+		live := 0
+		g.view.WithView(func(now thclock.Instant, v *thview.View) { live, _ = v.Fleet.Size(now) })
+		return live == peers+1
+	})
+	return g
+}
+
+func (g *fixture) waitUntil(what string, holds func() bool) {
+	g.t.Helper()
+	for until := time.Now().Add(testTimeout); !holds(); time.Sleep(time.Millisecond) {
+		assert.Assert(g.t, time.Now().Before(until), "timed out waiting until %s: %+v", what, g.exchange.Stats())
+	}
+}
+
+// sendFromPeer sends a notice of the peer with the given index, which keeps it live.
+func (g *fixture) sendFromPeer(i int, sequence uint32) {
+	g.t.Helper()
+	id := thfleet.Identity{ID: fmt.Sprintf("peer-%d", i), Zone: zone, Address: g.peers[i].LocalAddr().String()}
+	g.send(g.peers[i], thfleet.Notice{From: thfleet.VMKeyOf(id.ID), StartMillis: 1, Sequence: sequence, Identity: &id})
+}
+
+func (g *fixture) send(from *net.UDPConn, n thfleet.Notice) {
+	g.t.Helper()
+	data, err := cbor.Marshal(n)
+	assert.NilError(g.t, err)
+	to, err := net.ResolveUDPAddr("udp", g.address)
+	assert.NilError(g.t, err)
+	_, err = from.WriteToUDP(data, to)
+	assert.NilError(g.t, err)
+}
+
+// relay lets the exchange relay notices of a VM in another zone until it has sent that
+// many bytes for them.
+func (g *fixture) relay(bytes uint64) {
+	g.t.Helper()
+	from := listenUDP(g.t)
+	defer func() { _ = from.Close() }()
+	id := thfleet.Identity{ID: "other", Zone: "other", Address: from.LocalAddr().String()}
+	g.waitUntil("the notices are relayed", func() bool {
+		g.sent++
+		g.sendFromPeer(int(g.sent)%len(g.peers), g.sent+1)
+		g.send(from, thfleet.Notice{From: thfleet.VMKeyOf(id.ID), StartMillis: 1, Sequence: g.sent, Identity: &id, Relay: true})
+		return g.exchange.Stats().RelayedBytes >= bytes
+	})
+}
+
+// startRetry starts an attempt that counts as a retry, as a request does.
+func (g *fixture) startRetry() {
+	g.t.Helper()
+	g.view.WithView(func(now thclock.Instant, v *thview.View) {
+		request := &thmessage.Request{Route: thtable.Route{Name: "r"}, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
+		_, refusal := v.Pick(now, request, "s0", []string{"another"}, false)
+		assert.Assert(g.t, refusal == nil)
+	})
+	g.exchange.Wake()
+}
+
+// A VM that relays many notices of others must still send its own counts: the others
+// decide by them how many retries are left.
+func TestRelayingDoesNotHoldBackOwnCounts(t *testing.T) {
+	g := newFixture(t, 12)
+	g.relay(1_000_000)
+	g.startRetry()
+	peer, buffer := g.peers[0], make([]byte, 16<<10)
+	assert.NilError(t, peer.SetReadDeadline(time.Now().Add(testTimeout)))
+	for {
+		size, err := peer.Read(buffer)
+		assert.NilError(t, err, "no notice with the retry arrived")
+		var n thfleet.Notice
+		assert.NilError(t, cbor.Unmarshal(buffer[:size], &n))
+		if n.From == thfleet.VMKeyOf("self") && len(n.Retries) > 0 {
+			assert.Equal(t, n.Retries[0].Count, uint32(1))
+			return
+		}
+	}
+}
--- a/io/thnode/node_test.go
+++ b/io/thnode/node_test.go
@@ -39,9 +39,10 @@
 	// links are the network links to the targets, in the same order.
 	links []*thfake.Link
 	nodes []*thnode.Node
-	// callers and operators are the addresses on which each node serves them.
+	// callers, operators and metrics are the addresses on which each node serves them.
 	callers   []string
 	operators []string
+	metrics   []string
 	client    *http.Client
 	// sent counts the requests, for their IDs.
 	sent int
@@ -105,11 +106,11 @@
 // start starts a VM.
 func (g *fixture) start(id string) {
 	g.t.Helper()
-	addresses, err := thfake.FreeAddresses(3)
+	addresses, err := thfake.FreeAddresses(4)
 	assert.NilError(g.t, err)
 	s := thsettings.Settings{
 		VM:        thsettings.VM{ID: id, Zone: "a"},
-		Listen:    thsettings.Listen{Callers: addresses[0], Peers: addresses[1], Operators: addresses[2]},
+		Listen:    thsettings.Listen{Callers: addresses[0], Peers: addresses[1], Operators: addresses[2], Metrics: addresses[3]},
 		Peers:     thsettings.Peers{Credential: credential},
 		Operators: thsettings.Operators{Credential: credential},
 	}
@@ -121,6 +122,7 @@
 	g.t.Cleanup(n.Stop)
 	g.nodes = append(g.nodes, n)
 	g.callers, g.operators = append(g.callers, s.Listen.Callers), append(g.operators, s.Listen.Operators)
+	g.metrics = append(g.metrics, s.Listen.Metrics)
 }
 
 // waitUntil waits until the condition holds.
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -25,8 +25,10 @@
 	list  thtable.TargetList
 	table thtable.Document
 	down  bool
-	// reads counts the calls of Targets.
-	reads int
+	// reads counts the calls of Targets, and polls those of Table.
+	reads, polls int
+	// silent lets the current and later calls of Table wait for their deadline.
+	silent bool
 }
 
 // set changes the store's answers and raises the version of the list of targets.
@@ -39,8 +41,13 @@
 
 func (s *fakeStore) Table(ctx context.Context, after uint64, wait time.Duration) (thtable.Document, error) {
 	s.mu.Lock()
-	d, down := s.table, s.down
+	d, down, silent := s.table, s.down, s.silent
+	s.polls++
 	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return d, therror.New(therror.StoreUnavailable, "no answer")
+	}
 	if down {
 		return d, therror.New(therror.StoreUnavailable, "down")
 	}
@@ -200,3 +207,21 @@
 	time.Sleep(time.Second)
 	g.store.set(func(s *fakeStore) { assert.Equal(t, s.reads, 0) })
 }
+
+// The longest time for which a VM may keep an old table after its connections went
+// silent: a VM is held to its bounds 3 s after a fault, and a change then has 2.5 s.
+const silenceBound = 5500 * time.Millisecond
+
+// One request to the store gets no answer, while later ones do. A change must not
+// have to wait until that request's long poll is over.
+func TestChangeIsAppliedThoughOnePollIsSilent(t *testing.T) {
+	g := newFixture(t)
+	g.store.set(func(s *fakeStore) { s.silent, s.polls = true, 0 })
+	for polls := 0; polls == 0; time.Sleep(5 * time.Millisecond) {
+		g.store.set(func(s *fakeStore) { polls = s.polls })
+	}
+	g.store.set(func(s *fakeStore) { s.silent, s.table.Version = false, 2 })
+	for until := time.Now().Add(silenceBound); g.source.Table().Version() != 2; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the table has version %d", g.source.Table().Version())
+	}
+}
