--- /dev/null
+++ b/core/thtable/digest.go
@@ -0,0 +1,53 @@
+package thtable
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Digest identifies the content of a routing table or of a list of targets, whatever
+// its version and the order of its rows. It is the sum of the rows' digests, so that
+// the digest after a change follows from the rows that changed.
+type Digest uint64
+
+// digestDocument returns the digest of a document.
+func digestDocument(d Document) Digest {
+	return digestSettings(d) + digestRows(d.Routes) + digestRows(d.Services) + digestRows(d.Customers)
+}
+
+// digestSettings returns the digest of what a document holds besides its rows.
+func digestSettings(d Document) Digest {
+	return digestValue(struct {
+		Limits      Limits
+		RequiresKey bool
+	}{d.Limits, d.RequiresKey})
+}
+
+func digestRows[T any](rows []T) Digest {
+	var sum Digest
+	for _, r := range rows {
+		sum += digestValue(r)
+	}
+	return sum
+}
+
+// digestValue returns the hash of the value's JSON form. For a target it does not
+// depend on WarmupMillis, which changes with each read.
+func digestValue(v any) Digest {
+	if t, ok := v.(Target); ok {
+		v = withoutWarmup(t)
+	}
+	data, err := json.Marshal(v)
+	if err != nil {
+		data = fmt.Appendf(nil, "%+v", v) // a rate or weight that is infinite or not a number has no JSON form
+	}
+	return Digest(xxhash.Sum64(data))
+}
+
+// withoutWarmup returns the target without the field that changes with each read.
+func withoutWarmup(t Target) Target {
+	t.WarmupMillis = 0
+	return t
+}
--- a/core/thtable/table.go
+++ b/core/thtable/table.go
@@ -12,6 +12,7 @@
 // 0 and no routes.
 type Table struct {
 	document Document
+	digest   Digest
 	// hosts holds the routes by lower-case host and by prefix.
 	hosts map[string]map[string]*Route
 	// customers holds the customers by key.
@@ -20,9 +21,12 @@
 }
 
 // New returns the table of a document, which must not be modified afterwards.
-func New(d Document) Table {
+func New(d Document) Table { return newTable(d, digestDocument(d)) }
+
+func newTable(d Document, digest Digest) Table {
 	t := Table{
 		document:  d,
+		digest:    digest,
 		hosts:     make(map[string]map[string]*Route),
 		customers: make(map[string]*Customer),
 		services:  make(map[string]Service, len(d.Services)),
@@ -52,6 +56,9 @@
 // Version returns the document's version; 0 means that no document was loaded.
 func (t Table) Version() uint64 { return t.document.Version }
 
+// Digest returns the digest of the table's content; 0 if no document was loaded.
+func (t Table) Digest() Digest { return t.digest }
+
 // Document returns the document that the table was built from.
 func (t Table) Document() Document { return t.document }
 
--- a/core/thtable/target.go
+++ b/core/thtable/target.go
@@ -33,13 +33,35 @@
 	Targets []Target `json:"targets"`
 }
 
+// TargetSet is a list of targets with its digest. It is immutable. The zero
+// TargetSet has version 0 and no targets.
+type TargetSet struct {
+	list   TargetList
+	digest Digest
+}
+
+// NewTargetSet returns the set of the list's targets.
+func NewTargetSet(l TargetList) TargetSet {
+	l.Targets = slices.Clone(l.Targets)
+	sortTargets(l.Targets)
+	return TargetSet{list: l, digest: digestRows(l.Targets)}
+}
+
+// List returns the list that the set holds, ordered by ID. It must not be modified.
+func (s TargetSet) List() TargetList { return s.list }
+
+// Digest returns the digest of the set's content.
+func (s TargetSet) Digest() Digest { return s.digest }
+
 // EqualTargets reports whether both lists hold the same targets in the same state
 // and order. WarmupMillis is ignored, since it changes all the time.
 func EqualTargets(a, b []Target) bool {
-	return slices.EqualFunc(a, b, func(x, y Target) bool {
-		x.WarmupMillis, y.WarmupMillis = 0, 0
-		return x == y
-	})
+	return slices.EqualFunc(a, b, equalTargets)
+}
+
+// sortTargets orders the targets by ID.
+func sortTargets(ts []Target) {
+	slices.SortFunc(ts, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // WithRetained returns the list, ordered by ID, with the targets added that only
@@ -57,6 +79,6 @@
 			l.Targets = append(l.Targets, t)
 		}
 	}
-	slices.SortFunc(l.Targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	sortTargets(l.Targets)
 	return l
 }
