thsource, thwire: send each other changes of table and targets, not whole copies

Cause: each of the 23 to 36 VMs of a zone fetched the whole table and list from one leader at the same moment, 38 to 45 KB each over a link that carries 1.25 MB/s, up to twice a second while the list changed. The queue on that link is longer than the fetch's time-out of 500 ms, which throws away what has arrived, so that the VMs at its end start over behind the next version. Change: a VM asks with the digests of what it holds, and gets the changes since then, or the whole if there are none. Each VM keeps the changes it applied and passes them on. Answers of 1,400 bytes or more are compressed, and one that many VMs get is encoded once. Applying is now serialised: two versions applied at once could reach the view in the wrong order. What is left: one leader still serves its whole zone, and a fetch still has one source and a time-out that discards.

--- a/core/thtable/changelog.go
+++ b/core/thtable/changelog.go
@@ -1,7 +1,7 @@
 package thtable
 
-// change is what a ChangeLog needs to know of a change.
-type change interface {
+// Change is a change of a routing table or of a list of targets.
+type Change interface {
 	TableChange | TargetsChange
 	// digests returns what the change leads from and to.
 	digests() (base, result Digest)
@@ -24,7 +24,7 @@
 // ChangeLog holds the latest changes, each of which leads to the base of the next.
 // With them a VM that holds an earlier content is brought up to date without being
 // sent all rows. It is immutable; the zero value holds no changes.
-type ChangeLog[C change] struct {
+type ChangeLog[C Change] struct {
 	changes []C
 }
 
--- a/io/thnode/distribution_test.go
+++ b/io/thnode/distribution_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,12 +36,24 @@
 	hops = 4
 )
 
-// zoneTable returns a table of the given number of routes.
+// randomName returns a name of random letters and digits, which compresses as little
+// as those of the platform.
+func randomName(rng *rand.Rand, length int) string {
+	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
+	name := make([]byte, length)
+	for i := range name {
+		name[i] = letters[rng.IntN(len(letters))]
+	}
+	return string(name)
+}
+
+// zoneTable returns a table of the given number of routes. Tables of any version
+// begin with the same routes.
 func zoneTable(version uint64, routes int) thtable.Document {
-	d := newTable(version, "key")
-	for i := range routes {
+	d, rng := newTable(version, "key"), rand.New(rand.NewPCG(1, 1))
+	for range routes {
 		d.Routes = append(d.Routes, thtable.Route{
-			Name: fmt.Sprintf("route-%x", i*7919), Host: host, Prefix: fmt.Sprintf("/%x/%x/", i*104729, i*15485863), Safety: thtable.Idempotent,
+			Name: "r-" + randomName(rng, 7), Host: host, Prefix: "/" + randomName(rng, 7) + "/" + randomName(rng, 4) + "/", Safety: thtable.Idempotent,
 			MaxAttempts: 2, TimeoutMillis: 4000, LatencyObjectiveMillis: 400, Backends: []thtable.Backend{{Service: "s", Weight: 1}},
 		})
 	}
@@ -125,6 +138,7 @@
 	for vm := range g.nodes {
 		most = max(most, g.metric(vm, "peer_answers_bytes_total")-before[vm])
 	}
+	g.t.Logf("the busiest VM sent %d bytes", most)
 	return most
 }
 
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -91,9 +91,12 @@
 	options Options
 	wake    chan struct{}
 
-	mu      sync.Mutex
-	table   thtable.Table
-	targets thtable.TargetList
+	content content
+	answers answerCache
+
+	mu sync.Mutex
+	// wantsWhole is set if changes from another VM did not fit.
+	wantsWhole bool
 	// reader tells whether this VM is the one that reads the store.
 	reader bool
 	// answeredAt is when the store last answered a call of Targets or Join.
@@ -114,11 +117,7 @@
 }
 
 // Table returns the current routing table.
-func (s *Source) Table() thtable.Table {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table
-}
+func (s *Source) Table() thtable.Table { return s.content.currentTable() }
 
 // IsLoaded reports whether the source has both a table and a list of targets.
 func (s *Source) IsLoaded() bool {
@@ -139,19 +138,16 @@
 
 // Status returns the source's current status.
 func (s *Source) Status() Status {
+	table, list := s.content.currentTable(), s.content.currentTargets().List()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Status{
-		TableVersion: s.table.Version(), TargetsVersion: s.targets.Version, TargetCount: len(s.targets.Targets),
+		TableVersion: table.Version(), TargetsVersion: list.Version, TargetCount: len(list.Targets),
 		IsReader: s.reader, IsStoreReachable: !s.storeLost, ReadAgeMillis: time.Since(s.answeredAt).Milliseconds(),
 	}
 }
 
-func (s *Source) versions() thfleet.StoreVersions {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return thfleet.StoreVersions{Table: s.table.Version(), Targets: s.targets.Version}
-}
+func (s *Source) versions() thfleet.StoreVersions { return s.content.versions() }
 
 // HandleAnnouncement makes the source act at once on versions that another VM has
 // announced, if this VM lacks them or relays them within its zone.
@@ -297,13 +293,13 @@
 // the same targets as the current one, under whatever version. For relistTimeout
 // after an outage, targets that are not listed are kept.
 func (s *Source) applyStoreTargets(list thtable.TargetList) {
+	current := s.content.currentTargets().List()
 	s.mu.Lock()
 	if time.Now().Before(s.keepUnlistedUntil) {
-		list = list.WithRetained(s.targets.Targets)
+		list = list.WithRetained(current.Targets)
 	}
-	same := s.targets.Version > 0 && thtable.EqualTargets(s.targets.Targets, list.Targets)
 	s.mu.Unlock()
-	if !same {
+	if current.Version == 0 || !thtable.EqualTargets(current.Targets, list.Targets) {
 		s.applyTargets(list)
 	}
 }
@@ -372,64 +368,6 @@
 	return s.reader
 }
 
-// sourceStore names the store in log lines that say where a table came from.
-const sourceStore = "store"
-
-// applyTable applies the table if it is newer than the current one, and reports
-// whether it is. The origin is sourceStore or the address of a VM.
-func (s *Source) applyTable(d thtable.Document, origin string) bool {
-	s.mu.Lock()
-	if d.Version <= s.table.Version() {
-		s.mu.Unlock()
-		return false
-	}
-	t := thtable.New(d)
-	s.table = t
-	s.mu.Unlock()
-	s.options.ApplyTable(t)
-	s.options.Log.Log(thevent.TableApplied, thevent.F("version", d.Version), thevent.F("routes", len(d.Routes)), thevent.F("customers", len(d.Customers)), thevent.F("origin", origin))
-	return true
-}
-
-// applyTargets applies the list if it is newer than the current one.
-func (s *Source) applyTargets(list thtable.TargetList) {
-	s.mu.Lock()
-	before := s.targets
-	if list.Version <= before.Version {
-		s.mu.Unlock()
-		return
-	}
-	s.targets = list
-	s.mu.Unlock()
-	s.options.ApplyTargets(list.Targets)
-	s.logTargetChanges(before, list)
-}
-
-// logTargetChanges logs which targets were listed, began to drain or are gone.
-func (s *Source) logTargetChanges(before, after thtable.TargetList) {
-	remaining := make(map[string]thtable.Target, len(before.Targets))
-	for _, t := range before.Targets {
-		remaining[t.ID] = t
-	}
-	for _, t := range after.Targets {
-		was, ok := remaining[t.ID]
-		delete(remaining, t.ID)
-		switch {
-		case !ok:
-			s.logTarget(thevent.TargetListed, t, after.Version)
-		case t.Draining && !was.Draining:
-			s.logTarget(thevent.TargetLeaving, t, after.Version)
-		}
-	}
-	for _, t := range remaining {
-		s.logTarget(thevent.TargetGone, t, after.Version)
-	}
-}
-
-func (s *Source) logTarget(id thevent.ID, t thtable.Target, version uint64) {
-	s.options.Log.Log(id, thevent.F("target", t.ID), thevent.F("service", t.Service), thevent.F("address", t.Address), thevent.F("version", version))
-}
-
 // join adds this VM to the store's list of VMs and records the others. It retries
 // until it succeeds or the context ends.
 func (s *Source) join(ctx context.Context) {
--- a/io/thwire/client.go
+++ b/io/thwire/client.go
@@ -76,31 +76,33 @@
 }
 
 // CallSized is like Call, and also returns the length of the answer's body in
-// bytes, 0 if none arrived.
+// bytes as it arrived, which may be compressed; 0 if none did.
 func CallSized[Request, Answer any](ctx context.Context, c *Client, address, path string, request Request) (answer Answer, size int, err error) {
 	data, err := json.Marshal(request)
 	if err != nil {
 		return answer, 0, therror.Wrap(therror.MessageMalformed, err, "call to %s", path)
 	}
-	body, err := c.post(ctx, address, path, data)
+	body, size, err := c.post(ctx, address, path, data)
 	if err != nil {
-		return answer, 0, err
+		return answer, size, err
 	}
 	if err := json.Unmarshal(body, &answer); err != nil {
-		return answer, len(body), therror.Wrap(therror.MessageMalformed, err, "answer of %s", path)
+		return answer, size, therror.Wrap(therror.MessageMalformed, err, "answer of %s", path)
 	}
-	return answer, len(body), nil
+	return answer, size, nil
 }
 
-// post sends one request body to a path and returns the body of the answer.
-func (c *Client) post(ctx context.Context, address, path string, data []byte) ([]byte, error) {
+// post sends one request body to a path. It returns the decompressed body of the
+// answer and the length of the body as it arrived.
+func (c *Client) post(ctx context.Context, address, path string, data []byte) (answer []byte, size int, err error) {
 	if err := ctx.Err(); err != nil {
-		return nil, therror.Wrap(therror.ConnectFailed, err, "call to %s", path)
+		return nil, 0, therror.Wrap(therror.ConnectFailed, err, "call to %s", path)
 	}
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	request.SetRequestURI("http://" + address + path)
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.SetContentType("application/json")
+	request.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
 	request.Header.Set(headerCredential, c.options.Credential)
 	request.Header.Set(headerFrom, c.options.From)
 	request.Header.Set(headerIncarnation, strconv.FormatUint(c.options.Incarnation, 10))
@@ -113,15 +115,19 @@
 		c.counters.record(len(data), 0, 0, true)
 		// After a timeout fasthttp may still use the request and response, so they
 		// are left to the garbage collector instead of being released.
-		return nil, transportError(err, path)
+		return nil, 0, transportError(err, path)
 	}
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	c.counters.record(len(data), len(response.Body()), len(request.Header.Header())+len(response.Header.Header()), response.StatusCode() != fasthttp.StatusOK)
 	if response.StatusCode() != fasthttp.StatusOK {
-		return nil, decodeError(response, path)
+		return nil, len(response.Body()), decodeError(response, path)
 	}
-	return append([]byte(nil), response.Body()...), nil
+	body, err := response.BodyUncompressedWithLimit(DefaultMaxBodyBytes)
+	if err != nil {
+		return nil, len(response.Body()), therror.Wrap(therror.AnswerBroken, err, "answer of %s", path)
+	}
+	return append([]byte(nil), body...), len(response.Body()), nil
 }
 
 // transportError returns ConnectFailed for an error that came before anything
--- a/io/thwire/server.go
+++ b/io/thwire/server.go
@@ -71,9 +71,10 @@
 	Outcome therror.Outcome `json:"outcome"`
 }
 
-// Handle sets the handler for the calls to a path. The handler must return soon,
-// since it occupies the server's goroutine for the connection. A request that is
-// not valid JSON for its type is refused with MessageMalformed.
+// Handle sets the handler for the calls to a path. The handler may wait, but not
+// past the time that its callers wait. Its answer is sent as JSON, or as it is if it
+// is Encoded. A request that is not valid JSON for its type is refused with
+// MessageMalformed.
 func Handle[Request, Answer any](s *Server, path string, handler func(Sender, Request) (Answer, error)) {
 	if s.routes == nil {
 		s.routes = make(map[string]func(*fasthttp.RequestCtx, Sender))
@@ -203,13 +204,16 @@
 }
 
 func writeAnswer[Answer any](c *fasthttp.RequestCtx, answer Answer) {
-	data, err := json.Marshal(answer)
+	if e, ok := any(answer).(Encoded); ok {
+		e.write(c)
+		return
+	}
+	e, err := Encode(answer)
 	if err != nil {
-		WriteError(c, therror.Wrap(therror.Internal, err, "answer"))
+		WriteError(c, err)
 		return
 	}
-	c.SetContentType("application/json")
-	c.SetBody(data)
+	e.write(c)
 }
 
 // discardLogger discards fasthttp's own messages, since the log consists of
--- a/io/thwire/wire_test.go
+++ b/io/thwire/wire_test.go
@@ -160,3 +160,50 @@
 	_, err = thwire.Call[request, answer](t.Context(), thwire.NewClient(thwire.ClientOptions{}), address, "/echo", request{})
 	assert.Assert(t, therror.Is(err, therror.ConnectFailed), "%v", err)
 }
+
+// A long answer must reach the caller whole, in fewer bytes than its text has.
+func TestLongAnswersAreCompressed(t *testing.T) {
+	long := strings.Repeat("one of many similar rows, ", 1000)
+	encoded, err := thwire.Encode(answer{Text: long})
+	assert.NilError(t, err)
+	s := &thwire.Server{Credential: "secret"}
+	thwire.Handle(s, "/plain", func(thwire.Sender, request) (answer, error) { return answer{Text: long}, nil })
+	thwire.Handle(s, "/encoded", func(thwire.Sender, request) (thwire.Encoded, error) { return encoded, nil })
+	thwire.Handle(s, "/none", func(thwire.Sender, request) (thwire.Encoded, error) { return thwire.Encoded{}, nil })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.Start(l)
+	t.Cleanup(func() { _ = s.Shutdown() })
+	c := thwire.NewClient(thwire.ClientOptions{Credential: "secret"})
+	for _, path := range []string{"/plain", "/encoded"} {
+		got, size, err := thwire.CallSized[request, answer](context.Background(), c, l.Addr().String(), path, request{})
+		assert.NilError(t, err)
+		assert.Equal(t, got.Text, long)
+		assert.Assert(t, size < len(long)/10, "%d bytes for %d", size, len(long))
+	}
+	got, err := thwire.Call[request, answer](context.Background(), c, l.Addr().String(), "/none", request{})
+	assert.NilError(t, err)
+	assert.Equal(t, got, answer{})
+}
+
+// A caller that does not accept compressed answers, such as an operator's script,
+// must get plain JSON.
+func TestAnswersArePlainUnlessCallerAcceptsCompression(t *testing.T) {
+	long := strings.Repeat("x", 5000)
+	s := &thwire.Server{Credential: "secret"}
+	thwire.Handle(s, "/long", func(thwire.Sender, request) (answer, error) { return answer{Text: long}, nil })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.Start(l)
+	t.Cleanup(func() { _ = s.Shutdown() })
+	q, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String()+"/long", strings.NewReader("{}"))
+	assert.NilError(t, err)
+	q.Header.Set("Tamarack-Credential", "secret")
+	a, err := (&http.Transport{DisableCompression: true}).RoundTrip(q)
+	assert.NilError(t, err)
+	defer func() { _ = a.Body.Close() }()
+	var body bytes.Buffer
+	_, err = body.ReadFrom(a.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(body.String(), long))
+}
