thsource, thfleet: fetch through a tree of VMs, and keep slow transfers

Cause: a VM had one source at a time, the leader, for at most 500 ms. A transfer that takes longer was thrown away and begun again, at the same VM; and one leader's link carried the copies of its whole zone. Change: FetchOrder arranges a zone's VMs in a tree below the one that announced; a VM asks the one above it, which keeps the call until it has something newer itself, and after 400 ms the next one above, up to the VM that announced. A call may take 3 s and is not abandoned when another VM is asked. Whoever answers first is used, and the same changes from the other are ignored. Ruled out: announcing level by level, which loses a subtree with one datagram.

--- /dev/null
+++ b/core/thfleet/distribution.go
@@ -0,0 +1,92 @@
+package thfleet
+
+import (
+	"cmp"
+	"slices"
+
+	"tamarackhollow/core/thclock"
+)
+
+const (
+	// fanout is how many VMs of a zone fetch from the same VM. With it, no VM sends
+	// more than four copies in its zone, and three levels of VMs cover 84.
+	fanout = 4
+	// maxFetchSources bounds the VMs that FetchOrder returns.
+	maxFetchSources = 4
+)
+
+// FetchOrder returns the VMs from which to fetch what is newer than the given
+// versions, in the order in which to ask them. It returns none if no live VM has
+// announced newer ones.
+//
+// The VMs of a zone form a tree below the one that announced the newest versions. A
+// VM asks the VM above it, which may still be waiting for the versions itself, and
+// then the ones above that. All VMs of a zone that know the same live VMs compute the
+// same tree; a VM above always has a better rank, so that no two wait for each other.
+func (f *Fleet) FetchOrder(now thclock.Instant, have StoreVersions) []Peer {
+	announcers := f.newerPeers(now, have)
+	if len(announcers) == 0 {
+		return nil
+	}
+	root, others := announcers[0], announcers[1:]
+	order := append(f.ancestors(now, root), root)
+	for _, p := range others {
+		if !slices.ContainsFunc(order, func(o Peer) bool { return o.Key == p.Key }) {
+			order = append(order, p)
+		}
+	}
+	return order[:min(len(order), maxFetchSources)]
+}
+
+// newerPeers returns the live VMs that have announced a newer table or newer targets,
+// those with the newest versions first, and among equal ones those of this zone.
+func (f *Fleet) newerPeers(now thclock.Instant, have StoreVersions) []Peer {
+	var newer []Peer
+	for _, p := range f.peers {
+		if p.Identity.ID != "" && p.IsLive(now) && p.storeVersions.IsNewerThan(have) {
+			newer = append(newer, *p)
+		}
+	}
+	otherZone := func(p Peer) int {
+		if p.Identity.Zone == f.self.Zone {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(newer, func(a, b Peer) int {
+		return cmp.Or(
+			cmp.Compare(b.storeVersions.Table, a.storeVersions.Table), cmp.Compare(b.storeVersions.Targets, a.storeVersions.Targets),
+			cmp.Compare(otherZone(a), otherZone(b)), cmp.Compare(a.Key, b.Key),
+		)
+	})
+	return newer
+}
+
+// IsNewerThan reports whether the table or the list of targets is newer than the
+// other one.
+func (v StoreVersions) IsNewerThan(o StoreVersions) bool {
+	return v.Table > o.Table || v.Targets > o.Targets
+}
+
+// ancestors returns the VMs between this one and the root of its zone's tree, the
+// nearest first. There are none if the root is in another zone.
+func (f *Fleet) ancestors(now thclock.Instant, root Peer) []Peer {
+	if root.Identity.Zone != f.self.Zone {
+		return nil
+	}
+	ownHash := rankHash(f.self.ID)
+	var above []Peer // the VMs with a better rank, which is where all ancestors are
+	for _, p := range f.peers {
+		if p.Identity.Zone == f.self.Zone && p.Key != root.Key && p.IsLive(now) && rankHash(p.Identity.ID) < ownHash {
+			above = append(above, *p)
+		}
+	}
+	slices.SortFunc(above, func(a, b Peer) int { return cmp.Compare(rankHash(a.Identity.ID), rankHash(b.Identity.ID)) })
+	var ancestors []Peer
+	// The root is node 0 and the VMs follow in the order of their rank; the node above
+	// node n is (n-1)/fanout.
+	for node := len(above) / fanout; node > 0; node = (node - 1) / fanout {
+		ancestors = append(ancestors, above[node-1])
+	}
+	return ancestors
+}
--- a/core/thfleet/fleet_test.go
+++ b/core/thfleet/fleet_test.go
@@ -158,19 +158,6 @@
 	assert.Assert(t, longestGap < 2*time.Second, "no VM read the store for %s", longestGap)
 }
 
-// A VM must fetch from a peer only what it lacks itself.
-func TestFindNewerPeerReturnsPeerWithNewerVersions(t *testing.T) {
-	f := thfleet.New(identity(0))
-	n := notice(1, 1)
-	n.StoreVersions = &thfleet.StoreVersions{Table: 3, Targets: 9}
-	f.Receive(at(0), n)
-	p, ok := f.FindNewerPeer(at(0), thfleet.StoreVersions{Table: 3, Targets: 8})
-	assert.Assert(t, ok)
-	assert.Equal(t, p.Identity.ID, "vm-1")
-	_, ok = f.FindNewerPeer(at(0), thfleet.StoreVersions{Table: 3, Targets: 9})
-	assert.Assert(t, !ok)
-}
-
 // One copy of a notice goes to each other zone, or two if it is urgent, and different
 // VMs relay different notices.
 func TestSelectRecipientsPicksFewRelaysPerZone(t *testing.T) {
--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -179,23 +179,3 @@
 	}
 	return ps
 }
-
-// FindNewerPeer returns a live VM that has a newer table or newer targets than the
-// given versions, and false if there is none. Of several such VMs, it prefers one
-// with newer versions.
-func (f *Fleet) FindNewerPeer(now thclock.Instant, have StoreVersions) (Peer, bool) {
-	var best Peer
-	found := false
-	for _, p := range f.peers {
-		if p.Identity.ID == "" || !p.IsLive(now) {
-			continue
-		}
-		if p.storeVersions.Table <= have.Table && p.storeVersions.Targets <= have.Targets {
-			continue
-		}
-		if !found || p.storeVersions.Targets > best.storeVersions.Targets || p.storeVersions.Table > best.storeVersions.Table {
-			best, found = *p, true
-		}
-	}
-	return best, found
-}
--- a/core/thtable/change.go
+++ b/core/thtable/change.go
@@ -115,7 +115,7 @@
 func (c RowsChange[T]) rows() int { return len(c.Put) + len(c.Removed) }
 
 // Diff returns the change from the table to the document. It returns false if the
-// table is empty or several rows of either have the same key; the document then has
+// table was not loaded or several rows of either have the same key; the document then has
 // to be sent whole.
 func (t Table) Diff(after Document) (TableChange, bool) {
 	c := TableChange{Base: t.digest, Version: after.Version, Limits: after.Limits, RequiresKey: after.RequiresKey}
@@ -147,15 +147,16 @@
 	return newTable(d, digest), nil
 }
 
-// Diff returns the change from the set to the list. It returns false if several
-// targets of either have the same ID; the list then has to be sent whole.
+// Diff returns the change from the set to the list. It returns false if no list was
+// loaded or several targets of either have the same ID; the list then has to be sent
+// whole.
 func (s TargetSet) Diff(after TargetList) (TargetsChange, bool) {
 	c := TargetsChange{Base: s.digest, Version: after.Version}
 	var ok bool
 	c.Targets, ok = diffRows(s.list.Targets, after.Targets, targetKey, equalTargets)
 	_, delta := c.Targets.apply(s.list.Targets, targetKey)
 	c.Result = s.digest + delta
-	return c, ok
+	return c, ok && s.digest != 0
 }
 
 // WithChange returns the set that the change leads to. It returns an error if the
--- a/core/thtable/change_test.go
+++ b/core/thtable/change_test.go
@@ -119,6 +119,22 @@
 	assert.Equal(t, c.Base, c.Result)
 }
 
+// A request with the digest 0 asks for the whole content, so that no content may have
+// it, not even a list without targets.
+func TestDigestZeroStandsForNoContent(t *testing.T) {
+	empty := thtable.NewTargetSet(thtable.TargetList{Version: 1})
+	assert.Assert(t, empty.Digest() != 0)
+	assert.Assert(t, thtable.New(thtable.Document{Version: 1}).Digest() != 0)
+	list := thtable.TargetList{Version: 2, Targets: []thtable.Target{{ID: "a"}}}
+	c, ok := empty.Diff(list)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Result, thtable.NewTargetSet(list).Digest())
+	_, ok = thtable.ChangeLog[thtable.TargetsChange]{}.With(c).Since(0, 10)
+	assert.Assert(t, !ok)
+	_, ok = thtable.TargetSet{}.Diff(list)
+	assert.Assert(t, !ok)
+}
+
 func TestChangeLogBringsRecentContentUpToDate(t *testing.T) {
 	step := func(base, result int) thtable.TargetsChange {
 		return thtable.TargetsChange{
@@ -146,4 +162,9 @@
 	changes, ok = l.Since(500, 10)
 	assert.Assert(t, ok)
 	assert.Equal(t, len(changes), 1)
+	following, ok := thtable.Following([]thtable.TargetsChange{step(1, 2), step(2, 3)}, 2)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(following), 1)
+	_, ok = thtable.Following(following, 7)
+	assert.Assert(t, !ok)
 }
--- a/core/thtable/changelog.go
+++ b/core/thtable/changelog.go
@@ -17,6 +17,17 @@
 }
 func (c TargetsChange) rows() int { return c.Targets.rows() }
 
+// Following returns those of the changes that start at the content with the digest. It
+// returns false if none of them does.
+func Following[C Change](changes []C, d Digest) ([]C, bool) {
+	for i, c := range changes {
+		if base, _ := c.digests(); base == d {
+			return changes[i:], true
+		}
+	}
+	return nil, false
+}
+
 // maxLoggedChanges bounds the changes of a ChangeLog. At two changes a second, a VM
 // that missed half a minute can still be sent changes.
 const maxLoggedChanges = 64
@@ -44,8 +55,11 @@
 
 // Since returns the changes that lead from the content with the digest to the
 // newest one. It returns false if there are none, or if they name more rows than
-// maxRows, so that sending all rows is shorter.
+// maxRows, so that sending all rows is shorter; for the digest 0 there are none.
 func (l ChangeLog[C]) Since(d Digest, maxRows int) ([]C, bool) {
+	if d == 0 {
+		return nil, false
+	}
 	rows := 0
 	for i := len(l.changes) - 1; i >= 0; i-- {
 		if rows += l.changes[i].rows(); rows > maxRows {
--- a/core/thtable/digest.go
+++ b/core/thtable/digest.go
@@ -9,9 +9,13 @@
 
 // Digest identifies the content of a routing table or of a list of targets, whatever
 // its version and the order of its rows. It is the sum of the rows' digests, so that
-// the digest after a change follows from the rows that changed.
+// the digest after a change follows from the rows that changed. The digest 0 stands
+// for no content.
 type Digest uint64
 
+// emptyTargetsDigest is the digest of a list without targets.
+const emptyTargetsDigest Digest = 1
+
 // digestDocument returns the digest of a document.
 func digestDocument(d Document) Digest {
 	return digestSettings(d) + digestRows(d.Routes) + digestRows(d.Services) + digestRows(d.Customers)
--- a/core/thtable/target.go
+++ b/core/thtable/target.go
@@ -44,13 +44,13 @@
 func NewTargetSet(l TargetList) TargetSet {
 	l.Targets = slices.Clone(l.Targets)
 	sortTargets(l.Targets)
-	return TargetSet{list: l, digest: digestRows(l.Targets)}
+	return TargetSet{list: l, digest: emptyTargetsDigest + digestRows(l.Targets)}
 }
 
 // List returns the list that the set holds, ordered by ID. It must not be modified.
 func (s TargetSet) List() TargetList { return s.list }
 
-// Digest returns the digest of the set's content.
+// Digest returns the digest of the set's content; 0 if no list was loaded.
 func (s TargetSet) Digest() Digest { return s.digest }
 
 // EqualTargets reports whether both lists hold the same targets in the same state
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -276,13 +276,13 @@
 	return read
 }
 
-func (f fleetAdapter) FindNewerPeer(have thfleet.StoreVersions) (i thfleet.Identity, ok bool) {
+func (f fleetAdapter) FetchOrder(have thfleet.StoreVersions) (order []thfleet.Identity) {
 	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
-		var p thfleet.Peer
-		p, ok = v.Fleet.FindNewerPeer(now, have)
-		i = p.Identity
+		for _, p := range v.Fleet.FetchOrder(now, have) {
+			order = append(order, p.Identity)
+		}
 	})
-	return i, ok
+	return order
 }
 
 func (f fleetAdapter) RecordPeers(all []thfleet.Identity) {
--- a/io/thsource/content.go
+++ b/io/thsource/content.go
@@ -2,10 +2,13 @@
 
 import (
 	"sync"
+	"time"
 
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thfleet"
 	"tamarackhollow/core/thtable"
+
+	"github.com/cockroachdb/errors"
 )
 
 // content holds a VM's routing table and list of targets, and the latest changes of
@@ -20,6 +23,8 @@
 	targets       thtable.TargetSet
 	tableChanges  thtable.ChangeLog[thtable.TableChange]
 	targetChanges thtable.ChangeLog[thtable.TargetsChange]
+	// changed is closed, and replaced, when a newer table or list is applied.
+	changed chan struct{}
 }
 
 func (c *content) versions() thfleet.StoreVersions {
@@ -40,6 +45,27 @@
 	return c.targets
 }
 
+// awaitNewer waits until a version is newer than the given ones, or until the time
+// has passed.
+func (c *content) awaitNewer(than thfleet.StoreVersions, until time.Time) {
+	timeout := time.NewTimer(time.Until(until))
+	defer timeout.Stop()
+	for {
+		c.mu.Lock()
+		have := thfleet.StoreVersions{Table: c.table.Version(), Targets: c.targets.List().Version}
+		changed := c.changed
+		c.mu.Unlock()
+		if have.IsNewerThan(than) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return
+		}
+	}
+}
+
 // setTable replaces the table. The changes lead to it from the one before; without
 // any, earlier changes no longer lead to it and are dropped.
 func (c *content) setTable(t thtable.Table, changes ...thtable.TableChange) {
@@ -47,6 +73,8 @@
 	defer c.mu.Unlock()
 	c.table = t
 	c.tableChanges = extended(c.tableChanges, changes)
+	close(c.changed)
+	c.changed = make(chan struct{})
 }
 
 // setTargets replaces the list of targets; see setTable.
@@ -55,6 +83,8 @@
 	defer c.mu.Unlock()
 	c.targets = s
 	c.targetChanges = extended(c.targetChanges, changes)
+	close(c.changed)
+	c.changed = make(chan struct{})
 }
 
 func extended[C thtable.Change](l thtable.ChangeLog[C], changes []C) thtable.ChangeLog[C] {
@@ -89,21 +119,31 @@
 	return true
 }
 
+// errChangesDoNotFit means that another VM sent changes of a content that this VM does
+// not hold.
+var errChangesDoNotFit = errors.New("the changes were made for another content")
+
 // applyTableChanges applies changes that lead from the current table to a newer one.
-// It returns an error if they were made for another table.
+// It does nothing if the table is as new already, as when two VMs have sent the same
+// changes, and returns an error if they were made for another table.
 func (s *Source) applyTableChanges(changes []thtable.TableChange, origin string) error {
 	s.content.applying.Lock()
 	defer s.content.applying.Unlock()
-	current := s.content.currentTable()
-	t, err := current, error(nil)
+	t := s.content.currentTable()
+	if len(changes) == 0 || changes[len(changes)-1].Version <= t.Version() {
+		return nil
+	}
+	changes, ok := thtable.Following(changes, t.Digest())
+	if !ok {
+		return errChangesDoNotFit
+	}
 	for _, c := range changes {
+		var err error
 		if t, err = t.WithChange(c); err != nil {
 			return err
 		}
 	}
-	if t.Version() > current.Version() {
-		s.publishTable(t, origin, changes...)
-	}
+	s.publishTable(t, origin, changes...)
 	return nil
 }
 
@@ -123,7 +163,7 @@
 	if list.Version <= current.List().Version {
 		return
 	}
-	if c, ok := current.Diff(list); ok && current.List().Version > 0 {
+	if c, ok := current.Diff(list); ok {
 		if changed, err := current.WithChange(c); err == nil {
 			s.publishTargets(current, changed, c)
 			return
@@ -132,21 +172,27 @@
 	s.publishTargets(current, thtable.NewTargetSet(list))
 }
 
-// applyTargetChanges applies changes that lead from the current list to a newer one.
-// It returns an error if they were made for another list.
+// applyTargetChanges applies changes that lead from the current list to a newer one,
+// as applyTableChanges does.
 func (s *Source) applyTargetChanges(changes []thtable.TargetsChange) error {
 	s.content.applying.Lock()
 	defer s.content.applying.Unlock()
 	current := s.content.currentTargets()
-	set, err := current, error(nil)
+	if len(changes) == 0 || changes[len(changes)-1].Version <= current.List().Version {
+		return nil
+	}
+	changes, ok := thtable.Following(changes, current.Digest())
+	if !ok {
+		return errChangesDoNotFit
+	}
+	changed := current
 	for _, c := range changes {
-		if set, err = set.WithChange(c); err != nil {
+		var err error
+		if changed, err = changed.WithChange(c); err != nil {
 			return err
 		}
 	}
-	if set.List().Version > current.List().Version {
-		s.publishTargets(current, set, changes...)
-	}
+	s.publishTargets(current, changed, changes...)
 	return nil
 }
 
--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -24,6 +24,8 @@
 	Targets       uint64         `json:"targets"`
 	TableDigest   thtable.Digest `json:"tableDigest,omitempty"`
 	TargetsDigest thtable.Digest `json:"targetsDigest,omitempty"`
+	// WaitMillis is how long the called VM may wait until it has something newer.
+	WaitMillis int64 `json:"waitMillis,omitempty"`
 }
 
 // knownResponse holds the table and targets of the called VM as far as they are
@@ -49,6 +51,8 @@
 // Register adds the handler of the call /known to the server for other VMs.
 func (s *Source) Register(w *thwire.Server) {
 	thwire.Handle(w, pathKnown, func(_ thwire.Sender, request knownRequest) (thwire.Encoded, error) {
+		wait := min(time.Duration(request.WaitMillis)*time.Millisecond, maxWait)
+		s.content.awaitNewer(thfleet.StoreVersions{Table: request.Table, Targets: request.Targets}, time.Now().Add(wait))
 		return s.encodeAnswer(request)
 	})
 }
@@ -92,17 +96,83 @@
 	return k, thfleet.StoreVersions{Table: d.Version, Targets: list.Version}
 }
 
-// fetchTimeout bounds a call to another VM.
-const fetchTimeout = 500 * time.Millisecond
+const (
+	// maxWait is how long a VM keeps a call waiting for something newer.
+	maxWait = time.Second
+	// fetchTimeout bounds a call to another VM. It leaves a slow transfer time to
+	// finish after the longest wait: others are asked meanwhile.
+	fetchTimeout = 3 * time.Second
+	// seedTimeout bounds a call to a seed, which may be an address without a VM.
+	seedTimeout = 500 * time.Millisecond
+	// askNextAfter is how long a VM waits for an answer before it also asks the next
+	// VM.
+	askNextAfter = 400 * time.Millisecond
+	// fetchCheckInterval is how often a VM checks whether it is behind without having
+	// been told.
+	fetchCheckInterval = 250 * time.Millisecond
+)
+
+// fetches are the calls under way to other VMs.
+type fetches struct {
+	mu sync.Mutex
+	// underWay holds the addresses of the VMs that are being asked.
+	underWay map[string]bool
+	done     sync.WaitGroup
+}
+
+// begin records a call to the address, and returns false if one is under way.
+func (f *fetches) begin(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.underWay[address] {
+		return false
+	}
+	f.underWay[address] = true
+	f.done.Add(1)
+	return true
+}
+
+func (f *fetches) end(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.underWay, address)
+	f.done.Done()
+}
 
-// fetchFromNewest fetches from the VM that has announced the newest versions, if
-// this VM lacks any.
-func (s *Source) fetchFromNewest(ctx context.Context) {
-	p, ok := s.options.Fleet.FindNewerPeer(s.versions())
-	s.recordBehind(ok)
-	if ok {
-		s.fetchFrom(ctx, p.Address)
+// syncFromPeers fetches newer versions that other VMs have announced.
+func (s *Source) syncFromPeers(ctx context.Context) {
+	for sleep(ctx, fetchCheckInterval, s.behind) {
+		for ctx.Err() == nil && s.fetchNewer(ctx) {
+		}
+	}
+}
+
+// fetchNewer asks the VMs that may have newer versions one after the other until
+// this VM's versions change, and reports whether they did. A call that takes long is
+// not abandoned when the next VM is asked, since what it has transferred would be
+// lost.
+func (s *Source) fetchNewer(ctx context.Context) bool {
+	have := s.versions()
+	order := s.options.Fleet.FetchOrder(have)
+	s.recordBehind(len(order) > 0)
+	answered := make(chan struct{}, len(order))
+	for _, p := range order {
+		if !s.fetches.begin(p.Address) {
+			continue
+		}
+		go func() {
+			defer s.fetches.end(p.Address)
+			s.fetchFrom(ctx, p.Address, fetchTimeout, maxWait)
+			answered <- struct{}{}
+		}()
+		if !sleep(ctx, askNextAfter, answered) {
+			return false
+		}
+		if s.versions() != have {
+			return true
+		}
 	}
+	return s.versions() != have
 }
 
 // fetchFromSeeds fetches from the seeds in turn until this VM has a table and a
@@ -116,17 +186,19 @@
 			return
 		}
 		if address != s.options.Self.Address {
-			s.fetchFrom(ctx, address)
+			s.fetchFrom(ctx, address, seedTimeout, 0)
 		}
 	}
 }
 
-// fetchFrom fetches and applies the newer versions that the VM at the address has.
-func (s *Source) fetchFrom(ctx context.Context, address string) {
-	callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+// fetchFrom fetches and applies the newer versions that the VM at the address has. If
+// it has none yet, it may wait for them.
+func (s *Source) fetchFrom(ctx context.Context, address string, timeout, wait time.Duration) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	startedAt := time.Now()
-	k, size, err := thwire.CallSized[knownRequest, knownResponse](callCtx, s.options.Client, address, pathKnown, s.nextRequest())
+	startedAt, request := time.Now(), s.nextRequest()
+	request.WaitMillis = wait.Milliseconds()
+	k, size, err := thwire.CallSized[knownRequest, knownResponse](callCtx, s.options.Client, address, pathKnown, request)
 	fields := []thevent.Field{thevent.F("peer", address), thevent.F("bytes", size), thevent.F("tookMillis", time.Since(startedAt).Milliseconds())}
 	s.mu.Lock()
 	if !s.behindSince.IsZero() {
@@ -163,20 +235,21 @@
 // content of this VM; the next request then asks for the whole content.
 func (s *Source) apply(k knownResponse, address string) error {
 	var tableErr, targetsErr error
-	switch {
-	case k.Table != nil:
+	if k.Table != nil {
 		s.applyTable(*k.Table, address)
-	case len(k.TableChanges) > 0:
+	} else {
 		tableErr = s.applyTableChanges(k.TableChanges, address)
 	}
-	switch {
-	case k.Targets != nil:
+	if k.Targets != nil {
 		s.applyTargets(*k.Targets)
-	case len(k.TargetChanges) > 0:
+	} else {
 		targetsErr = s.applyTargetChanges(k.TargetChanges)
 	}
 	s.mu.Lock()
 	s.wantsWhole = tableErr != nil || targetsErr != nil
 	s.mu.Unlock()
+	if s.options.Fleet.Role() == thfleet.Relayer {
+		wake(s.roleChanged) // to announce what was fetched
+	}
 	return errors.CombineErrors(tableErr, targetsErr)
 }
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -44,9 +44,9 @@
 	// HasRecentReadInOtherZone reports whether a VM of another zone has recently
 	// announced that it read the store.
 	HasRecentReadInOtherZone() bool
-	// FindNewerPeer returns a VM that holds a newer table or list of targets than
-	// the given versions, and false if there is none.
-	FindNewerPeer(have thfleet.StoreVersions) (thfleet.Identity, bool)
+	// FetchOrder returns the VMs from which to fetch what is newer than the given
+	// versions, in the order in which to ask them; none if there is nothing newer.
+	FetchOrder(have thfleet.StoreVersions) []thfleet.Identity
 	// RecordPeers records the listed VMs.
 	RecordPeers(all []thfleet.Identity)
 	// AnnounceVersions sends the versions that this VM holds to its zone and, if
@@ -89,7 +89,10 @@
 // New.
 type Source struct {
 	options Options
-	wake    chan struct{}
+	// roleChanged and behind wake the goroutines that act on this VM's role, and on
+	// newer versions of other VMs.
+	roleChanged, behind chan struct{}
+	fetches             fetches
 
 	content content
 	answers answerCache
@@ -113,7 +116,10 @@
 
 // New returns a source without table and targets; Run gets them.
 func New(options Options) *Source {
-	return &Source{options: options, wake: make(chan struct{}, 1)}
+	return &Source{
+		options: options, roleChanged: make(chan struct{}, 1), behind: make(chan struct{}, 1),
+		fetches: fetches{underWay: make(map[string]bool)}, content: content{changed: make(chan struct{})},
+	}
 }
 
 // Table returns the current routing table.
@@ -152,13 +158,21 @@
 // HandleAnnouncement makes the source act at once on versions that another VM has
 // announced, if this VM lacks them or relays them within its zone.
 func (s *Source) HandleAnnouncement() {
-	_, behind := s.options.Fleet.FindNewerPeer(s.versions())
+	behind := len(s.options.Fleet.FetchOrder(s.versions())) > 0
 	s.recordBehind(behind)
-	if !behind && s.options.Fleet.Role() != thfleet.Relayer {
-		return
+	if behind {
+		wake(s.behind)
+	}
+	if s.options.Fleet.Role() == thfleet.Relayer {
+		wake(s.roleChanged)
 	}
+}
+
+// wake makes the goroutine that waits for the channel continue, now or when it next
+// waits.
+func wake(c chan struct{}) {
 	select {
-	case s.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -191,16 +205,17 @@
 	var goroutines sync.WaitGroup
 	goroutines.Go(func() { s.syncTable(ctx) })
 	goroutines.Go(func() { s.syncTargets(ctx) })
+	goroutines.Go(func() { s.syncFromPeers(ctx) })
 	goroutines.Go(func() { s.join(ctx) })
 	goroutines.Wait()
+	s.fetches.done.Wait()
 }
 
 // syncTargets reads the list of targets from the store while this VM is the
-// reader. At any time it fetches newer versions that other VMs have announced.
+// reader, and announces this VM's versions if it leads its zone.
 func (s *Source) syncTargets(ctx context.Context) {
 	delay := time.Duration(0)
-	for sleep(ctx, delay, s.wake) {
-		s.fetchFromNewest(ctx)
+	for sleep(ctx, delay, s.roleChanged) {
 		role := s.options.Fleet.Role()
 		s.setReader(role == thfleet.Reader)
 		switch {
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -80,8 +80,9 @@
 type fakeFleet struct {
 	mu     sync.Mutex
 	reader bool
-	// newer is the VM that holds newer versions; none if it has no ID.
-	newer thfleet.Identity
+	// newer are the VMs that may hold the versions announced.
+	newer     []thfleet.Identity
+	announced thfleet.StoreVersions
 }
 
 func (f *fakeFleet) Role() thfleet.Role {
@@ -101,8 +102,13 @@
 	f.mu.Unlock()
 }
 
-func (f *fakeFleet) FindNewerPeer(thfleet.StoreVersions) (thfleet.Identity, bool) {
-	return f.newer, f.newer.ID != ""
+func (f *fakeFleet) FetchOrder(have thfleet.StoreVersions) []thfleet.Identity {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.announced.IsNewerThan(have) {
+		return nil
+	}
+	return f.newer
 }
 func (f *fakeFleet) RecordPeers([]thfleet.Identity)               {}
 func (f *fakeFleet) AnnounceVersions(thfleet.StoreVersions, bool) {}
