--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -142,7 +142,8 @@
 // syncFromPeers fetches newer versions that other VMs have announced.
 func (s *Source) syncFromPeers(ctx context.Context) {
 	for sleep(ctx, fetchCheckInterval, s.behind) {
-		for ctx.Err() == nil && s.fetchNewer(ctx) {
+		for more := true; more && ctx.Err() == nil; {
+			more = s.fetchNewer(ctx)
 		}
 	}
 }
