thsource: ask the store for a newer table every 2 s instead of every 15 s

What callers could see: a changed configuration not in force anywhere for up to 16 s, while targets are read as usual. Cause: the reader has one request for a newer table under way, which waits 15 s at the store and 16 s in all. A connection can go silent for good without a reset; nothing shows it but that time. The reader goes on reading targets and announcing, so that no other VM takes over; and a VM that was the reader before and becomes it again waits for its old request first. Change: the request waits 2 s, so that a silent connection costs 3 s at most: a VM is held to its bounds 3 s after a fault, and a change then has 2.5 s. Ruled out: ending the request when the VM is no longer the reader, which leaves the first case; the HTTP library cannot cancel a request. Conclusion: the same class as the fetches: a wait for another machine whose bound is longer than what depends on it.

--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -77,8 +77,9 @@
 	// storeTimeout bounds a call to the store, which usually takes 4 ms but may
 	// be sixty times slower.
 	storeTimeout = time.Second
-	// tableLongPoll is how long a call waits at the store for a newer table.
-	tableLongPoll = 15 * time.Second
+	// tableLongPoll is how long a call waits at the store for a newer table. A
+	// connection that has gone silent holds back changes for that long and storeTimeout.
+	tableLongPoll = 2 * time.Second
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call. It
 	// doubles with each failure because every call to the store costs money.
 	minRetryDelay = 250 * time.Millisecond
