thgossip: charge a notice to the rate of the VM that sends it, not of those that relay it

Cause: a VM may send 27 KB/s of notices.

Ruled out: lost notices (counts went on to rise after the last retry, so they were late, not lost); a higher rate (links have 10 Mbit/s, bytes between zones cost money).

Change: thfleet.SendRate, pure, charges a notice with all its copies, those of relays included, to its sender; relaying is not charged. A heartbeat carries what is pending, so counts wait for a second at most.

Conclusion: own notices no longer wait behind others'. The budget itself still relies on timely counts; that is the second test.

--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -18,17 +18,8 @@
 )
 
 const (
-	// bytesPerSecond is the rate at which a VM may send pending notices: the
-	// two-year target for control traffic.
-	bytesPerSecond = 27_000
-	// burstBytes is how many bytes of notices may be sent at once above that rate,
-	// and urgentBytes how many more if the notice contains evidence against a
-	// target.
-	burstBytes  = 27_000
-	urgentBytes = 27_000
-	// headerBytes is the size of a datagram's IPv4 and UDP headers.
-	headerBytes = 28
-	// heartbeatInterval is the longest time between two broadcasts.
+	// heartbeatInterval is the longest time between two broadcasts. So other VMs' view
+	// of this one is at most that old, unless datagrams are lost.
 	heartbeatInterval = time.Second
 	// introductionInterval is the least time between two introductions to a VM
 	// that is not live.
@@ -72,18 +63,12 @@
 
 	mu    sync.Mutex
 	stats Stats
-	// tokens is how many bytes the rate allows to send, refilled up to refilledAt;
-	// negative if more were sent.
-	tokens     float64
-	refilledAt time.Time
-	// relayedBytes is how many bytes of other VMs' notices were sent since this VM's
-	// last own one.
-	relayedBytes uint64
+	rate  thfleet.SendRate
 	// heldSince is when the rate first held back the pending notice; zero if it does
 	// not.
-	heldSince time.Time
-	// broadcastAt is when the last notice was broadcast.
-	broadcastAt time.Time
+	heldSince thclock.Instant
+	// heartbeatAt is when the next heartbeat is due.
+	heartbeatAt time.Time
 	// introducedAt holds the time of the last introduction to each silent VM.
 	introducedAt map[thfleet.VMKey]time.Time
 	// silent tells by ID whether a VM was not live when it was last checked.
@@ -98,7 +83,6 @@
 	}
 	return &Exchange{
 		options: options, socket: socket, encode: encode, wake: make(chan struct{}, 1), done: make(chan struct{}),
-		tokens: burstBytes, refilledAt: time.Now(),
 		introducedAt: make(map[thfleet.VMKey]time.Time), silent: make(map[string]bool),
 	}, nil
 }
@@ -160,12 +144,16 @@
 // pending, until the rate allows sending it.
 func (x *Exchange) nextDelay() time.Duration {
 	pending := false
-	x.options.LockedView.WithView(func(_ thclock.Instant, v *thview.View) { pending, _ = v.Pending() })
+	var now thclock.Instant
+	x.options.LockedView.WithView(func(n thclock.Instant, v *thview.View) {
+		pending, _ = v.Pending()
+		now = n
+	})
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	delay := heartbeatInterval - time.Since(x.broadcastAt)
+	delay := time.Until(x.heartbeatAt)
 	if pending {
-		delay = min(delay, time.Duration(-x.tokens/bytesPerSecond*float64(time.Second)))
+		delay = min(delay, x.rate.NextAt(now).Sub(now))
 	}
 	return max(delay, time.Millisecond)
 }
@@ -174,80 +162,78 @@
 func (x *Exchange) sendPending() {
 	var n thfleet.Notice
 	send, urgent := false, false
-	x.options.LockedView.WithView(func(_ thclock.Instant, v *thview.View) {
+	x.options.LockedView.WithView(func(now thclock.Instant, v *thview.View) {
 		var pending bool
 		pending, urgent = v.Pending()
-		if send = pending && x.maySend(urgent); send {
+		if send = pending && x.maySend(now, urgent); send {
 			n = v.TakeNotice()
 		}
 	})
 	if send {
-		x.logDelay()
 		x.broadcast(n, urgent)
 	}
 }
 
+// maySend reports whether the rate allows a notice now, and records since when it does
+// not.
+func (x *Exchange) maySend(now thclock.Instant, urgent bool) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	may := x.rate.MaySend(now, urgent)
+	if !may && x.heldSince == (thclock.Instant{}) {
+		x.heldSince = now
+	}
+	return may
+}
+
 // loggedNoticeDelay is the delay from which a notice that the rate held back is
 // logged.
 const loggedNoticeDelay = 250 * time.Millisecond
 
-// logDelay logs how long the rate held back the notice that is about to be sent,
-// and what used up the rate.
-func (x *Exchange) logDelay() {
+// logDelay logs how long the rate held back the notice that is about to be sent.
+func (x *Exchange) logDelay(now thclock.Instant) {
 	x.mu.Lock()
-	held, relayed, tokens := x.heldSince, x.relayedBytes, x.tokens
-	x.heldSince, x.relayedBytes = time.Time{}, 0
+	held := x.heldSince
+	x.heldSince = thclock.Instant{}
 	x.mu.Unlock()
-	if delay := time.Since(held); !held.IsZero() && delay >= loggedNoticeDelay {
-		x.options.Log.Log(thevent.NoticeDelayed, thevent.F("delayMillis", delay.Milliseconds()),
-			thevent.F("relayedBytes", relayed), thevent.F("rateBytesLeft", int(tokens)))
+	if delay := now.Sub(held); held != (thclock.Instant{}) && delay >= loggedNoticeDelay {
+		x.options.Log.Log(thevent.NoticeDelayed, thevent.F("delayMillis", delay.Milliseconds()))
 	}
 }
 
-// maySend refills the tokens and reports whether the rate allows a notice now.
-func (x *Exchange) maySend(urgent bool) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	now := time.Now()
-	x.tokens = min(burstBytes, x.tokens+now.Sub(x.refilledAt).Seconds()*bytesPerSecond)
-	x.refilledAt = now
-	may := x.tokens > 0 || urgent && x.tokens > -urgentBytes
-	if !may && x.heldSince.IsZero() {
-		x.heldSince = now
-	}
-	return may
-}
-
 // AnnounceVersions sends the versions that this VM holds to the live VMs of its
 // zone and, if it has read them from the store itself, to the leaders of the
 // other zones.
 func (x *Exchange) AnnounceVersions(versions thfleet.StoreVersions, fromStore bool) {
 	var n thfleet.Notice
 	var to []thfleet.Peer
-	x.options.LockedView.WithView(func(now thclock.Instant, v *thview.View) {
-		n = v.Introduction(false)
+	var now thclock.Instant
+	x.options.LockedView.WithView(func(t thclock.Instant, v *thview.View) {
+		now, n = t, v.Introduction(false)
 		to = v.Fleet.LivePeersInZone(now, n.From)
 		if fromStore {
 			to = append(to, v.Fleet.OtherZoneLeaders(now)...)
 		}
 	})
 	n.StoreVersions = &versions
-	x.sendTo(n, to)
+	x.charge(now, x.sendTo(n, to), len(to))
 }
 
-// sendHeartbeat introduces this VM to silent VMs and broadcasts an empty notice,
-// unless another notice was broadcast within heartbeatInterval.
+// sendHeartbeat introduces this VM to silent VMs and broadcasts a notice with what is
+// pending, whatever the rate, unless another notice was broadcast within
+// heartbeatInterval.
 func (x *Exchange) sendHeartbeat() {
 	x.mu.Lock()
-	due := time.Since(x.broadcastAt) >= heartbeatInterval-time.Millisecond
+	due := time.Until(x.heartbeatAt) <= time.Millisecond
 	x.mu.Unlock()
 	if !due {
 		return
 	}
-	var n thfleet.Notice
-	x.options.LockedView.WithView(func(_ thclock.Instant, v *thview.View) { n = v.Introduction(false) })
-	x.introduceToSilent(n)
-	n.Identity = nil
+	var introduction, n thfleet.Notice
+	x.options.LockedView.WithView(func(_ thclock.Instant, v *thview.View) {
+		introduction, n = v.Introduction(false), v.TakeNotice()
+	})
+	x.introduceToSilent(introduction)
 	x.broadcast(n, false)
 }
 
@@ -255,7 +241,9 @@
 // due for one, and logs which VMs became silent or live.
 func (x *Exchange) introduceToSilent(n thfleet.Notice) {
 	var to []thfleet.Peer
-	x.options.LockedView.WithView(func(now thclock.Instant, v *thview.View) {
+	var now thclock.Instant
+	x.options.LockedView.WithView(func(t thclock.Instant, v *thview.View) {
+		now = t
 		for _, p := range v.Fleet.Peers() {
 			live := p.IsLive(now)
 			x.recordLiveness(p, live)
@@ -264,22 +252,35 @@
 			}
 		}
 	})
-	x.sendTo(n, to)
+	x.charge(now, x.sendTo(n, to), len(to))
 }
 
 // broadcast sends a notice to all live VMs, to some of them through relays in
 // their zones.
 func (x *Exchange) broadcast(n thfleet.Notice, urgent bool) {
 	var direct, relays []thfleet.Peer
-	x.options.LockedView.WithView(func(now thclock.Instant, v *thview.View) {
+	var now thclock.Instant
+	relayed := 0
+	x.options.LockedView.WithView(func(t thclock.Instant, v *thview.View) {
+		now = t
 		direct, relays = v.Fleet.SelectRecipients(now, n.Sequence, urgent)
+		relayed = v.Fleet.RelayedDatagrams(now, relays)
 	})
+	x.logDelay(now)
 	x.mu.Lock()
-	x.broadcastAt = time.Now()
+	x.heartbeatAt = time.Now().Add(heartbeatInterval)
 	x.mu.Unlock()
-	x.sendTo(n, direct)
+	length := x.sendTo(n, direct)
 	n.Relay = true
-	x.sendTo(n, relays)
+	length = max(length, x.sendTo(n, relays))
+	x.charge(now, length, len(direct)+len(relays)+relayed)
+}
+
+// charge charges a notice of this VM to its rate.
+func (x *Exchange) charge(now thclock.Instant, length, datagrams int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.rate = x.rate.WithSent(now, length, datagrams)
 }
 
 // Introduce introduces this VM to the VMs that are not live, such as those just
@@ -296,11 +297,10 @@
 	var to []thfleet.Peer
 	x.options.LockedView.WithView(func(now thclock.Instant, v *thview.View) { to = v.Fleet.LivePeersInZone(now, n.From) })
 	n.Relay = false
-	bytes := x.sendTo(n, to)
+	length := x.sendTo(n, to)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.relayedBytes += bytes
-	x.stats.RelayedBytes += bytes
+	x.stats.RelayedBytes += uint64((length + thfleet.HeaderBytes) * len(to))
 }
 
 // startIntroduction reports whether an introduction to a VM that is not live is
@@ -330,9 +330,8 @@
 	}
 }
 
-// sendTo sends a notice to the VMs, charges its bytes to the rate and returns their
-// number.
-func (x *Exchange) sendTo(n thfleet.Notice, to []thfleet.Peer) uint64 {
+// sendTo sends a notice to the VMs and returns its length in bytes, without headers.
+func (x *Exchange) sendTo(n thfleet.Notice, to []thfleet.Peer) int {
 	if len(to) == 0 {
 		return 0
 	}
@@ -349,12 +348,10 @@
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	bytes := uint64((len(data) + headerBytes) * len(to))
-	x.tokens -= float64(bytes)
 	x.stats.Sent += uint64(len(to))
-	x.stats.SentBytes += bytes
+	x.stats.SentBytes += uint64((len(data) + thfleet.HeaderBytes) * len(to))
 	x.stats.SendErrors += uint64(failed)
-	return bytes
+	return len(data)
 }
 
 func (x *Exchange) write(data []byte, address string) error {
@@ -395,7 +392,7 @@
 	err := cbor.Unmarshal(data, &n)
 	x.mu.Lock()
 	x.stats.Received++
-	x.stats.ReceivedBytes += uint64(len(data) + headerBytes)
+	x.stats.ReceivedBytes += uint64(len(data) + thfleet.HeaderBytes)
 	if err != nil {
 		x.stats.Malformed++
 	}
--- a/io/thgossip/gossip_test.go
+++ b/io/thgossip/gossip_test.go
@@ -52,6 +52,8 @@
 	exchange *thgossip.Exchange
 	address  string
 	peers    []*net.UDPConn
+	// retries gets the total of each notice of the VM with retries that a peer receives.
+	retries chan uint32
 	// sent counts the notices of the VM in another zone.
 	sent uint32
 }
@@ -61,7 +63,7 @@
 func newFixture(t *testing.T, peers int) *fixture {
 	t.Helper()
 	socket := listenUDP(t)
-	g := &fixture{t: t, address: socket.LocalAddr().String()}
+	g := &fixture{t: t, address: socket.LocalAddr().String(), retries: make(chan uint32, 100)}
 	g.view = &lockedView{view: newView("self", 1)}
 	x, err := thgossip.New(thgossip.Options{LockedView: g.view, Log: thevent.Discard{}}, socket)
 	assert.NilError(t, err)
@@ -72,6 +74,7 @@
 		p := listenUDP(t)
 		t.Cleanup(func() { _ = p.Close() })
 		g.peers = append(g.peers, p)
+		go g.receive(p)
 		g.sendFromPeer(i, 1)
 	}
 	g.waitUntil("all peers are live", func() bool {
@@ -89,6 +92,21 @@
 	}
 }
 
+// receive receives the notices that a peer gets until its socket is closed.
+func (g *fixture) receive(peer *net.UDPConn) {
+	buffer := make([]byte, 16<<10)
+	for {
+		size, err := peer.Read(buffer)
+		if err != nil {
+			return
+		}
+		var n thfleet.Notice
+		if cbor.Unmarshal(buffer[:size], &n) == nil && n.From == thfleet.VMKeyOf("self") && len(n.Retries) > 0 {
+			g.retries <- n.Retries[0].Count
+		}
+	}
+}
+
 // sendFromPeer sends a notice of the peer with the given index, which keeps it live.
 func (g *fixture) sendFromPeer(i int, sequence uint32) {
 	g.t.Helper()
@@ -138,16 +156,28 @@
 	g := newFixture(t, 12)
 	g.relay(1_000_000)
 	g.startRetry()
-	peer, buffer := g.peers[0], make([]byte, 16<<10)
-	assert.NilError(t, peer.SetReadDeadline(time.Now().Add(testTimeout)))
-	for {
-		size, err := peer.Read(buffer)
-		assert.NilError(t, err, "no notice with the retry arrived")
-		var n thfleet.Notice
-		assert.NilError(t, cbor.Unmarshal(buffer[:size], &n))
-		if n.From == thfleet.VMKeyOf("self") && len(n.Retries) > 0 {
-			assert.Equal(t, n.Retries[0].Count, uint32(1))
-			return
-		}
+	g.waitForRetry()
+}
+
+// waitForRetry waits until a peer has received the count of one retry.
+func (g *fixture) waitForRetry() {
+	g.t.Helper()
+	select {
+	case count := <-g.retries:
+		assert.Equal(g.t, count, uint32(1))
+	case <-time.After(testTimeout):
+		g.t.Fatal("no notice with the retry arrived")
+	}
+}
+
+// A VM that has used up its rate must still send its counts with its heartbeat.
+func TestHeartbeatCarriesCounts(t *testing.T) {
+	g := newFixture(t, 12)
+	for g.exchange.Stats().SentBytes < 1_000_000 {
+		g.exchange.AnnounceVersions(thfleet.StoreVersions{Table: 1, Targets: 1}, false)
+		g.sent++
+		g.sendFromPeer(int(g.sent)%len(g.peers), g.sent+1)
 	}
+	g.startRetry()
+	g.waitForRetry()
 }
