thpick, thview, thgossip: divide the retry budget among VMs, which lend to each other

Cause: every VM compared the retries of all VMs that it had heard of with the budget of the whole fleet. What it had not heard of yet was not held back.

Class of fault: a limit shared by many that is kept by counting what others report.

Ruled out: less of the budget, as any share is spent twice if counts are late by the right time; owners that give out retries, because most retries would then need a question.

Change: thpick.RetryBudget is one VM's part of the budget, a token bucket: each request adds the ratio, an equal share of the slack is its capacity and its refill. A VM without a token borrows from up to three others; a loan is taken out of the lender's bucket before it is sent, and is lost if the answer is late. A VM that starts has an empty bucket. A retry takes its token when it is picked, so requests at the same moment can't take the same one.

--- a/core/thclock/clock.go
+++ b/core/thclock/clock.go
@@ -59,6 +59,12 @@
 	return Instant{Mono: max(i.Mono, o.Mono), Wall: max(i.Wall, o.Wall)}
 }
 
+// Min returns the earlier monotonic and the earlier wall reading of i and o. The two
+// readings may come from different instants.
+func (i Instant) Min(o Instant) Instant {
+	return Instant{Mono: min(i.Mono, o.Mono), Wall: min(i.Wall, o.Wall)}
+}
+
 // Clock returns the current time.
 type Clock interface {
 	Now() Instant
--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -47,8 +48,8 @@
 	// receivedBits records which of the last notices arrived: bit i stands for the
 	// notice with sequence number lastSequence-i.
 	receivedBits uint64
-	// admitted, retries and refused hold the totals of the newest notices.
-	admitted, retries, refused map[Key]uint32
+	// admitted and refused hold the totals of the newest notices.
+	admitted, refused map[Key]uint32
 	// storeVersions are the last that the VM sent, and versionsReceivedAt is when they
 	// arrived; zero if none did.
 	storeVersions      StoreVersions
@@ -86,8 +87,8 @@
 	Stale, Duplicate bool
 	Results          []AttemptResult
 	Crashes          []Crash
-	// Admitted, Retries and Refused hold the increases since the newest notice before.
-	Admitted, Retries, Refused []KeyCount
+	// Admitted and Refused hold the increases since the newest notice before.
+	Admitted, Refused []KeyCount
 	// Joined is set if the notice has an identity that is new or whose address
 	// changed.
 	Joined bool
@@ -116,7 +117,7 @@
 }
 
 func newPeer(now thclock.Instant, key VMKey, i Identity) *Peer {
-	return &Peer{Identity: i, Key: key, DiscoveredAt: now, admitted: make(map[Key]uint32), retries: make(map[Key]uint32), refused: make(map[Key]uint32)}
+	return &Peer{Identity: i, Key: key, DiscoveredAt: now, admitted: make(map[Key]uint32), refused: make(map[Key]uint32)}
 }
 
 // Receive records a notice and returns what it adds.
@@ -162,7 +163,6 @@
 	f.recordLoads(now, n)
 	u.Results, u.Crashes = n.Results, n.Crashes
 	u.Admitted = updateTotals(p.admitted, n.Admitted, hasSentBefore)
-	u.Retries = updateTotals(p.retries, n.Retries, hasSentBefore)
 	u.Refused = updateTotals(p.refused, n.Refused, hasSentBefore)
 	if n.StoreVersions != nil {
 		p.storeVersions, p.versionsReceivedAt = *n.StoreVersions, now
@@ -204,7 +204,6 @@
 // start again at 0.
 func (f *Fleet) resetPeer(p *Peer) {
 	clear(p.admitted)
-	clear(p.retries)
 	clear(p.refused)
 	for _, vms := range f.loads {
 		delete(vms, p.Key)
@@ -273,21 +272,25 @@
 	return ps
 }
 
-// IsLive reports whether a notice from the VM arrived within LiveTimeout.
-func (p Peer) IsLive(now thclock.Instant) bool {
-	return p.startMillis != 0 && now.Sub(p.LastHeardAt) < LiveTimeout
-}
-
-// OldestNotice returns the time since the last notice of the live VM that was
-// heard least recently; 0 if no VM is live.
-func (f *Fleet) OldestNotice(now thclock.Instant) time.Duration {
-	var oldest time.Duration
-	for _, p := range f.peers {
+// RandomPeers returns up to n live VMs, the first of them from this VM's zone if there
+// is one.
+func (f *Fleet) RandomPeers(now thclock.Instant, rng *rand.Rand, n int) []Peer {
+	var ps []Peer
+	for _, p := range f.Peers() {
 		if p.IsLive(now) {
-			oldest = max(oldest, now.Sub(p.LastHeardAt))
+			ps = append(ps, p)
 		}
 	}
-	return oldest
+	rng.Shuffle(len(ps), func(i, j int) { ps[i], ps[j] = ps[j], ps[i] })
+	if i := slices.IndexFunc(ps, func(p Peer) bool { return p.Identity.Zone == f.self.Zone }); i > 0 {
+		ps[0], ps[i] = ps[i], ps[0]
+	}
+	return ps[:min(n, len(ps))]
+}
+
+// IsLive reports whether a notice from the VM arrived within LiveTimeout.
+func (p Peer) IsLive(now thclock.Instant) bool {
+	return p.startMillis != 0 && now.Sub(p.LastHeardAt) < LiveTimeout
 }
 
 // Size returns how many VMs are live and how many are members of the fleet. Both
--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -1,7 +1,7 @@
 // Package thfleet holds what a VM knows of the other VMs of the fleet, and defines
 // the notices that they send each other: requests in flight, results of attempts,
-// admitted, retried and refused requests, and versions of the platform's store. It
-// also decides which VM reads the store.
+// admitted and refused requests, loans between retry budgets, and versions of the
+// platform's store. It also decides which VM reads the store.
 //
 // Another VM is live while its notices arrive (see LiveTimeout). It remains a
 // member of the fleet for longer (see MemberTimeout).
@@ -59,6 +59,26 @@
 	Count uint32
 }
 
+// LoanRequest asks another VM to lend a part of a service's retry budget.
+type LoanRequest struct {
+	_       struct{} `cbor:",toarray"`
+	Service Key
+	// Thousandths is the wanted amount in thousandths of a retry.
+	Thousandths uint16
+	// Number tells the sender's requests apart.
+	Number uint32
+}
+
+// Loan is the answer to a LoanRequest.
+type Loan struct {
+	_       struct{} `cbor:",toarray"`
+	Service Key
+	// Thousandths is the amount that is lent, 0 if there is nothing left.
+	Thousandths uint16
+	// Number is the one of the request.
+	Number uint32
+}
+
 // StoreVersions holds the versions of the routing table and of the list of targets
 // that a VM has. Higher versions are newer.
 type StoreVersions struct {
@@ -87,10 +107,8 @@
 	Sequence uint32          `cbor:"3,keyasint"`
 	Loads    []Load          `cbor:"4,keyasint,omitempty"`
 	Results  []AttemptResult `cbor:"5,keyasint,omitempty"`
-	// Admitted holds the number of admitted requests per customer, Retries the number
-	// of retries per service.
+	// Admitted holds the number of admitted requests per customer.
 	Admitted []KeyCount `cbor:"6,keyasint,omitempty"`
-	Retries  []KeyCount `cbor:"7,keyasint,omitempty"`
 	// Identity introduces the sender; nil if the notice does not.
 	Identity *Identity `cbor:"8,keyasint,omitempty"`
 	// StoreVersions is set by a VM that reads the store or relays what was read.
@@ -102,6 +120,10 @@
 	Crashes       []Crash `cbor:"13,keyasint,omitempty"`
 	// Refused holds the number of refused requests per service.
 	Refused []KeyCount `cbor:"14,keyasint,omitempty"`
+	// LoanRequest asks the receiver to lend the sender a part of a retry budget, and
+	// Loan is the answer.
+	LoanRequest *LoanRequest `cbor:"15,keyasint,omitempty"`
+	Loan        *Loan        `cbor:"16,keyasint,omitempty"`
 	// Relay is set if the receiver should forward the notice within its zone.
 	Relay bool `cbor:"12,keyasint,omitempty"`
 }
--- a/core/thpick/budget.go
+++ b/core/thpick/budget.go
@@ -6,17 +6,15 @@
 	"tamarackhollow/core/thclock"
 )
 
-const (
-	// budgetSlots is the number of time slots in which a budget counts.
-	budgetSlots = 10
-	// budgetUsableShare is the share of the allowed retries that is used. The
-	// rest covers retries that several VMs start before their notices reach each
-	// other.
-	budgetUsableShare = 0.75
-)
-
-// RetryBudgetRule limits a service's retries, summed over all VMs, in any
-// window of the given length.
+// RetryBudgetRule limits a service's retries, summed over all VMs, in any window of
+// the given length: the ratio of the requests that callers sent in it, and a slack.
+//
+// Each VM has its own part of the limit, a token bucket, and takes a token out of it
+// for each retry. A request adds Ratio tokens to the bucket of the VM that forwards it.
+// The slack is divided among the VMs, one share of it as the buckets' capacity and
+// another one as their refill over a window. A VM that runs out of tokens borrows from another
+// one. Since every token is in one place, the VMs together stay within the limit even
+// if none of their messages arrive.
 type RetryBudgetRule struct {
 	Window time.Duration
 	// Ratio is the number of retries allowed per request, and Slack the number
@@ -24,74 +22,93 @@
 	Ratio, Slack float64
 }
 
-// RetryBudget counts a service's attempts and retries over all VMs. Attempts of
-// other VMs are counted only when their results arrive; until then, fewer
-// retries are allowed. A RetryBudget is immutable; the zero value has counted
-// nothing.
-type RetryBudget struct {
-	slots [budgetSlots]budgetSlot
+// WithVMs returns the rule for one VM of a fleet of the given size.
+func (r RetryBudgetRule) WithVMs(vms int) RetryBudgetRule {
+	r.Slack /= float64(max(1, vms))
+	return r
 }
 
-// budgetSlot holds the counts of one part of the window.
-type budgetSlot struct {
-	number            int64
-	attempts, retries float64
+const (
+	// capacityShare is the share of the slack that buckets can hold, and refillShare the
+	// share that they get back in a window. The rest covers loans, which a lender may
+	// have got back by its refill before the borrower has used them.
+	capacityShare = 0.78
+	refillShare   = 0.2
+	// loanLifetime is how long a VM that borrows may use what it got. An attempt
+	// follows within milliseconds.
+	loanLifetime = 500 * time.Millisecond
+)
+
+// RetryBudget is one VM's part of a service's retry budget. All its functions need
+// the rule of this VM, see RetryBudgetRule.WithVMs. It is immutable; the zero value is
+// full.
+type RetryBudget struct {
+	// tokens is the number of retries left at refilledAt; negative if the capacity has
+	// shrunk since they were made.
+	tokens     float64
+	refilledAt thclock.Instant
+	// borrowed is what other VMs lent, up to borrowedUntil.
+	borrowed      float64
+	borrowedUntil thclock.Instant
 }
 
-// slot returns the slot for the time now. It clears counts left there from an
-// earlier window.
-func (b *RetryBudget) slot(now thclock.Instant, r RetryBudgetRule) *budgetSlot {
-	n := slotNumber(now, r)
-	s := &b.slots[n%budgetSlots]
-	if s.number != n {
-		*s = budgetSlot{number: n}
+// EmptyRetryBudget returns a budget that has no tokens at the given time. A VM that
+// restarts does not know which retries it made before; with an empty budget it
+// stays within the limit all the same.
+func EmptyRetryBudget(now thclock.Instant) RetryBudget { return RetryBudget{refilledAt: now} }
+
+// refilled returns the budget with the tokens added until now.
+func (b RetryBudget) refilled(now thclock.Instant, r RetryBudgetRule) RetryBudget {
+	elapsed := max(0, now.Sub(b.refilledAt))
+	refill := refillShare * r.Slack * float64(elapsed) / float64(max(1, r.Window))
+	b.tokens, b.refilledAt = min(capacityShare*r.Slack, b.tokens+refill), now
+	if now.HasPassedOnEither(b.borrowedUntil) {
+		b.borrowed = 0
 	}
-	return s
+	return b
 }
 
-// slotNumber numbers the slots consecutively. A slot spans a ninth of the
-// window, so the ten slots always cover a whole window.
-func slotNumber(now thclock.Instant, r RetryBudgetRule) int64 {
-	return int64(now.Mono / max(1, r.Window/(budgetSlots-1)))
+// WithRequest returns the budget after a caller's request for the service.
+func (b RetryBudget) WithRequest(now thclock.Instant, r RetryBudgetRule) RetryBudget {
+	b = b.refilled(now, r)
+	b.tokens = min(capacityShare*r.Slack, b.tokens+r.Ratio)
+	return b
 }
 
-// WithAttempts returns the budget with n more attempts counted, made by any VM.
-// Retries are attempts too.
-func (b RetryBudget) WithAttempts(now thclock.Instant, r RetryBudgetRule, n float64) RetryBudget {
-	b.slot(now, r).attempts += n
+// WithRetry returns the budget after one retry.
+func (b RetryBudget) WithRetry(now thclock.Instant, r RetryBudgetRule) RetryBudget {
+	b = b.refilled(now, r)
+	fromLoan := min(1, b.borrowed)
+	b.borrowed -= fromLoan
+	b.tokens -= 1 - fromLoan
 	return b
 }
 
-// WithRetries returns the budget with n of the counted attempts marked as
-// retries.
-func (b RetryBudget) WithRetries(now thclock.Instant, r RetryBudgetRule, n float64) RetryBudget {
-	b.slot(now, r).retries += n
+// WithLoan returns the budget with an amount that another VM lent.
+func (b RetryBudget) WithLoan(now thclock.Instant, r RetryBudgetRule, amount float64) RetryBudget {
+	b = b.refilled(now, r)
+	b.borrowed += amount
+	b.borrowedUntil = now.Add(loanLifetime)
 	return b
 }
 
-// HasRoom reports whether one more retry is within the budget.
-func (b RetryBudget) HasRoom(now thclock.Instant, r RetryBudgetRule) bool {
-	retries, allowed := b.Usage(now, r)
-	return retries+1 <= allowed
+// WithLent returns the budget after lending another VM up to the wanted amount, and how
+// much is lent.
+func (b RetryBudget) WithLent(now thclock.Instant, r RetryBudgetRule, wanted float64) (RetryBudget, float64) {
+	b = b.refilled(now, r)
+	lent := max(0, min(wanted, b.tokens))
+	b.tokens -= lent
+	return b, lent
 }
 
-// UsedShare returns the share of the budget that would be in use after one more
-// retry, at most 1.
-func (b RetryBudget) UsedShare(now thclock.Instant, r RetryBudgetRule) float64 {
-	retries, allowed := b.Usage(now, r)
-	return min(1, (retries+1)/max(1, allowed))
+// Left returns the number of retries that the VM may make, which may be a fraction or
+// negative.
+func (b RetryBudget) Left(now thclock.Instant, r RetryBudgetRule) float64 {
+	b = b.refilled(now, r)
+	return b.tokens + b.borrowed
 }
 
-// Usage returns the number of retries made in the window and the number
-// allowed in it.
-func (b RetryBudget) Usage(now thclock.Instant, r RetryBudgetRule) (retries, allowed float64) {
-	newest := slotNumber(now, r)
-	var attempts float64
-	for _, s := range b.slots {
-		if newest-s.number < budgetSlots {
-			attempts += s.attempts
-			retries += s.retries
-		}
-	}
-	return retries, budgetUsableShare * (r.Slack + r.Ratio*max(0, attempts-retries))
+// HasRoom reports whether the VM may make one more retry.
+func (b RetryBudget) HasRoom(now thclock.Instant, r RetryBudgetRule) bool {
+	return b.Left(now, r) >= 1
 }
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -14,10 +14,9 @@
 	// loads holds the targets at which the number of this VM's requests in
 	// flight has changed, with the new number.
 	loads map[thfleet.Key]uint16
-	// admitted, retries and refused hold the totals that have risen. The refused
-	// totals are sent with the next notice, but don't cause one by themselves.
+	// admitted and refused hold the totals that have risen. The refused totals are sent
+	// with the next notice, but don't cause one by themselves.
 	admitted map[thfleet.Key]uint32
-	retries  map[thfleet.Key]uint32
 	refused  map[thfleet.Key]uint32
 	results  []thfleet.AttemptResult
 	crashes  []thfleet.Crash
@@ -28,7 +27,6 @@
 		vmKey: thfleet.VMKeyOf(o.Self.ID), startMillis: o.StartMillis, identity: o.Self,
 		loads:    make(map[thfleet.Key]uint16),
 		admitted: make(map[thfleet.Key]uint32),
-		retries:  make(map[thfleet.Key]uint32),
 		refused:  make(map[thfleet.Key]uint32),
 	}
 }
@@ -42,7 +40,7 @@
 			return true, true
 		}
 	}
-	return len(o.loads)+len(o.admitted)+len(o.retries)+len(o.results) > 0, false
+	return len(o.loads)+len(o.admitted)+len(o.results) > 0, false
 }
 
 // TakeNotice returns a notice with the content of the outbox, and empties the
@@ -54,12 +52,11 @@
 	for k, c := range o.loads {
 		n.Loads = append(n.Loads, thfleet.Load{Target: k, InFlight: c})
 	}
-	n.Admitted, n.Retries, n.Refused = totals(o.admitted), totals(o.retries), totals(o.refused)
+	n.Admitted, n.Refused = totals(o.admitted), totals(o.refused)
 	n.Results, n.Crashes = o.results, o.crashes
 	o.results, o.crashes = nil, nil
 	clear(o.loads)
 	clear(o.admitted)
-	clear(o.retries)
 	clear(o.refused)
 	return n
 }
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -48,6 +48,9 @@
 	floor       thpick.Floor
 	// retries and refused are the totals of this VM's retries and refusals.
 	retries, refused uint32
+	// borrowAt is when this VM may ask other VMs again to lend it a part of their
+	// retry budgets.
+	borrowAt thclock.Instant
 }
 
 // customer holds a customer's rate limit and how much of it is left.
@@ -67,6 +70,9 @@
 	FloorShare float64
 	// StartMillis is when the VM started, in Unix milliseconds.
 	StartMillis uint64
+	// StartedAt is the same time by this VM's clocks; its retry budgets are empty then.
+	// The zero Instant stands for a time long ago.
+	StartedAt thclock.Instant
 	// HasIdleConnection reports whether this VM has an idle connection to a
 	// target that the request can use; nil means that it has none.
 	HasIdleConnection func(id string, idempotent bool) bool
@@ -140,7 +146,7 @@
 func (v *View) service(name string) *service {
 	s := v.services[name]
 	if s == nil {
-		s = &service{key: thfleet.KeyOf(name)}
+		s = &service{key: thfleet.KeyOf(name), retryBudget: thpick.EmptyRetryBudget(v.options.StartedAt)}
 		v.services[name] = s
 		v.servicesByKey[s.key] = s
 	}
@@ -205,6 +211,9 @@
 type Refusal struct {
 	// Overloaded is set if there are targets, but the wait for a slot is too long.
 	Overloaded bool
+	// OverBudget is set if the request was sent before and the retry budget has no room
+	// for one more retry.
+	OverBudget bool
 	// RetryAfter is the time after which a retry may succeed.
 	RetryAfter time.Duration
 }
@@ -212,11 +221,17 @@
 // Pick picks a target of the named service for the request and counts the request
 // as in flight there; Finish must follow. The targets in tried, to which the
 // request was sent before, are left out; retryable is set if the request may be
-// retried after this attempt. Pick returns a Refusal if no target is left, or if
-// the wait is too long and the request has not been sent before.
+// retried after this attempt. Pick returns a Refusal if no target is left, if the
+// wait is too long and the request has not been sent before, or if it has been sent
+// and the retry budget has no room.
 func (v *View) Pick(now thclock.Instant, request *thmessage.Request, name string, tried []string, retryable bool) (Picked, *Refusal) {
 	s := v.service(name)
 	query := v.newQuery(now, request, s, tried, retryable)
+	if len(tried) == 0 {
+		s.retryBudget = s.retryBudget.WithRequest(now, v.retryRule(now))
+	} else if !s.retryBudget.HasRoom(now, v.retryRule(now)) {
+		return Picked{}, &Refusal{OverBudget: true}
+	}
 	i, ok := thpick.Pick(v.options.Rand, query, v.candidates)
 	if !ok {
 		return Picked{}, &Refusal{RetryAfter: retryAfterNoTarget}
@@ -254,23 +269,20 @@
 	return thpick.Query{
 		Now: now, Zone: v.options.Self.Zone, Retryable: retryable, Bytes: len(request.Body) + typicalAnswerBytes,
 		ExpectedLatency: v.ExpectedLatency(request.Route), Objective: request.Objective, Deadline: request.Deadline,
-		Priority: priorityOf(request), Tried: tried, BudgetUsedShare: s.retryBudget.UsedShare(now, v.options.RetryBudgetRule),
+		Priority: priorityOf(request), Tried: tried, BudgetUsedShare: v.retryPressure(now, s),
 	}
 }
 
-// startAttempt counts the request as in flight at the candidate at index i. In the
-// service's retry budget it counts an attempt, and also a retry if other targets
-// were tried before.
+// startAttempt counts the request as in flight at the candidate at index i, and as a
+// retry if other targets were tried before.
 func (v *View) startAttempt(now thclock.Instant, s *service, query thpick.Query, i int) Picked {
 	t := s.targets[i]
 	t.ownInFlight++
 	t.usedAt = now
 	v.outbox.loads[t.key] = uint16(min(t.ownInFlight, math.MaxUint16))
-	s.retryBudget = s.retryBudget.WithAttempts(now, v.options.RetryBudgetRule, 1)
 	if len(query.Tried) > 0 {
-		s.retryBudget = s.retryBudget.WithRetries(now, v.options.RetryBudgetRule, 1)
+		s.retryBudget = s.retryBudget.WithRetry(now, v.retryRule(now))
 		s.retries++
-		v.outbox.retries[s.key] = s.retries
 	}
 	return Picked{Target: t.Target, FailureProbability: v.candidates[i].Health.FailureProbability(now), InFlight: v.candidates[i].InFlight, ExpectedLatency: query.ExpectedLatency, key: t.key}
 }
@@ -304,36 +316,6 @@
 	return c
 }
 
-// RetryBudgetStatus is what this VM knows of a service's retry budget.
-type RetryBudgetStatus struct {
-	// HasRoom is whether the budget has room for one more retry.
-	HasRoom bool
-	// Retries and Allowed are the retries of all VMs counted in the window and the
-	// number allowed in it.
-	Retries, Allowed float64
-	// OwnRetries is the number of this VM's retries since its start.
-	OwnRetries uint32
-	// OldestNotice is the time since the last notice of the live VM that was heard
-	// least recently.
-	OldestNotice time.Duration
-}
-
-// RetryBudget returns the status of the service's retry budget.
-func (v *View) RetryBudget(now thclock.Instant, name string) RetryBudgetStatus {
-	s := v.service(name)
-	retries, allowed := s.retryBudget.Usage(now, v.options.RetryBudgetRule)
-	return RetryBudgetStatus{
-		HasRoom: s.retryBudget.HasRoom(now, v.options.RetryBudgetRule), Retries: retries, Allowed: allowed,
-		OwnRetries: s.retries, OldestNotice: v.Fleet.OldestNotice(now),
-	}
-}
-
-// HasRetryBudget reports whether the service's retry budget has room for one more
-// retry.
-func (v *View) HasRetryBudget(now thclock.Instant, name string) bool {
-	return v.service(name).retryBudget.HasRoom(now, v.options.RetryBudgetRule)
-}
-
 // ExpectedLatency returns the estimated median latency of the route's answers.
 func (v *View) ExpectedLatency(r thtable.Route) time.Duration {
 	return v.estimates[r.Name].Median(time.Duration(r.LatencyObjectiveMillis) * time.Millisecond)
@@ -439,12 +421,9 @@
 		if t := v.targetsByKey[result.Target]; t != nil {
 			v.setHealth(now, t, withLatencyRatio(t.health.WithRemoteOutcome(now, result.Outcome), result))
 			v.countResult(now, t, result)
-			if result.Outcome == thhealth.Overdue {
-				continue // the retry budget counts the attempt when its final result arrives
+			if result.Outcome != thhealth.Overdue {
+				t.usedAt = t.usedAt.Max(now)
 			}
-			t.usedAt = t.usedAt.Max(now)
-			s := v.service(t.Service)
-			s.retryBudget = s.retryBudget.WithAttempts(now, v.options.RetryBudgetRule, 1)
 		}
 	}
 	for _, l := range n.Loads {
@@ -463,10 +442,5 @@
 			s.floor = s.floor.WithFailures(now, float64(r.Count))
 		}
 	}
-	for _, r := range update.Retries {
-		if s := v.servicesByKey[r.Key]; s != nil {
-			s.retryBudget = s.retryBudget.WithRetries(now, v.options.RetryBudgetRule, float64(r.Count))
-		}
-	}
 	return update
 }
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -27,7 +27,7 @@
 	Retain(targets []thtable.Target)
 }
 
-// Options configure a Forwarder. Only Log and RecordAttempt may be nil.
+// Options configure a Forwarder. Only Log, BorrowRetry and RecordAttempt may be nil.
 type Options struct {
 	View   *thview.View
 	Table  func() thtable.Table
@@ -36,6 +36,10 @@
 	Log    thevent.Logger
 	// NotifyPeers is called when the view has something new to send to other VMs.
 	NotifyPeers func()
+	// BorrowRetry is called, without the lock, when this VM's part of a service's retry
+	// budget has no room for a retry. It asks other VMs to lend what is missing and
+	// returns when they have or when none can. It may be nil.
+	BorrowRetry func(service string)
 	// RecordAttempt, if not nil, is called after each attempt, for metrics.
 	// newConnection is true if a connection was opened for the attempt.
 	RecordAttempt func(service string, end thpick.AttemptEnd, took time.Duration, newConnection bool)
@@ -99,6 +103,8 @@
 	attempts   thpick.Attempts
 	// tried holds the IDs of the targets of all attempts.
 	tried []string
+	// last is the attempt that ended last.
+	last attemptResult
 }
 
 // Forward sends the request to targets until one answers or no further attempt is
@@ -134,21 +140,30 @@
 // true with the answer or refusal that ends the request, or false if the request
 // is to be retried.
 func (f *Forwarder) attempt(ctx context.Context, s *requestState) (*thmessage.Answer, *thingress.Refusal, bool) {
-	picked, refusal := f.pick(s)
+	picked, refusal, withinBudget := f.pick(s)
 	if refusal != nil {
 		return nil, f.logRefusal(s, refusal), true
 	}
-	a := f.sendHedged(ctx, s, picked)
-	d := f.decide(s, a)
+	if !withinBudget {
+		return f.end(s, f.decideWithin(s, false))
+	}
+	s.last = f.sendHedged(ctx, s, picked)
+	d := f.decide(s)
 	if ctx.Err() != nil {
 		return nil, f.logRefusal(s, callerGoneRefusal()), true
 	}
+	return f.end(s, d)
+}
+
+// end carries out the decision that follows the last attempt; see attempt for the
+// results.
+func (f *Forwarder) end(s *requestState, d thpick.Decision) (*thmessage.Answer, *thingress.Refusal, bool) {
 	switch d := d.(type) {
 	case thpick.Deliver:
-		f.logAnswer(s, a.picked, a.result)
-		return a.result.Answer, nil, true
+		f.logAnswer(s, s.last.picked, s.last.result)
+		return s.last.result.Answer, nil, true
 	case thpick.Refuse:
-		return nil, f.logRefusal(s, &thingress.Refusal{Err: therror.New(d.Kind, "%s", detailOf(d.Kind)), RetryAfter: f.retryAfter(d.Kind, a.picked)}), true
+		return nil, f.logRefusal(s, &thingress.Refusal{Err: therror.New(d.Kind, "%s", detailOf(d.Kind)), RetryAfter: f.retryAfter(d.Kind, s.last.picked)}), true
 	}
 	return nil, nil, false
 }
@@ -178,8 +193,10 @@
 }
 
 // pick picks the target of the next attempt, or returns the refusal that ends the
-// request.
-func (f *Forwarder) pick(s *requestState) (p thview.Picked, refusal *thingress.Refusal) {
+// request. If the attempt is a retry and other retries have used up the budget since
+// it was decided, withinBudget is false.
+func (f *Forwarder) pick(s *requestState) (p thview.Picked, refusal *thingress.Refusal, withinBudget bool) {
+	withinBudget = true
 	f.WithView(func(now thclock.Instant, v *thview.View) {
 		if s.request.TimeLeft(now) == 0 {
 			refusal = &thingress.Refusal{Err: f.deadlineError(s)}
@@ -194,6 +211,8 @@
 		switch {
 		case pickRefusal == nil:
 			p = picked
+		case pickRefusal.OverBudget:
+			withinBudget = false
 		case s.attempts.MayHaveRun > 0:
 			refusal = &thingress.Refusal{Err: therror.New(therror.AnswerLost, "no other target is left")}
 		case pickRefusal.Overloaded:
@@ -202,7 +221,7 @@
 			refusal = &thingress.Refusal{Err: therror.New(therror.NoTarget, "the service has no target left to try"), RetryAfter: pickRefusal.RetryAfter}
 		}
 	})
-	return p, refusal
+	return p, refusal, withinBudget
 }
 
 // quarantineError returns the error for a quarantined request. Its kind tells the
@@ -231,26 +250,37 @@
 	}
 }
 
-// decide returns what follows the attempt: the answer, a refusal or a retry.
-func (f *Forwarder) decide(s *requestState, a attemptResult) (d thpick.Decision) {
+// decide returns what follows the last attempt: the answer, a refusal or a retry. For
+// a retry it borrows from other VMs' retry budgets if it has to.
+func (f *Forwarder) decide(s *requestState) thpick.Decision {
+	d := f.decideWithin(s, true)
+	if s.last.result.End == thpick.Answered {
+		return d
+	}
 	var budget thview.RetryBudgetStatus
-	f.WithView(func(now thclock.Instant, v *thview.View) {
-		budget = v.RetryBudget(now, s.service)
-		d = thpick.Decide(now, retryRules(s, a.picked.ExpectedLatency), s.attempts, a.result.End, budget.HasRoom)
-	})
-	if a.result.End != thpick.Answered {
-		f.logDecision(s, d, budget)
+	readBudget := func() {
+		f.WithView(func(now thclock.Instant, v *thview.View) { budget = v.RetryBudget(now, s.service) })
 	}
+	readBudget()
+	_, retry := d.(thpick.Retry)
+	if retry && budget.Left < 1 && f.options.BorrowRetry != nil {
+		f.options.BorrowRetry(s.service)
+		readBudget()
+	}
+	if retry && budget.Left < 1 {
+		d = f.decideWithin(s, false)
+		retry = false
+	}
+	f.options.Log.Log(thevent.RetryDecided, append(s.logFields(s.attempts.Total), thevent.F("retry", retry),
+		thevent.F("budgetLeft", roundToThousandths(budget.Left)), thevent.F("ownRetries", budget.Retries))...)
 	return d
 }
 
-// logDecision logs whether a request is retried after an attempt that failed, with
-// the state of the retry budget.
-func (f *Forwarder) logDecision(s *requestState, d thpick.Decision, b thview.RetryBudgetStatus) {
-	_, retry := d.(thpick.Retry)
-	f.options.Log.Log(thevent.RetryDecided, append(s.logFields(s.attempts.Total), thevent.F("retry", retry),
-		thevent.F("budgetRetries", int(b.Retries)), thevent.F("budgetAllowed", int(b.Allowed)), thevent.F("ownRetries", b.OwnRetries),
-		thevent.F("oldestNoticeMillis", b.OldestNotice.Milliseconds()))...)
+// decideWithin returns what follows the last attempt, given whether the retry budget
+// has room for a retry.
+func (f *Forwarder) decideWithin(s *requestState, withinBudget bool) thpick.Decision {
+	rules := retryRules(s, s.last.picked.ExpectedLatency)
+	return thpick.Decide(f.options.Clock.Now(), rules, s.attempts, s.last.result.End, withinBudget)
 }
 
 // minTimeoutFactor is the least ratio of waiting time to expected time at which an
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -73,6 +73,8 @@
 	introducedAt map[thfleet.VMKey]time.Time
 	// silent tells by ID whether a VM was not live when it was last checked.
 	silent map[string]bool
+
+	loans loans
 }
 
 // New returns an exchange that uses the socket, and closes it in Close.
@@ -408,6 +410,12 @@
 			reply = v.Introduction(update.SenderUnknown)
 		}
 	})
+	if n.LoanRequest != nil && !update.Duplicate {
+		x.lend(*n.LoanRequest, from.String())
+	}
+	if n.Loan != nil {
+		x.loans.deliver(*n.Loan)
+	}
 	if n.Relay && !update.Duplicate {
 		x.relay(n)
 	}
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -136,12 +136,12 @@
 	n.pool = pool
 	n.sender = thsend.New(thsend.Options{LocalIP: settings.LocalIP(), Clock: n.clock, HeaderNames: n.options.HeaderNames})
 	view := thview.New(thview.Options{
-		Self: self, StartMillis: uint64(time.Now().UnixMilli()), HasIdleConnection: n.sender.HasIdleConnection,
+		Self: self, StartMillis: uint64(time.Now().UnixMilli()), StartedAt: n.clock.Now(), HasIdleConnection: n.sender.HasIdleConnection,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), OnSuspectChange: n.logSuspectChange,
 	})
 	n.forwarder = thforward.New(thforward.Options{
 		View: view, Table: n.table, Sender: n.sender, Clock: n.clock, Log: n.options.Log,
-		NotifyPeers: n.wakeExchange, RecordAttempt: n.recordAttempt,
+		NotifyPeers: n.wakeExchange, BorrowRetry: n.borrowRetry, RecordAttempt: n.recordAttempt,
 	})
 	if err := n.openExchange(); err != nil {
 		return err
@@ -188,6 +188,8 @@
 
 func (n *Node) wakeExchange() { n.exchange.Wake() }
 
+func (n *Node) borrowRetry(service string) { n.exchange.BorrowRetry(service) }
+
 func (n *Node) applyTable(t thtable.Table) {
 	n.forwarder.WithView(func(_ thclock.Instant, v *thview.View) { v.SetTable(t) })
 }
