--- a/core/therror/kind.go
+++ b/core/therror/kind.go
@@ -36,6 +36,7 @@
 	SettingsInvalid
 	HeaderTooLarge
 	RequestSlow
+	LimitUnknown
 	kindCount
 )
 
@@ -93,6 +94,7 @@
 	SettingsInvalid:     {"settingsInvalid", 422, NotRun, false},
 	HeaderTooLarge:      {"headerTooLarge", 431, NotRun, false},
 	RequestSlow:         {"requestSlow", 408, NotRun, true},
+	LimitUnknown:        {"limitUnknown", 503, NotRun, true},
 }
 
 // Answer returns the answer for the kind. An undefined kind gets the answer for
--- a/core/thfleet/distribution.go
+++ b/core/thfleet/distribution.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"tamarackhollow/core/thclock"
 )
 
 const (
@@ -23,13 +21,13 @@
 // VM asks the VM above it, which may still be waiting for the versions itself, and
 // then the ones above that. All VMs of a zone that know the same live VMs compute the
 // same tree; a VM above always has a better rank, so that no two wait for each other.
-func (f *Fleet) FetchOrder(now thclock.Instant, have StoreVersions) []Peer {
-	announcers := f.newerPeers(now, have)
+func (f *Fleet) FetchOrder(have StoreVersions) []Peer {
+	announcers := f.newerPeers(have)
 	if len(announcers) == 0 {
 		return nil
 	}
 	root, others := announcers[0], announcers[1:]
-	order := append(f.ancestors(now, root), root)
+	order := append(f.ancestors(root), root)
 	for _, p := range others {
 		if !slices.ContainsFunc(order, func(o Peer) bool { return o.Key == p.Key }) {
 			order = append(order, p)
@@ -40,10 +38,10 @@
 
 // newerPeers returns the live VMs that have announced a newer table or newer targets,
 // those with the newest versions first, and among equal ones those of this zone.
-func (f *Fleet) newerPeers(now thclock.Instant, have StoreVersions) []Peer {
+func (f *Fleet) newerPeers(have StoreVersions) []Peer {
 	var newer []Peer
 	for _, p := range f.peers {
-		if p.Identity.ID != "" && p.IsLive(now) && p.storeVersions.IsNewerThan(have) {
+		if p.Identity.ID != "" && p.IsLive() && p.storeVersions.IsNewerThan(have) {
 			newer = append(newer, *p)
 		}
 	}
@@ -70,14 +68,14 @@
 
 // ancestors returns the VMs between this one and the root of its zone's tree, the
 // nearest first. There are none if the root is in another zone.
-func (f *Fleet) ancestors(now thclock.Instant, root Peer) []Peer {
+func (f *Fleet) ancestors(root Peer) []Peer {
 	if root.Identity.Zone != f.self.Zone {
 		return nil
 	}
 	ownHash := rankHash(f.self.ID)
 	var above []Peer // the VMs with a better rank, which is where all ancestors are
 	for _, p := range f.peers {
-		if p.Identity.Zone == f.self.Zone && p.Key != root.Key && p.IsLive(now) && rankHash(p.Identity.ID) < ownHash {
+		if p.Identity.Zone == f.self.Zone && p.Key != root.Key && p.IsLive() && rankHash(p.Identity.ID) < ownHash {
 			above = append(above, *p)
 		}
 	}
--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,18 +12,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	// loadTimeout is how long a reported load counts without a newer report, so that
-	// a VM that crashed does not occupy slots of its targets forever.
-	loadTimeout = 4 * time.Second
-	// LiveTimeout is how long a VM counts as live after its last notice. VMs send at
-	// least one notice per second.
-	LiveTimeout = 3 * time.Second
-	// MemberTimeout is how long a VM counts as a member of the fleet after its last
-	// notice or its discovery. While it does, a share of the customers' limits is
-	// reserved for it.
-	MemberTimeout = 15 * time.Second
-)
+// loadTimeout is how long a reported load counts without a newer report, so that
+// a VM that crashed does not occupy slots of its targets forever.
+const loadTimeout = 4 * time.Second
 
 // KeyOf returns the hash by which notices name a target, customer or service.
 func KeyOf(name string) Key { return Key(xxhash.Sum64String(name)) }
@@ -41,6 +33,14 @@
 	LastHeardAt thclock.Instant
 	// DiscoveredAt is when the VM was first listed or its first notice arrived.
 	DiscoveredAt thclock.Instant
+	// lostAt is when the VM was found silent; zero if it was not, or was heard since.
+	lostAt thclock.Instant
+	// skipUntil is until when other VMs are asked instead of this one, and suspectUntil
+	// until when others may take over from it.
+	skipUntil, suspectUntil thclock.Instant
+	// differing is how many answers to probes in a row came with another LiveHash than
+	// this VM's.
+	differing int
 	// startMillis and lastSequence are those of the newest notice; 0 before the
 	// first one.
 	startMillis  uint64
@@ -48,8 +48,8 @@
 	// receivedBits records which of the last notices arrived: bit i stands for the
 	// notice with sequence number lastSequence-i.
 	receivedBits uint64
-	// admitted and refused hold the totals of the newest notices.
-	admitted, refused map[Key]uint32
+	// refused holds the totals of the newest notices.
+	refused map[Key]uint32
 	// storeVersions are the last that the VM sent, and versionsReceivedAt is when they
 	// arrived; zero if none did.
 	storeVersions      StoreVersions
@@ -58,7 +58,9 @@
 
 // load is the number of requests that one VM has in flight at one target.
 type load struct {
-	inFlight  uint16
+	inFlight uint16
+	// sequence is that of the notice that reported the load.
+	sequence  uint32
 	expiresAt thclock.Instant
 }
 
@@ -69,34 +71,55 @@
 	key   VMKey
 	peers map[VMKey]*Peer
 	loads map[Key]map[VMKey]load
+	live  liveIndex
+	// heardAt is when the last notice of any VM arrived.
+	heardAt thclock.Instant
+	// unanswered is how many questions of this VM were not answered since then.
+	unanswered int
+	// probes records since when this VM probes others.
+	probes probes
+	size   sizeCache
 }
 
 // New returns the Fleet of the VM self, without any peers.
 func New(self Identity) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		self: self, key: VMKeyOf(self.ID), peers: make(map[VMKey]*Peer), loads: make(map[Key]map[VMKey]load),
+		probes: probes{since: make(map[VMKey]thclock.Instant)},
 	}
+	f.changed(thclock.Instant{}, self.Zone)
+	return f
 }
 
 // Update holds what a received notice adds to what this VM knew.
 type Update struct {
 	// Stale is set if a newer notice of the sender arrived before, or if this VM sent
-	// the notice itself. A stale notice adds nothing but results and crashes.
+	// the notice itself. A stale notice adds nothing but results, crashes and the loads
+	// of targets that no newer notice names.
 	// Duplicate is set if the stale notice arrived before, is too old to know whether
 	// it did, or is from before the sender's restart; it then adds nothing at all.
 	Stale, Duplicate bool
 	Results          []AttemptResult
 	Crashes          []Crash
-	// Admitted and Refused hold the increases since the newest notice before.
-	Admitted, Refused []KeyCount
+	// Refused holds the increases since the newest notice before.
+	Refused []KeyCount
+	// Lost holds the live VMs that the notice reports as lost.
+	Lost []Identity
+	// ReportedLost is set if the notice reports this VM as lost.
+	ReportedLost bool
 	// Joined is set if the notice has an identity that is new or whose address
 	// changed.
 	Joined bool
 	// SenderUnknown is set if the sender's identity is not known.
 	SenderUnknown bool
-	// BecameLive is set if the notice has an identity and the sender was not live
-	// before or has restarted.
+	// BecameLive is set if the sender was not live before or has restarted.
 	BecameLive bool
+	// RosterDiffers is set if the sender has known other live VMs than this one for a
+	// while.
+	RosterDiffers bool
+	// Healed is set if the sender was lost and has not restarted since, so that there
+	// is a path to it again.
+	Healed bool
 }
 
 // RecordPeer adds the VM to the peers or replaces its identity, and reports whether
@@ -109,15 +132,19 @@
 	p := f.peers[key]
 	if p == nil {
 		f.peers[key] = newPeer(now, key, i)
+		f.size = sizeCache{}
 		return true
 	}
 	changed := p.Identity.Address != i.Address
 	p.Identity = i
+	if p.IsLive() && changed {
+		f.changed(now, i.Zone)
+	}
 	return changed
 }
 
 func newPeer(now thclock.Instant, key VMKey, i Identity) *Peer {
-	return &Peer{Identity: i, Key: key, DiscoveredAt: now, admitted: make(map[Key]uint32), refused: make(map[Key]uint32)}
+	return &Peer{Identity: i, Key: key, DiscoveredAt: now, refused: make(map[Key]uint32)}
 }
 
 // Receive records a notice and returns what it adds.
@@ -131,42 +158,52 @@
 	}
 	p := f.peers[n.From]
 	if p == nil {
-		u.SenderUnknown = true
 		p = newPeer(now, n.From, Identity{})
 		f.peers[n.From] = p
 	}
 	u.SenderUnknown = p.Identity.ID == ""
 	switch {
-	case n.StartMillis < p.startMillis && !p.IsLive(now):
+	case n.StartMillis < p.startMillis && now.Sub(p.LastHeardAt) >= LiveTimeout:
 		// The VM restarted with its clock set back.
 		f.resetPeer(p)
 	case n.StartMillis < p.startMillis || n.StartMillis == p.startMillis && n.Sequence <= p.lastSequence:
-		// Totals never decrease, so of a notice that arrives after a newer one only the
-		// results and crashes can be new.
-		u.Stale = true
-		if u.Duplicate = n.StartMillis < p.startMillis || p.markReceived(n.Sequence); !u.Duplicate {
-			u.Results, u.Crashes = n.Results, n.Crashes
-		}
-		return u
+		return f.receiveStale(now, n, p, u)
 	case n.StartMillis > p.startMillis:
-		u.BecameLive = n.Identity != nil
+		u.BecameLive = true
 		f.resetPeer(p)
 	}
-	u.BecameLive = u.BecameLive || n.Identity != nil && !p.IsLive(now)
-	hasSentBefore := p.startMillis != 0
+	u.Healed = p.isLost()
+	u.BecameLive = u.BecameLive || !p.IsLive()
 	p.recordNewest(n)
-	p.LastHeardAt = now
+	p.LastHeardAt, p.lostAt = now, thclock.Instant{}
+	p.skipUntil, p.suspectUntil = thclock.Instant{}, thclock.Instant{}
+	f.heardAt, f.unanswered = now, 0
+	u.Results, u.Crashes = n.Results, n.Crashes
 	if n.Leaving {
-		f.removePeer(n.From)
+		f.removePeer(now, p)
 		return u
 	}
+	if u.BecameLive && p.IsLive() {
+		f.changed(now, p.Identity.Zone)
+	}
 	f.recordLoads(now, n)
-	u.Results, u.Crashes = n.Results, n.Crashes
-	u.Admitted = updateTotals(p.admitted, n.Admitted, hasSentBefore)
-	u.Refused = updateTotals(p.refused, n.Refused, hasSentBefore)
+	u.Refused = updateTotals(p.refused, n.Refused)
 	if n.StoreVersions != nil {
 		p.storeVersions, p.versionsReceivedAt = *n.StoreVersions, now
 	}
+	f.receiveLosses(now, n.Lost, &u)
+	u.RosterDiffers = p.IsLive() && f.compareHash(p, n.LiveHash)
+	return u
+}
+
+// receiveStale returns what a notice adds that arrives after a newer one. Totals of the
+// newer one go first.
+func (f *Fleet) receiveStale(now thclock.Instant, n Notice, p *Peer, u Update) Update {
+	u.Stale = true
+	if u.Duplicate = n.StartMillis < p.startMillis || p.markReceived(n.Sequence); !u.Duplicate {
+		u.Results, u.Crashes = n.Results, n.Crashes
+		f.recordLoads(now, n)
+	}
 	return u
 }
 
@@ -203,59 +240,73 @@
 // resetPeer drops the totals and loads of a peer that restarted, because its totals
 // start again at 0.
 func (f *Fleet) resetPeer(p *Peer) {
-	clear(p.admitted)
 	clear(p.refused)
-	for _, vms := range f.loads {
-		delete(vms, p.Key)
-	}
+	p.lostAt = thclock.Instant{}
+	f.removeLoads(p.Key)
+}
+
+func (f *Fleet) removePeer(now thclock.Instant, p *Peer) {
+	delete(f.peers, p.Key)
+	f.removeLoads(p.Key)
+	f.changed(now, p.Identity.Zone)
 }
 
-func (f *Fleet) removePeer(key VMKey) {
-	delete(f.peers, key)
-	for _, vms := range f.loads {
-		delete(vms, key)
+func (f *Fleet) removeLoads(vm VMKey) {
+	for target, vms := range f.loads {
+		delete(vms, vm)
+		if len(vms) == 0 {
+			delete(f.loads, target)
+		}
 	}
 }
 
-// recordLoads replaces the loads that the notice names; 0 requests remove a load.
+// recordLoads replaces the loads that the notice names, unless a newer notice has named
+// them. Loads of 0 requests are recorded as well, for notices that arrive late.
 func (f *Fleet) recordLoads(now thclock.Instant, n Notice) {
 	for _, l := range n.Loads {
-		if l.InFlight == 0 {
-			delete(f.loads[l.Target], n.From)
-			continue
+		vms := f.loads[l.Target]
+		if vms == nil {
+			vms = make(map[VMKey]load)
+			f.loads[l.Target] = vms
 		}
-		if f.loads[l.Target] == nil {
-			f.loads[l.Target] = make(map[VMKey]load)
+		if before, ok := vms[n.From]; !ok || before.sequence < n.Sequence {
+			vms[n.From] = load{l.InFlight, n.Sequence, now.Add(loadTimeout)}
 		}
-		f.loads[l.Target][n.From] = load{l.InFlight, now.Add(loadTimeout)}
 	}
 }
 
-// updateTotals records the totals and returns by how much each increased. The totals
-// in the first notice received from a VM count as no increase, because the VM may
-// have counted them long before.
-func updateTotals(recorded map[Key]uint32, totals []KeyCount, hasSentBefore bool) []KeyCount {
+// sweepLoads removes the loads that have expired.
+func (f *Fleet) sweepLoads(now thclock.Instant) {
+	for target, vms := range f.loads {
+		maps.DeleteFunc(vms, func(_ VMKey, l load) bool { return !now.Before(l.expiresAt) })
+		if len(vms) == 0 {
+			delete(f.loads, target)
+		}
+	}
+}
+
+// updateTotals records the totals and returns by how much each increased. A total that
+// arrives for the first time counts as no increase, because the VM may have counted
+// it long before.
+func updateTotals(recorded map[Key]uint32, totals []KeyCount) []KeyCount {
 	var increases []KeyCount
 	for _, t := range totals {
 		before, found := recorded[t.Key]
 		recorded[t.Key] = t.Count
-		if t.Count > before && (found || hasSentBefore) {
+		if found && t.Count > before {
 			increases = append(increases, KeyCount{Key: t.Key, Count: t.Count - before})
 		}
 	}
 	return increases
 }
 
-// InFlight returns how many requests the other VMs have in flight at a target. It
-// removes loads that have expired.
+// InFlight returns how many requests the other VMs have in flight at a target.
 func (f *Fleet) InFlight(now thclock.Instant, target Key) int {
 	total := 0
-	for vm, l := range f.loads[target] {
-		if !now.Before(l.expiresAt) {
-			delete(f.loads[target], vm)
-			continue
+	for _, l := range f.loads[target] {
+		if now.Before(l.expiresAt) {
+			total += int(l.inFlight)
 		}
-		total += int(l.inFlight)
 	}
 	return total
 }
@@ -274,11 +325,11 @@
 
 // RandomPeers returns up to n live VMs, the first of them from this VM's zone if there
 // is one.
-func (f *Fleet) RandomPeers(now thclock.Instant, rng *rand.Rand, n int) []Peer {
-	var ps []Peer
-	for _, p := range f.Peers() {
-		if p.IsLive(now) {
-			ps = append(ps, p)
+func (f *Fleet) RandomPeers(rng *rand.Rand, n int) []Peer {
+	ps := make([]Peer, 0, len(f.Live()))
+	for _, m := range f.Live() {
+		if m.Key != f.key {
+			ps = append(ps, *m.peer)
 		}
 	}
 	rng.Shuffle(len(ps), func(i, j int) { ps[i], ps[j] = ps[j], ps[i] })
@@ -287,23 +338,3 @@
 	}
 	return ps[:min(n, len(ps))]
 }
-
-// IsLive reports whether a notice from the VM arrived within LiveTimeout.
-func (p Peer) IsLive(now thclock.Instant) bool {
-	return p.startMillis != 0 && now.Sub(p.LastHeardAt) < LiveTimeout
-}
-
-// Size returns how many VMs are live and how many are members of the fleet. Both
-// counts include this VM.
-func (f *Fleet) Size(now thclock.Instant) (live, members int) {
-	live, members = 1, 1
-	for _, p := range f.peers {
-		if p.IsLive(now) {
-			live++
-		}
-		if now.Sub(p.LastHeardAt.Max(p.DiscoveredAt)) < MemberTimeout {
-			members++
-		}
-	}
-	return live, members
-}
--- a/core/thfleet/fleet_test.go
+++ b/core/thfleet/fleet_test.go
@@ -43,6 +43,23 @@
 	assert.Equal(t, f.InFlight(at(time.Minute), target), 0)
 }
 
+// VMs send several notices at once, for different targets. One that arrives after a newer
+// one must still replace the load that it names, but not a newer load.
+func TestLoadOfReorderedNoticeCountsUnlessNewerIsKnown(t *testing.T) {
+	f := thfleet.New(identity(0))
+	send := func(sequence uint32, target string, inFlight uint16) {
+		n := notice(1, sequence)
+		n.Loads = []thfleet.Load{{Target: thfleet.KeyOf(target), InFlight: inFlight}}
+		f.Receive(at(0), n)
+	}
+	send(5, "a", 1)
+	send(8, "a", 0)
+	send(7, "b", 2)
+	send(6, "a", 2)
+	assert.Equal(t, f.InFlight(at(0), thfleet.KeyOf("a")), 0)
+	assert.Equal(t, f.InFlight(at(0), thfleet.KeyOf("b")), 2)
+}
+
 // Requests of a VM that restarted are no longer in flight, so its loads from before
 // the restart must not count.
 func TestRestartDropsLoads(t *testing.T) {
@@ -60,12 +77,12 @@
 // Lost, duplicate and reordered notices must not change the sum of the increases.
 func TestIncreasesSurviveLostAndDuplicateNotices(t *testing.T) {
 	f := thfleet.New(identity(0))
-	customer := thfleet.KeyOf("c")
+	service := thfleet.KeyOf("s")
 	var sum uint32
 	receive := func(sequence, total uint32) {
 		n := notice(1, sequence)
-		n.Admitted = []thfleet.KeyCount{{Key: customer, Count: total}}
-		for _, r := range f.Receive(at(0), n).Admitted {
+		n.Refused = []thfleet.KeyCount{{Key: service, Count: total}}
+		for _, r := range f.Receive(at(0), n).Refused {
 			sum += r.Count
 		}
 	}
@@ -104,12 +121,25 @@
 		after         time.Duration
 		live, members int
 	}{{0, 3, 3}, {5 * time.Second, 1, 3}, {time.Minute, 1, 1}} {
+		probeUntil(f, c.after)
 		live, members := f.Size(at(c.after))
 		assert.Equal(t, live, c.live)
 		assert.Equal(t, members, c.members)
 	}
 }
 
+// probeUntil lets the VM probe others, none of which answers, from the start on, and
+// returns the VMs that were lost.
+func probeUntil(f *thfleet.Fleet, until time.Duration) (lost []string) {
+	for now := time.Duration(0); now <= until; now += thfleet.ProbeInterval {
+		_, silent := f.Probe(at(now))
+		for _, p := range silent {
+			lost = append(lost, p.Identity.ID)
+		}
+	}
+	return lost
+}
+
 // Five VMs of one zone receive each other's notices, and one reader after the other
 // crashes. A further VM must take over soon, and two VMs must not read for long.
 func TestNextVMTakesOverWhenReaderCrashes(t *testing.T) {
@@ -132,6 +162,10 @@
 		}
 		readers := 0
 		sequence++
+		if now%thfleet.ProbeInterval == 0 {
+			probeAll(fleets, crashed, at(now), sequence)
+			sequence++
+		}
 		for i := range fleets {
 			if crashed[i] {
 				continue
@@ -158,6 +192,26 @@
 	assert.Assert(t, longestGap < 2*time.Second, "no VM read the store for %s", longestGap)
 }
 
+// probeAll lets all VMs probe, and reports the VMs that are lost to all in notices of
+// the sequence number.
+func probeAll(fleets []*thfleet.Fleet, crashed map[int]bool, now thclock.Instant, sequence uint32) {
+	for i, f := range fleets {
+		if crashed[i] {
+			continue
+		}
+		_, lost := f.Probe(now)
+		for j, other := range fleets {
+			if j != i && !crashed[j] && len(lost) > 0 {
+				n := notice(i, sequence)
+				for _, p := range lost {
+					n.Lost = append(n.Lost, thfleet.LossOf(p))
+				}
+				other.Receive(now, n)
+			}
+		}
+	}
+}
+
 // One copy of a notice goes to each other zone, or two if it is urgent, and different
 // VMs relay different notices.
 func TestSelectRecipientsPicksFewRelaysPerZone(t *testing.T) {
@@ -169,14 +223,14 @@
 	}
 	usedRelays := map[string]bool{}
 	for sequence := range uint32(4) {
-		direct, relays := f.SelectRecipients(at(0), sequence, false)
+		direct, relays := f.SelectRecipients(f.Live(), sequence, false)
 		assert.Equal(t, len(direct), 4)
 		assert.Equal(t, len(relays), 2)
 		usedRelays[relays[0].Identity.ID] = true
 		usedRelays[relays[1].Identity.ID] = true
 	}
 	assert.Equal(t, len(usedRelays), 8, "relays should rotate over all VMs")
-	_, relays := f.SelectRecipients(at(0), 0, true)
+	_, relays := f.SelectRecipients(f.Live(), 0, true)
 	assert.Equal(t, len(relays), 4)
 }
 
@@ -208,21 +262,22 @@
 	n := notice(1, 1)
 	n.StartMillis = 2
 	assert.Assert(t, f.Receive(at(time.Second), n).BecameLive)
+	probeUntil(f, 5*time.Second)
 	n.Sequence = 2
-	assert.Assert(t, f.Receive(at(time.Minute), n).BecameLive, "the VM was silent for longer than LiveTimeout")
+	u := f.Receive(at(time.Minute), n)
+	assert.Assert(t, u.BecameLive, "the VM was silent for longer than LiveTimeout")
+	assert.Assert(t, u.Healed)
 }
 
 // A VM that was just listed cannot be live yet, but must receive notices. One that
 // stays silent must not receive them forever.
-func TestNewlyListedVMsAreDirectRecipients(t *testing.T) {
+func TestNewlyListedVMsReceiveNotices(t *testing.T) {
 	f := thfleet.New(identity(0))
 	other := identity(1)
 	other.Zone = "y"
 	f.RecordPeer(at(0), other)
-	direct, _ := f.SelectRecipients(at(0), 1, false)
-	assert.Equal(t, len(direct), 1)
-	direct, _ = f.SelectRecipients(at(time.Minute), 1, false)
-	assert.Equal(t, len(direct), 0)
+	assert.Equal(t, len(f.NewlyDiscovered(at(0))), 1)
+	assert.Equal(t, len(f.NewlyDiscovered(at(time.Minute))), 0)
 }
 
 // A VM that restarts with its clock set back has an earlier start time than before.
--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -1,13 +1,14 @@
 // Package thfleet holds what a VM knows of the other VMs of the fleet, and defines
 // the notices that they send each other: requests in flight, results of attempts,
-// admitted and refused requests, loans between retry budgets, and versions of the
-// platform's store. It also decides which VM reads the store.
+// refused requests, requests for tokens of limits and budgets, and versions of the
+// platform's store. It also decides which VM reads the store and which VMs own a
+// customer's limit.
 //
-// Another VM is live while its notices arrive (see LiveTimeout). It remains a
-// member of the fleet for longer (see MemberTimeout).
-//
-// Notices carry counts as totals since the sender's start, so that a lost or
-// duplicate notice does not distort them.
+// A VM is live from its first notice until it leaves or is lost. Each VM probes the few
+// VMs that follow it in the order of their keys, and reports those that are silent for
+// LiveTimeout to all others as lost. So what VMs send to know of each other does not
+// grow with the size of the fleet. A lost VM remains a member of the fleet for a while
+// (see MemberTimeout).
 package thfleet
 
 import "tamarackhollow/core/thhealth"
@@ -51,34 +52,61 @@
 // the target.
 const UnknownLatencyRatio = -128
 
-// KeyCount is a count of requests for one customer or service. In a Notice it is the
-// total since the sender's start, in an Update the increase.
+// KeyCount is a count of requests for one service. In a Notice it is the total since
+// the sender's start, in an Update the increase.
 type KeyCount struct {
 	_     struct{} `cbor:",toarray"`
 	Key   Key
 	Count uint32
 }
 
-// LoanRequest asks another VM to lend a part of a service's retry budget.
-type LoanRequest struct {
-	_       struct{} `cbor:",toarray"`
-	Service Key
-	// Thousandths is the wanted amount in thousandths of a retry.
+// TokenKind says what tokens are for.
+type TokenKind uint8
+
+const (
+	// RetryTokens are lent from one VM's part of a service's retry budget to another's.
+	RetryTokens TokenKind = iota
+	// CustomerTokens are given by the owner of a part of a customer's limit.
+	CustomerTokens
+	// NoTokens only asks for an answer.
+	NoTokens
+)
+
+// TokenRequest asks another VM for tokens.
+type TokenRequest struct {
+	_    struct{} `cbor:",toarray"`
+	Kind TokenKind
+	// Key names the service or customer, and Part the part of the customer's limit.
+	Key  Key
+	Part uint8
+	// Thousandths is the wanted amount in thousandths of a token.
 	Thousandths uint16
 	// Number tells the sender's requests apart.
 	Number uint32
 }
 
-// Loan is the answer to a LoanRequest.
-type Loan struct {
-	_       struct{} `cbor:",toarray"`
-	Service Key
-	// Thousandths is the amount that is lent, 0 if there is nothing left.
+// Tokens is the answer to a TokenRequest.
+type Tokens struct {
+	_ struct{} `cbor:",toarray"`
+	// Thousandths is the amount that is given, 0 if there is nothing left.
 	Thousandths uint16
+	// RetryAfterMillis is the time after which there may be more.
+	RetryAfterMillis uint16
+	// NotOwner is set if the VM does not own the part of the customer's limit.
+	NotOwner bool
 	// Number is the one of the request.
 	Number uint32
 }
 
+// Loss reports that a VM was silent for LiveTimeout although it was probed.
+type Loss struct {
+	_  struct{} `cbor:",toarray"`
+	VM VMKey
+	// StartMillis is the start time of the VM that was lost. The VM may have restarted
+	// since.
+	StartMillis uint64
+}
+
 // StoreVersions holds the versions of the routing table and of the list of targets
 // that a VM has. Higher versions are newer.
 type StoreVersions struct {
@@ -107,8 +135,6 @@
 	Sequence uint32          `cbor:"3,keyasint"`
 	Loads    []Load          `cbor:"4,keyasint,omitempty"`
 	Results  []AttemptResult `cbor:"5,keyasint,omitempty"`
-	// Admitted holds the number of admitted requests per customer.
-	Admitted []KeyCount `cbor:"6,keyasint,omitempty"`
 	// Identity introduces the sender; nil if the notice does not.
 	Identity *Identity `cbor:"8,keyasint,omitempty"`
 	// StoreVersions is set by a VM that reads the store or relays what was read.
@@ -120,10 +146,20 @@
 	Crashes       []Crash `cbor:"13,keyasint,omitempty"`
 	// Refused holds the number of refused requests per service.
 	Refused []KeyCount `cbor:"14,keyasint,omitempty"`
-	// LoanRequest asks the receiver to lend the sender a part of a retry budget, and
-	// Loan is the answer.
-	LoanRequest *LoanRequest `cbor:"15,keyasint,omitempty"`
-	Loan        *Loan        `cbor:"16,keyasint,omitempty"`
+	// TokenRequest asks the receiver for tokens, and Tokens is the answer.
+	TokenRequest *TokenRequest `cbor:"15,keyasint,omitempty"`
+	Tokens       *Tokens       `cbor:"16,keyasint,omitempty"`
+	// Lost holds the VMs that the sender found silent.
+	Lost []Loss `cbor:"17,keyasint,omitempty"`
+	// LiveHash is the hash of the VMs that the sender takes for live; 0 if the notice does
+	// not answer a probe.
+	LiveHash uint64 `cbor:"18,keyasint,omitempty"`
 	// Relay is set if the receiver should forward the notice within its zone.
 	Relay bool `cbor:"12,keyasint,omitempty"`
 }
+
+// IsForAll reports whether the notice concerns all VMs. Other notices concern only
+// the VMs that use the targets that they name.
+func (n Notice) IsForAll() bool {
+	return n.Identity != nil || n.Leaving || len(n.Crashes) > 0 || len(n.Lost) > 0
+}
--- a/core/thfleet/rate.go
+++ b/core/thfleet/rate.go
@@ -54,17 +54,3 @@
 	r = r.refilled(now)
 	return now.Add(time.Duration(max(0, -r.bytesLeft) / bytesPerSecond * float64(time.Second)))
 }
-
-// RelayedDatagrams returns how many datagrams the relays send when each forwards a
-// notice within its zone.
-func (f *Fleet) RelayedDatagrams(now thclock.Instant, relays []Peer) int {
-	datagrams := 0
-	for _, relay := range relays {
-		for _, p := range f.peers {
-			if p.Key != relay.Key && p.Identity.Zone == relay.Identity.Zone && p.IsLive(now) {
-				datagrams++
-			}
-		}
-	}
-	return datagrams
-}
--- a/core/thfleet/rate_test.go
+++ b/core/thfleet/rate_test.go
@@ -62,10 +62,9 @@
 		n.Identity.Zone = []string{"z", "y", "x"}[i%3]
 		f.Receive(at(0), n)
 	}
-	_, relays := f.SelectRecipients(at(0), 1, false)
+	_, relays := f.SelectRecipients(f.Live(), 1, false)
 	assert.Equal(t, len(relays), 2)
-	assert.Equal(t, f.RelayedDatagrams(at(0), relays), 6)
-	_, relays = f.SelectRecipients(at(0), 1, true)
-	assert.Equal(t, f.RelayedDatagrams(at(0), relays), 12)
-	assert.Equal(t, f.RelayedDatagrams(at(time.Minute), relays), 0)
+	assert.Equal(t, f.RelayedDatagrams(f.Live(), relays), 6)
+	_, relays = f.SelectRecipients(f.Live(), 1, true)
+	assert.Equal(t, f.RelayedDatagrams(f.Live(), relays), 12)
 }
--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -33,10 +33,10 @@
 
 // ZoneRank returns this VM's rank among the live VMs of its zone; the best rank
 // is 0.
-func (f *Fleet) ZoneRank(now thclock.Instant) int {
+func (f *Fleet) ZoneRank() int {
 	rank, ownHash := 0, rankHash(f.self.ID)
 	for _, p := range f.peers {
-		if p.Identity.Zone == f.self.Zone && p.IsLive(now) && rankHash(p.Identity.ID) < ownHash {
+		if p.Identity.Zone == f.self.Zone && p.IsLive() && rankHash(p.Identity.ID) < ownHash {
 			rank++
 		}
 	}
@@ -63,7 +63,7 @@
 // best rank of its zone, or better-ranked VMs have reported no read for its takeover
 // delay.
 func (f *Fleet) isZoneLeader(now thclock.Instant) bool {
-	rank := f.ZoneRank(now)
+	rank := f.ZoneRank()
 	return rank == 0 || now.Sub(f.LastReadInZone()) >= takeoverDelay(rank)
 }
 
@@ -92,7 +92,7 @@
 		return Follower
 	}
 	ownHash, rank := rankHash(f.self.ID), 0
-	for _, p := range f.OtherZoneLeaders(now) {
+	for _, p := range f.OtherZoneLeaders() {
 		if rankHash(p.Identity.ID) < ownHash {
 			rank++
 		}
@@ -123,10 +123,10 @@
 
 // OtherZoneLeaders returns, for each other zone, the live VM with the best rank. The
 // order is random.
-func (f *Fleet) OtherZoneLeaders(now thclock.Instant) []Peer {
+func (f *Fleet) OtherZoneLeaders() []Peer {
 	leaders := make(map[string]Peer)
 	for _, p := range f.Peers() {
-		if p.Identity.Zone == f.self.Zone || !p.IsLive(now) {
+		if p.Identity.Zone == f.self.Zone || !p.IsLive() {
 			continue
 		}
 		if best, ok := leaders[p.Identity.Zone]; !ok || rankHash(p.Identity.ID) < rankHash(best.Identity.ID) {
@@ -135,47 +135,3 @@
 	}
 	return slices.Collect(maps.Values(leaders))
 }
-
-// SelectRecipients returns the VMs that a notice is sent to directly, and the relays:
-// VMs of other zones that forward it within their zone, so that only one copy of the
-// notice goes to each other zone, or two if it is urgent. Relays rotate with the
-// sequence number, which spreads the work over all VMs.
-func (f *Fleet) SelectRecipients(now thclock.Instant, sequence uint32, urgent bool) (direct, relays []Peer) {
-	zones := make(map[string][]Peer)
-	for _, p := range f.Peers() {
-		switch {
-		case p.startMillis == 0 && now.Sub(p.DiscoveredAt) < LiveTimeout:
-			direct = append(direct, p) // it may have just started and not yet sent a notice
-		case !p.IsLive(now):
-		case p.Identity.Zone == f.self.Zone:
-			direct = append(direct, p)
-		default:
-			zones[p.Identity.Zone] = append(zones[p.Identity.Zone], p)
-		}
-	}
-	copies := 1
-	if urgent {
-		copies = 2
-	}
-	for _, ps := range zones {
-		if len(ps) <= copies {
-			direct = append(direct, ps...)
-			continue
-		}
-		for i := range copies {
-			relays = append(relays, ps[(int(sequence)+i*len(ps)/copies)%len(ps)])
-		}
-	}
-	return direct, relays
-}
-
-// LivePeersInZone returns the live VMs of this VM's zone, without the VM except.
-func (f *Fleet) LivePeersInZone(now thclock.Instant, except VMKey) []Peer {
-	var ps []Peer
-	for _, p := range f.Peers() {
-		if p.Identity.Zone == f.self.Zone && p.Key != except && p.IsLive(now) {
-			ps = append(ps, p)
-		}
-	}
-	return ps
-}
--- a/core/thfleet/role_test.go
+++ b/core/thfleet/role_test.go
@@ -64,6 +64,25 @@
 	}
 }
 
+// probe lets VM i probe others and report those that are lost. The notices that all VMs
+// send each second answer the probes.
+func (s *simulation) probe(i int) {
+	_, lost := s.fleets[i].Probe(at(s.now))
+	if len(lost) == 0 {
+		return
+	}
+	s.sequence++
+	n := thfleet.Notice{From: thfleet.VMKeyOf(s.ids[i].ID), StartMillis: 1, Sequence: s.sequence}
+	for _, p := range lost {
+		n.Lost = append(n.Lost, thfleet.LossOf(p))
+	}
+	for j := range s.fleets {
+		if s.reaches(i, j) {
+			s.fleets[j].Receive(at(s.now), n)
+		}
+	}
+}
+
 // step simulates a tenth of a second.
 func (s *simulation) step() {
 	for i, f := range s.fleets {
@@ -72,6 +91,7 @@
 		}
 		if s.now%time.Second == 0 {
 			s.send(i, false, func(int) bool { return true })
+			s.probe(i)
 		}
 		inZone := func(j int) bool { return s.ids[j].Zone == s.ids[i].Zone }
 		role := f.Role(at(s.now))
@@ -91,7 +111,7 @@
 
 // isLeader reports whether VM j is the leader of another zone, as f knows it.
 func (s *simulation) isLeader(f *thfleet.Fleet, j int) bool {
-	for _, p := range f.OtherZoneLeaders(at(s.now)) {
+	for _, p := range f.OtherZoneLeaders() {
 		if p.Identity.ID == s.ids[j].ID {
 			return true
 		}
--- a/core/thpick/floor.go
+++ b/core/thpick/floor.go
@@ -132,9 +132,10 @@
 }
 
 // isCountedByFloor reports whether the candidate is one of the targets of which
-// a share must be in use. A draining target or one that has just failed is not.
+// a share must be in use. A draining target or one that has just failed is not, nor
+// is one that other VMs keep in use.
 func isCountedByFloor(q Query, c Candidate) bool {
-	return !c.Target.Draining && (c.FailedAt == (thclock.Instant{}) || q.Now.Sub(c.FailedAt) >= floorRecentFailure)
+	return !c.Target.Draining && !c.IsExtra && (c.FailedAt == (thclock.Instant{}) || q.Now.Sub(c.FailedAt) >= floorRecentFailure)
 }
 
 // isRecentlyUsed reports whether any VM had a request at the candidate within
--- a/core/thsettings/definition.go
+++ b/core/thsettings/definition.go
@@ -29,6 +29,7 @@
 		{"vm.address", "source IP of the connections that the VM opens; by default the IP of listen.peers", &ipValue{&s.VM.Address}, false, false},
 		{"vm.zone", "availability zone of the VM", &nameValue{&s.VM.Zone}, true, false},
 		{"vm.memoryMegabytes", "memory that the process may use, in megabytes; 0 sets no limit", &integerValue[int]{&s.VM.MemoryMegabytes, 0, maxMegabytes}, false, true},
+		{"vm.firstStart", "whether the whole fleet starts for the first time", &boolValue{&s.VM.FirstStart}, false, true},
 		{"listen.callers", "address that callers connect to", &addressValue{&s.Listen.Callers}, true, false},
 		{"listen.peers", "address that other VMs connect to", &addressValue{&s.Listen.Peers}, true, false},
 		{"listen.readiness", "address for the load balancer's readiness checks", &addressValue{&s.Listen.Readiness}, false, false},
--- a/core/thsettings/settings.go
+++ b/core/thsettings/settings.go
@@ -18,6 +18,9 @@
 	Zone    string
 	// MemoryMegabytes limits the memory of the process; 0 sets no limit.
 	MemoryMegabytes int
+	// FirstStart is set if the whole fleet starts for the first time. The VM then waits
+	// for the others before it reads the platform's store.
+	FirstStart bool
 }
 
 // Listen holds the addresses that the process listens on, each "IP:port".
@@ -45,9 +48,9 @@
 type Peers struct {
 	// Credential authenticates VMs to each other.
 	Credential string
-	// Seeds are the Listen.Peers addresses of other VMs. The VM asks them for the
-	// routing table and targets if it has none yet and the platform's store does
-	// not answer.
+	// Seeds are the Listen.Peers addresses of other VMs. A VM that starts learns of the
+	// other VMs from them, and gets the routing table and targets from them if the
+	// platform's store does not answer.
 	Seeds []string
 }
 
--- a/core/thsettings/settings_test.go
+++ b/core/thsettings/settings_test.go
@@ -59,6 +59,7 @@
 		{"bad number", "250", `"soon"`, []string{"vm.toml", "vm.memoryMegabytes", `"soon"`, "whole number from 0"}},
 		{"bad IP", "[vm]", "[vm]\naddress = \"here\"", []string{"vm.address", `"here"`, "an IP address"}},
 		{"fractional number", "250", "2.5", []string{"vm.memoryMegabytes", `"2.5"`}},
+		{"neither true nor false", "[vm]", "[vm]\nfirstStart = \"yes\"", []string{"vm.toml", "vm.firstStart", `"yes"`, "true or false"}},
 		{"unknown key", "[operators]", "[operators]\npatience = 3", []string{"vm.toml", "operators.patience", "unknown setting"}},
 		{"unknown table", "[operators]", "[operator]", []string{"vm.toml", "operator.credential"}},
 		{"--settings as a key", "[operators]", "settings = \"x\"\n[operators]", []string{"vm.toml"}},
--- a/core/thsettings/value.go
+++ b/core/thsettings/value.go
@@ -155,6 +155,28 @@
 	return nil
 }
 
+// boolValue accepts true or false.
+type boolValue struct{ dest *bool }
+
+func (v *boolValue) isSecret() bool        { return false }
+func (v *boolValue) allowedValues() string { return "true or false" }
+
+func (v *boolValue) String() string {
+	if v.dest == nil {
+		return ""
+	}
+	return strconv.FormatBool(*v.dest)
+}
+
+func (v *boolValue) Set(s string) error {
+	switch s {
+	case "true", "false":
+		*v.dest = s == "true"
+		return nil
+	}
+	return errNotAllowed
+}
+
 // pairsValue accepts name=value pairs separated by commas. Each call of Set
 // appends.
 type pairsValue struct{ dest *[]string }
--- /dev/null
+++ b/core/thview/admission.go
@@ -0,0 +1,306 @@
+package thview
+
+import (
+	"math"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thquota"
+	"tamarackhollow/core/thtable"
+)
+
+const (
+	// maxEmptyOwners is how many other VMs without a token a request is refused by. More
+	// would seldom have one, and a customer over its limit would cost all owners a
+	// question for each request.
+	maxEmptyOwners = 2
+	// maxSilentOwners is how many VMs that do not answer a request waits for.
+	maxSilentOwners = 5
+	// retryAfterUnknownLimit is the time after which a request may be retried that no
+	// owner gave a token for.
+	retryAfterUnknownLimit = 200 * time.Millisecond
+	// wholeToken is the number of thousandths that one request needs.
+	wholeToken = 1000
+	// maxUnjoinedRequests is how many requests of each customer a VM admits before it has
+	// joined the fleet, so that callers need not wait for that. If all VMs restart, the
+	// customer has sent less while they were down.
+	maxUnjoinedRequests = 1
+)
+
+// customer holds a customer's rate limit, and the buckets of the parts that this VM owns.
+type customer struct {
+	limit thquota.Limit
+	// owned holds the buckets by the number of the part: from the first token that was
+	// asked of this VM until it does not own the part any more.
+	owned map[uint8]thquota.Bucket
+	// admittedUnjoined is how many requests were admitted before this VM had joined.
+	admittedUnjoined int
+}
+
+// Admission is the state of one request that needs a token of its customer's limit.
+type Admission struct {
+	customer thfleet.Key
+	route    thtable.Route
+	// queue holds the VMs to ask, in order.
+	queue []candidateOwner
+	asked candidateOwner
+	// empty and silent are how many VMs had no token, and how many did not answer.
+	empty, silent int
+	// retryAfter is the shortest time after which an owner may have a token.
+	retryAfter time.Duration
+}
+
+// candidateOwner is the VM at a position in the line for a part of a limit.
+type candidateOwner struct {
+	part     thfleet.Part
+	position int
+	// isRepeat is set if the VM has left one question unanswered.
+	isRepeat bool
+}
+
+func (c candidateOwner) owner() thfleet.Owner { return c.part.Line[c.position] }
+
+// AdmissionStep is what follows for a request that needs a token: Admitted, OverLimit,
+// LimitUnknown or AskOwner.
+type AdmissionStep interface{ admissionStep() }
+
+// Admitted lets the request pass.
+type Admitted struct{}
+
+// OverLimit refuses the request because the customer has used up its limit.
+type OverLimit struct {
+	// RetryAfter is the time after which the request may be retried.
+	RetryAfter time.Duration
+	// EmptyOwners and SilentOwners are how many owners had no token, and how many did
+	// not answer.
+	EmptyOwners, SilentOwners int
+}
+
+// LimitUnknown refuses the request because no owner of the limit could be asked.
+type LimitUnknown struct {
+	RetryAfter   time.Duration
+	SilentOwners int
+}
+
+// AskOwner asks an owner for a token. ContinueAdmission must follow.
+type AskOwner struct {
+	Owner   thfleet.Peer
+	Request thfleet.TokenRequest
+}
+
+func (Admitted) admissionStep()     {}
+func (OverLimit) admissionStep()    {}
+func (LimitUnknown) admissionStep() {}
+func (AskOwner) admissionStep()     {}
+
+// BeginAdmission asks for a token of the customer's limit for a request on the route.
+func (v *View) BeginAdmission(now thclock.Instant, c thtable.Customer, r thtable.Route) (*Admission, AdmissionStep) {
+	state := v.customer(c)
+	if state.limit.Rate <= 0 {
+		return nil, Admitted{}
+	}
+	a := &Admission{customer: thfleet.KeyOf(c.Name), route: r, retryAfter: math.MaxInt64}
+	if !v.IsJoined(now) {
+		if state.admittedUnjoined >= maxUnjoinedRequests {
+			return a, v.refuseAdmission(now, a)
+		}
+		state.admittedUnjoined++
+		return a, Admitted{}
+	}
+	a.queue = v.ownersToAsk(now, a.customer)
+	return a, v.nextAdmissionStep(now, a)
+}
+
+// ownersToAsk returns the VMs to ask for a token, one for each part: this VM first, then
+// those of its zone. A VM that did not answer lately is passed over for the next in line.
+func (v *View) ownersToAsk(now thclock.Instant, customer thfleet.Key) []candidateOwner {
+	parts := v.Fleet.LimitParts(now, customer)
+	v.options.Rand.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+	var self, near, far []candidateOwner
+	for _, p := range parts {
+		c := v.firstToAsk(now, p)
+		switch {
+		case c.position == len(p.Line):
+		case c.owner().IsSelf:
+			self = append(self, c)
+		case p.Zone == v.options.Self.Zone:
+			near = append(near, c)
+		default:
+			far = append(far, c)
+		}
+	}
+	return append(append(self, near...), far...)
+}
+
+// firstToAsk returns the first in the line for a part that did answer lately. If that is
+// this VM, it asks a silent one before it once more, unless that one is suspect.
+func (v *View) firstToAsk(now thclock.Instant, p thfleet.Part) candidateOwner {
+	c := candidateOwner{part: p}
+	for c.position < len(p.Line) && v.Fleet.IsSkipped(now, c.owner().Key) {
+		isSelfNext := c.position+1 < len(p.Line) && p.Line[c.position+1].IsSelf
+		if isSelfNext && !v.Fleet.IsSuspect(now, c.owner().Key) {
+			c.isRepeat = true
+			break
+		}
+		c.position++
+	}
+	return c
+}
+
+// ContinueAdmission records the answer of the VM that was asked, nil if none came, and
+// returns what follows.
+func (v *View) ContinueAdmission(now thclock.Instant, a *Admission, answer *thfleet.Tokens) AdmissionStep {
+	switch {
+	case answer == nil:
+		v.handleSilentOwner(now, a)
+	case answer.Thousandths >= wholeToken:
+		return Admitted{}
+	case !answer.NotOwner:
+		a.empty++
+		a.retryAfter = min(a.retryAfter, time.Duration(answer.RetryAfterMillis)*time.Millisecond)
+	}
+	return v.nextAdmissionStep(now, a)
+}
+
+// handleSilentOwner queues the next in line for the part of a VM that did not answer. This
+// VM itself takes over only after a second question, because a datagram may be lost.
+func (v *View) handleSilentOwner(now thclock.Instant, a *Admission) {
+	a.silent++
+	silent := a.asked.owner().Key
+	next := candidateOwner{part: a.asked.part, position: a.asked.position + 1}
+	isSelfNext := next.position < len(next.part.Line) && next.owner().IsSelf
+	switch {
+	case isSelfNext && !a.asked.isRepeat:
+		next = a.asked
+		next.isRepeat = true
+	case isSelfNext:
+		v.Fleet.Suspect(now, silent)
+	default:
+		v.Fleet.Skip(now, silent)
+	}
+	if next.position < len(next.part.Line) {
+		a.queue = append(a.queue, next)
+	}
+}
+
+func (v *View) nextAdmissionStep(now thclock.Instant, a *Admission) AdmissionStep {
+	for len(a.queue) > 0 {
+		a.asked, a.queue = a.queue[0], a.queue[1:]
+		request := thfleet.TokenRequest{Kind: thfleet.CustomerTokens, Key: a.customer, Part: a.asked.part.Number, Thousandths: wholeToken}
+		if !a.asked.owner().IsSelf {
+			if a.empty >= maxEmptyOwners || a.silent >= maxSilentOwners {
+				break
+			}
+			return AskOwner{Owner: a.asked.owner().Peer, Request: request}
+		}
+		t, _ := v.giveCustomerToken(now, request)
+		if t.Thousandths >= wholeToken {
+			return Admitted{}
+		}
+		if !t.NotOwner {
+			a.retryAfter = min(a.retryAfter, time.Duration(t.RetryAfterMillis)*time.Millisecond)
+		}
+	}
+	return v.refuseAdmission(now, a)
+}
+
+func (v *View) refuseAdmission(now thclock.Instant, a *Admission) AdmissionStep {
+	for _, b := range a.route.Backends {
+		v.countRefusal(now, v.service(b.Service))
+	}
+	if a.retryAfter == math.MaxInt64 {
+		return LimitUnknown{RetryAfter: retryAfterUnknownLimit, SilentOwners: a.silent}
+	}
+	return OverLimit{RetryAfter: a.retryAfter, EmptyOwners: a.empty, SilentOwners: a.silent}
+}
+
+// GiveTokens answers another VM's request for tokens. If this VM is in line for a part
+// of a customer's limit, but another one before it, that one is returned as well: this
+// VM must ask it for an answer, record with Fleet.Suspect if none comes, and then call
+// GiveTokens again.
+func (v *View) GiveTokens(now thclock.Instant, r thfleet.TokenRequest) (t thfleet.Tokens, before *thfleet.Peer) {
+	switch r.Kind {
+	case thfleet.RetryTokens:
+		t = v.lendRetry(now, r)
+	case thfleet.CustomerTokens:
+		t, before = v.giveCustomerToken(now, r)
+	default:
+		t = thfleet.Tokens{NotOwner: true}
+	}
+	t.Number = r.Number
+	return t, before
+}
+
+// giveCustomerToken takes a token out of the part of a customer's limit that this VM
+// owns. If a VM before it in the line must be asked first, it is returned.
+func (v *View) giveCustomerToken(now thclock.Instant, r thfleet.TokenRequest) (thfleet.Tokens, *thfleet.Peer) {
+	c := v.customers[r.Key]
+	part, parts, ok := v.Fleet.LimitPart(now, r.Key, r.Part)
+	if c == nil || !ok || !v.IsJoined(now) {
+		return thfleet.Tokens{NotOwner: true}, nil
+	}
+	owns, before := v.ownsPart(now, part)
+	if !owns {
+		return thfleet.Tokens{NotOwner: true}, before
+	}
+	share := v.usablePartShare(now) / float64(parts)
+	b, ok := c.owned[r.Part]
+	if !ok {
+		b = v.newBucket(now, part, share)
+	}
+	b, ok = b.WithRequest(now, c.limit, share)
+	if c.owned == nil {
+		c.owned = make(map[uint8]thquota.Bucket)
+	}
+	c.owned[r.Part] = b
+	if ok {
+		return thfleet.Tokens{Thousandths: wholeToken}, nil
+	}
+	wait := b.RetryAfter(c.limit, share)
+	return thfleet.Tokens{RetryAfterMillis: uint16(min(math.MaxUint16, wait.Milliseconds()+1))}, nil
+}
+
+// ownsPart reports whether this VM is the first in the line for a part that is not
+// suspect. If it is in the line, but another one before it, that one is returned.
+func (v *View) ownsPart(now thclock.Instant, p thfleet.Part) (owns bool, before *thfleet.Peer) {
+	for _, o := range p.Line {
+		switch {
+		case o.IsSelf:
+			return before == nil, before
+		case before == nil && !v.Fleet.IsSuspect(now, o.Key):
+			before = &o.Peer
+		}
+	}
+	return false, nil
+}
+
+// newBucket returns the bucket of a part of which this VM has not given out a token yet.
+func (v *View) newBucket(now thclock.Instant, p thfleet.Part, share float64) thquota.Bucket {
+	if !p.Line[0].IsSelf {
+		return thquota.NewBucket(now, share) // it takes over from a VM that does not answer
+	}
+	return thquota.NewBucket(v.Fleet.ZoneChangedAt().Max(v.options.StartedAt), share)
+}
+
+// usablePartShare returns the fraction of a part that this VM may use as its owner.
+func (v *View) usablePartShare(now thclock.Instant) float64 {
+	live, members := v.Fleet.ZoneSize(now)
+	if v.Fleet.IsIsolated(now) {
+		live = 1
+	}
+	return thquota.UsableShare(live, members)
+}
+
+// dropLostParts drops the buckets of the parts that another VM owns from now on. If this
+// VM owns them again later, it does not know what was given out meanwhile.
+func (v *View) dropLostParts(now thclock.Instant) {
+	for key, c := range v.customers {
+		for number := range c.owned {
+			p, _, ok := v.Fleet.LimitPart(now, key, number)
+			if owns, _ := v.ownsPart(now, p); !ok || !owns {
+				delete(c.owned, number)
+			}
+		}
+	}
+}
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -1,11 +1,13 @@
 package thview
 
 import (
+	"slices"
+
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thfleet"
 )
 
-// outbox collects the content of this VM's next notice.
+// outbox collects the content of this VM's next notices.
 type outbox struct {
 	vmKey       thfleet.VMKey
 	startMillis uint64
@@ -14,51 +16,110 @@
 	// loads holds the targets at which the number of this VM's requests in
 	// flight has changed, with the new number.
 	loads map[thfleet.Key]uint16
-	// admitted and refused hold the totals that have risen. The refused totals are sent
-	// with the next notice, but don't cause one by themselves.
-	admitted map[thfleet.Key]uint32
-	refused  map[thfleet.Key]uint32
-	results  []thfleet.AttemptResult
-	crashes  []thfleet.Crash
+	// results holds the results of attempts by target.
+	results map[thfleet.Key][]thfleet.AttemptResult
+	// refused holds the totals that have risen. They are sent with the next notices,
+	// but don't cause one by themselves.
+	refused map[thfleet.Key]uint32
+	crashes []thfleet.Crash
+	lost    []thfleet.Loss
 }
 
 func newOutbox(o Options) outbox {
 	return outbox{
 		vmKey: thfleet.VMKeyOf(o.Self.ID), startMillis: o.StartMillis, identity: o.Self,
-		loads:    make(map[thfleet.Key]uint16),
-		admitted: make(map[thfleet.Key]uint32),
-		refused:  make(map[thfleet.Key]uint32),
+		loads:   make(map[thfleet.Key]uint16),
+		results: make(map[thfleet.Key][]thfleet.AttemptResult),
+		refused: make(map[thfleet.Key]uint32),
 	}
 }
 
-// Pending reports whether a notice should be sent, and whether it is urgent because
-// it includes evidence against a target, which must not wait.
+// addResult adds the result of an attempt to the next notice on its target.
+func (o *outbox) addResult(r thfleet.AttemptResult) {
+	o.results[r.Target] = append(o.results[r.Target], r)
+}
+
+// Pending reports whether there are notices to send, and whether one is urgent because
+// it includes evidence against a target or a VM, which must not wait.
 func (v *View) Pending() (pending, urgent bool) {
 	o := &v.outbox
-	for _, r := range o.results {
-		if r.Outcome.IsNegative() {
+	if len(o.lost)+len(o.crashes) > 0 {
+		return true, true
+	}
+	for _, results := range o.results {
+		if slices.ContainsFunc(results, func(r thfleet.AttemptResult) bool { return r.Outcome.IsNegative() }) {
 			return true, true
 		}
 	}
-	return len(o.loads)+len(o.admitted)+len(o.results) > 0, false
+	return len(o.loads)+len(o.results) > 0, false
+}
+
+// Outgoing is a notice with the VMs that it concerns.
+type Outgoing struct {
+	Notice  thfleet.Notice
+	Members []thfleet.Member
+	Urgent  bool
 }
 
-// TakeNotice returns a notice with the content of the outbox, and empties the
-// outbox.
-func (v *View) TakeNotice() thfleet.Notice {
+// TakeNotices returns the notices with the content of the outbox, and empties it. What
+// concerns a target goes to the VMs that use it.
+func (v *View) TakeNotices(now thclock.Instant) []Outgoing {
 	o := &v.outbox
-	n := v.Introduction(false)
-	n.Identity = nil
-	for k, c := range o.loads {
-		n.Loads = append(n.Loads, thfleet.Load{Target: k, InFlight: c})
+	forAll := Outgoing{Notice: v.newNotice(), Members: v.Fleet.Live()}
+	forAll.Notice.Crashes, forAll.Notice.Lost = o.crashes, o.lost
+	forAll.Urgent = len(o.crashes)+len(o.lost) > 0
+	var outgoing []Outgoing
+	for _, key := range o.pendingTargets() {
+		t := v.targetsByKey[key]
+		if t == nil {
+			continue // the target is gone, so nobody uses what is known of it
+		}
+		members, all := v.users(t)
+		if all {
+			o.moveTo(&forAll, key)
+			continue
+		}
+		n := Outgoing{Notice: v.newNotice(), Members: members}
+		o.moveTo(&n, key)
+		outgoing = append(outgoing, n)
 	}
-	n.Admitted, n.Refused = totals(o.admitted), totals(o.refused)
-	n.Results, n.Crashes = o.results, o.crashes
-	o.results, o.crashes = nil, nil
+	n := forAll.Notice
+	if len(n.Loads)+len(n.Results)+len(n.Crashes)+len(n.Lost) > 0 || len(outgoing) == 0 && len(o.refused) > 0 {
+		outgoing = append(outgoing, forAll)
+	}
+	if len(outgoing) > 0 {
+		outgoing[0].Notice.Refused = totals(o.refused)
+		clear(o.refused)
+	}
+	o.crashes, o.lost = nil, nil
 	clear(o.loads)
-	clear(o.admitted)
-	clear(o.refused)
-	return n
+	clear(o.results)
+	return outgoing
+}
+
+// pendingTargets returns the targets with a load or result to send.
+func (o *outbox) pendingTargets() []thfleet.Key {
+	keys := make([]thfleet.Key, 0, len(o.loads)+len(o.results))
+	for k := range o.loads {
+		keys = append(keys, k)
+	}
+	for k := range o.results {
+		if _, ok := o.loads[k]; !ok {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+// moveTo adds what is to be sent of a target to a notice.
+func (o *outbox) moveTo(n *Outgoing, key thfleet.Key) {
+	if inFlight, ok := o.loads[key]; ok {
+		n.Notice.Loads = append(n.Notice.Loads, thfleet.Load{Target: key, InFlight: inFlight})
+	}
+	for _, r := range o.results[key] {
+		n.Notice.Results = append(n.Notice.Results, r)
+		n.Urgent = n.Urgent || r.Outcome.IsNegative()
+	}
 }
 
 // totals converts counts to the form used in notices.
@@ -73,57 +134,93 @@
 	return ts
 }
 
+// newNotice returns a notice of this VM without content.
+func (v *View) newNotice() thfleet.Notice {
+	o := &v.outbox
+	o.sequence++
+	return thfleet.Notice{From: o.vmKey, StartMillis: o.startMillis, Sequence: o.sequence}
+}
+
 // Introduction returns a notice that only carries this VM's identity. If
 // wantsIdentity is set, it asks the receiver for its own.
 func (v *View) Introduction(wantsIdentity bool) thfleet.Notice {
-	o := &v.outbox
-	o.sequence++
-	return thfleet.Notice{From: o.vmKey, StartMillis: o.startMillis, Sequence: o.sequence, Identity: &o.identity, WantsIdentity: wantsIdentity}
+	n := v.newNotice()
+	n.Identity, n.WantsIdentity = &v.outbox.identity, wantsIdentity
+	return n
 }
 
-// TargetStatus is what this VM knows of a target, for operators and metrics.
-type TargetStatus struct {
-	ID, Service, Address, Zone       string
-	Draining                         bool
-	FailureProbability, LatencyRatio float64
-	// InFlight is the number of requests of all VMs in flight at the target.
-	InFlight int
+// ProbeAnswer returns a notice that answers a probe.
+func (v *View) ProbeAnswer() thfleet.Notice {
+	n := v.Introduction(false)
+	n.LiveHash = v.Fleet.LiveHash()
+	return n
 }
 
-// TargetStatuses returns the status of every target.
-func (v *View) TargetStatuses(now thclock.Instant) []TargetStatus {
-	all := make([]TargetStatus, 0, len(v.targets))
-	for _, t := range v.targets {
-		all = append(all, v.targetStatus(now, t))
-	}
-	return all
+// TokenRequest returns a notice that asks another VM for tokens.
+func (v *View) TokenRequest(r thfleet.TokenRequest) thfleet.Notice {
+	n := v.newNotice()
+	n.TokenRequest = &r
+	return n
 }
 
-func (v *View) targetStatus(now thclock.Instant, t *target) TargetStatus {
-	return TargetStatus{
-		ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Draining: t.Draining,
-		FailureProbability: t.health.FailureProbability(now), LatencyRatio: t.health.LatencyRatio(), InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key),
-	}
+// Tokens returns a notice that answers another VM's request for tokens.
+func (v *View) Tokens(t thfleet.Tokens) thfleet.Notice {
+	n := v.newNotice()
+	n.Tokens = &t
+	return n
 }
 
-// The states that TargetStatus.State returns, as metrics and operators' answers name
-// them.
-const (
-	StateHealthy  = "well"
-	StateSuspect  = "suspect"
-	StateDraining = "leaving"
-)
+// Announcement returns a notice with the versions of the store's data that this VM
+// holds.
+func (v *View) Announcement(versions thfleet.StoreVersions) thfleet.Notice {
+	n := v.newNotice()
+	n.StoreVersions = &versions
+	return n
+}
+
+// RelayMembers returns the VMs that a notice concerns which this VM is asked to
+// forward.
+func (v *View) RelayMembers(n thfleet.Notice) []thfleet.Member {
+	if n.IsForAll() {
+		return v.Fleet.Live()
+	}
+	var members []thfleet.Member
+	add := func(key thfleet.Key) {
+		t := v.targetsByKey[key]
+		if t == nil {
+			return
+		}
+		users, _ := v.users(t)
+		for _, m := range users {
+			if !slices.ContainsFunc(members, func(o thfleet.Member) bool { return o.Key == m.Key }) {
+				members = append(members, m)
+			}
+		}
+	}
+	for _, l := range n.Loads {
+		add(l.Target)
+	}
+	for _, r := range n.Results {
+		add(r.Target)
+	}
+	return members
+}
 
-// State returns the target's state, one of the constants above.
-func (s TargetStatus) State() string {
-	switch {
-	case s.Draining:
-		return StateDraining
-	case s.FailureProbability > suspectProbability:
-		return StateSuspect
+// Probe returns the VMs that this VM has to probe now. It must be called every
+// thfleet.ProbeInterval. The VMs that were found silent go into the next notice.
+func (v *View) Probe(now thclock.Instant) (probe, lost []thfleet.Peer) {
+	probe, lost = v.Fleet.Probe(now)
+	for _, p := range lost {
+		v.outbox.lost = append(v.outbox.lost, thfleet.LossOf(p))
 	}
-	return StateHealthy
+	return probe, lost
 }
 
-// suspectProbability is the failure probability above which a target is suspect.
-const suspectProbability = 0.5
+// RepeatLosses adds those of the VMs to the next notice that are still lost.
+func (v *View) RepeatLosses(lost []thfleet.Peer) {
+	for _, p := range lost {
+		if v.Fleet.IsStillLost(p) {
+			v.outbox.lost = append(v.outbox.lost, thfleet.LossOf(p))
+		}
+	}
+}
--- a/core/thview/retry.go
+++ b/core/thview/retry.go
@@ -16,6 +16,9 @@
 	// borrowPause is how long a VM does not ask again after none of the lenders had
 	// anything left: then retries have used up the budget of most VMs.
 	borrowPause = 500 * time.Millisecond
+	// borrowingPressure is the retry pressure while this VM would have to borrow for a
+	// retry, and no lender has refused lately.
+	borrowingPressure = 0.5
 )
 
 // retryRule returns the rule for this VM's part of each service's retry budget.
@@ -56,28 +59,23 @@
 	return borrowingPressure
 }
 
-// borrowingPressure is the pressure while this VM would have to borrow for a retry, and
-// no lender has refused lately.
-const borrowingPressure = 0.5
-
 // PrepareLoan returns the request for what this VM lacks for one more retry, and the
 // VMs to ask in turn. It returns none if the VM lacks nothing or has asked in vain
 // within borrowPause.
-func (v *View) PrepareLoan(now thclock.Instant, name string) (thfleet.LoanRequest, []thfleet.Peer) {
+func (v *View) PrepareLoan(now thclock.Instant, name string) (thfleet.TokenRequest, []thfleet.Peer) {
 	s := v.service(name)
 	missing := 1 - s.retryBudget.Left(now, v.retryRule(now))
 	if missing <= 0 || now.Before(s.borrowAt) {
-		return thfleet.LoanRequest{}, nil
+		return thfleet.TokenRequest{}, nil
 	}
-	request := thfleet.LoanRequest{Service: s.key, Thousandths: uint16(math.Ceil(missing * 1000))}
-	return request, v.Fleet.RandomPeers(now, v.options.Rand, lendersAsked)
+	request := thfleet.TokenRequest{Kind: thfleet.RetryTokens, Key: s.key, Thousandths: uint16(min(math.MaxUint16, math.Ceil(missing*1000)))}
+	return request, v.Fleet.RandomPeers(v.options.Rand, lendersAsked)
 }
 
-// AddLoan adds what another VM lent.
-func (v *View) AddLoan(now thclock.Instant, l thfleet.Loan) {
-	if s := v.servicesByKey[l.Service]; s != nil {
-		s.retryBudget = s.retryBudget.WithLoan(now, v.retryRule(now), float64(l.Thousandths)/1000)
-	}
+// AddLoan adds what another VM lent to this VM's part of the service's retry budget.
+func (v *View) AddLoan(now thclock.Instant, name string, t thfleet.Tokens) {
+	s := v.service(name)
+	s.retryBudget = s.retryBudget.WithLoan(now, v.retryRule(now), float64(t.Thousandths)/1000)
 }
 
 // RecordNoLoan records that no VM had enough to lend.
@@ -85,14 +83,14 @@
 	v.service(name).borrowAt = now.Add(borrowPause)
 }
 
-// Lend takes what another VM asks for out of this VM's part of the retry budget, as
+// lendRetry takes what another VM asks for out of this VM's part of a retry budget, as
 // far as it has that much left.
-func (v *View) Lend(now thclock.Instant, r thfleet.LoanRequest) thfleet.Loan {
-	l := thfleet.Loan{Service: r.Service}
-	if s := v.servicesByKey[r.Service]; s != nil {
-		var lent float64
-		s.retryBudget, lent = s.retryBudget.WithLent(now, v.retryRule(now), float64(r.Thousandths)/1000)
-		l.Thousandths = uint16(lent * 1000)
+func (v *View) lendRetry(now thclock.Instant, r thfleet.TokenRequest) thfleet.Tokens {
+	s := v.servicesByKey[r.Key]
+	if s == nil {
+		return thfleet.Tokens{}
 	}
-	return l
+	var lent float64
+	s.retryBudget, lent = s.retryBudget.WithLent(now, v.retryRule(now), float64(r.Thousandths)/1000)
+	return thfleet.Tokens{Thousandths: uint16(lent * 1000)}
 }
--- a/core/thview/retry_test.go
+++ b/core/thview/retry_test.go
@@ -61,7 +61,9 @@
 			break
 		}
 	}
-	f.underWay = append(f.underWay, delayedNotice{vm, v.TakeNotice(), f.now + delay})
+	for _, o := range v.TakeNotices(f.instant()) {
+		f.underWay = append(f.underWay, delayedNotice{vm, o.Notice, f.now + delay})
+	}
 }
 
 // deliver delivers the notices that have arrived.
--- /dev/null
+++ b/core/thview/status.go
@@ -0,0 +1,50 @@
+package thview
+
+import "tamarackhollow/core/thclock"
+
+// TargetStatus is what this VM knows of a target, for operators and metrics.
+type TargetStatus struct {
+	ID, Service, Address, Zone       string
+	Draining                         bool
+	FailureProbability, LatencyRatio float64
+	// InFlight is the number of requests of all VMs in flight at the target.
+	InFlight int
+}
+
+// TargetStatuses returns the status of every target.
+func (v *View) TargetStatuses(now thclock.Instant) []TargetStatus {
+	all := make([]TargetStatus, 0, len(v.targets))
+	for _, t := range v.targets {
+		all = append(all, v.targetStatus(now, t))
+	}
+	return all
+}
+
+func (v *View) targetStatus(now thclock.Instant, t *target) TargetStatus {
+	return TargetStatus{
+		ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Draining: t.Draining,
+		FailureProbability: t.health.FailureProbability(now), LatencyRatio: t.health.LatencyRatio(), InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key),
+	}
+}
+
+// The states that TargetStatus.State returns, as metrics and operators' answers name
+// them.
+const (
+	StateHealthy  = "well"
+	StateSuspect  = "suspect"
+	StateDraining = "leaving"
+)
+
+// State returns the target's state, one of the constants above.
+func (s TargetStatus) State() string {
+	switch {
+	case s.Draining:
+		return StateDraining
+	case s.FailureProbability > suspectProbability:
+		return StateSuspect
+	}
+	return StateHealthy
+}
+
+// suspectProbability is the failure probability above which a target is suspect.
+const suspectProbability = 0.5
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -9,6 +9,7 @@
 package thview
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -42,8 +43,10 @@
 
 // service holds a service's targets, its retry budget and its floor.
 type service struct {
-	key         thfleet.Key
+	key thfleet.Key
+	// targets are in the order of their keys.
 	targets     []*target
+	ringsByZone map[string]*rings
 	retryBudget thpick.RetryBudget
 	floor       thpick.Floor
 	// retries and refused are the totals of this VM's retries and refusals.
@@ -53,14 +56,6 @@
 	borrowAt thclock.Instant
 }
 
-// customer holds a customer's rate limit and how much of it is left.
-type customer struct {
-	limit  thquota.Limit
-	bucket thquota.Bucket
-	// admitted is the total number of requests that this VM admitted.
-	admitted uint32
-}
-
 // Options configures a View.
 type Options struct {
 	Self            thfleet.Identity
@@ -100,8 +95,13 @@
 	// quarantine holds the requests that coincided with crashes of targets.
 	quarantine thquarantine.Table
 	sweptAt    thclock.Instant
-	// candidates holds the candidates of the latest pick; each pick reuses it.
-	candidates []thpick.Candidate
+	// candidates holds the candidates of the latest pick, and candidateTargets their
+	// targets; each pick reuses them.
+	candidates       []thpick.Candidate
+	candidateTargets []*target
+	// joined is set once this VM knows the members of the fleet, at joinedAt.
+	joined   bool
+	joinedAt thclock.Instant
 }
 
 // New returns the view of a VM that knows no targets and no other VMs yet.
@@ -140,6 +140,9 @@
 		s := v.service(t.Service)
 		s.targets = append(s.targets, state)
 	}
+	for _, s := range v.services {
+		s.sortTargets()
+	}
 }
 
 // service returns the service of that name, and adds it if it is new.
@@ -153,11 +156,20 @@
 	return s
 }
 
-// SetTable applies the customers' rate limits of a routing table.
+// SetTable applies the customers' rate limits of a routing table, and drops what is known
+// of customers and routes that it does not have.
 func (v *View) SetTable(t thtable.Table) {
+	customers, routes := make(map[thfleet.Key]bool), make(map[string]bool)
 	for _, c := range t.Document().Customers {
+		customers[thfleet.KeyOf(c.Name)] = true
 		v.customer(c).limit = thquota.Limit{Rate: c.Rate, Burst: c.Burst}
 	}
+	for _, r := range t.Document().Routes {
+		routes[r.Name] = true
+	}
+	maps.DeleteFunc(v.customers, func(k thfleet.Key, _ *customer) bool { return !customers[k] })
+	maps.DeleteFunc(v.estimates, func(name string, _ thpick.LatencyEstimate) bool { return !routes[name] })
+	maps.DeleteFunc(v.backendSequences, func(name string, _ *backendSequence) bool { return !routes[name] })
 }
 
 // customer returns the state of the customer, and adds it if it is new.
@@ -177,24 +189,6 @@
 	v.options.RetryBudgetRule, v.options.FloorShare = budget, floorShare
 }
 
-// Admit counts a request on the route against its customer's rate limit. If the
-// request is over the limit, Admit returns false and the time after which it may be
-// retried.
-func (v *View) Admit(now thclock.Instant, c thtable.Customer, r thtable.Route) (retryAfter time.Duration, ok bool) {
-	state := v.customer(c)
-	share := thquota.UsableShare(v.Fleet.Size(now))
-	state.bucket, ok = state.bucket.WithRequest(now, state.limit, share)
-	if !ok {
-		for _, b := range r.Backends {
-			v.countRefusal(now, v.service(b.Service))
-		}
-		return state.bucket.RetryAfter(state.limit, share), false
-	}
-	state.admitted++
-	v.outbox.admitted[thfleet.KeyOf(c.Name)] = state.admitted
-	return 0, true
-}
-
 // Picked is a target that was picked for a request, with the basis of the pick.
 type Picked struct {
 	Target thtable.Target
@@ -233,6 +227,10 @@
 		return Picked{}, &Refusal{OverBudget: true}
 	}
 	i, ok := thpick.Pick(v.options.Rand, query, v.candidates)
+	if !ok && len(v.candidates) < len(s.targets) {
+		v.fillWithAll(now, s, request)
+		i, ok = thpick.Pick(v.options.Rand, query, v.candidates)
+	}
 	if !ok {
 		return Picked{}, &Refusal{RetryAfter: retryAfterNoTarget}
 	}
@@ -259,13 +257,10 @@
 	return v.startAttempt(now, s, query, i), true
 }
 
-// newQuery returns the query for the request, and fills v.candidates with the
-// service's targets.
+// newQuery returns the query for the request, and fills v.candidates with the targets
+// to choose from.
 func (v *View) newQuery(now thclock.Instant, request *thmessage.Request, s *service, tried []string, retryable bool) thpick.Query {
-	v.candidates = v.candidates[:0]
-	for _, t := range s.targets {
-		v.candidates = append(v.candidates, v.newCandidate(now, t, request.Route.IsIdempotent()))
-	}
+	v.fillCandidates(now, s, request)
 	return thpick.Query{
 		Now: now, Zone: v.options.Self.Zone, Retryable: retryable, Bytes: len(request.Body) + typicalAnswerBytes,
 		ExpectedLatency: v.ExpectedLatency(request.Route), Objective: request.Objective, Deadline: request.Deadline,
@@ -276,7 +271,7 @@
 // startAttempt counts the request as in flight at the candidate at index i, and as a
 // retry if other targets were tried before.
 func (v *View) startAttempt(now thclock.Instant, s *service, query thpick.Query, i int) Picked {
-	t := s.targets[i]
+	t := v.candidateTargets[i]
 	t.ownInFlight++
 	t.usedAt = now
 	v.outbox.loads[t.key] = uint16(min(t.ownInFlight, math.MaxUint16))
@@ -304,18 +299,6 @@
 	return request.Customer.Priority
 }
 
-// newCandidate returns the target as a candidate for a pick.
-func (v *View) newCandidate(now thclock.Instant, t *target, idempotent bool) thpick.Candidate {
-	c := thpick.Candidate{
-		Target: t.Target, Health: t.health, WarmupUntil: t.warmupUntil,
-		InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key), UsedAt: t.usedAt, FailedAt: t.failedAt,
-	}
-	if v.options.HasIdleConnection != nil {
-		c.HasIdleConnection = v.options.HasIdleConnection(t.ID, idempotent)
-	}
-	return c
-}
-
 // ExpectedLatency returns the estimated median latency of the route's answers.
 func (v *View) ExpectedLatency(r thtable.Route) time.Duration {
 	return v.estimates[r.Name].Median(time.Duration(r.LatencyObjectiveMillis) * time.Millisecond)
@@ -329,7 +312,7 @@
 		v.estimates[request.Route.Name] = v.estimates[request.Route.Name].WithAnswer(took)
 		result.LatencyRatio = encodeLatencyRatio(float64(took) / float64(max(p.ExpectedLatency, 1)))
 	}
-	v.outbox.results = append(v.outbox.results, result)
+	v.outbox.addResult(result)
 	v.recordCrashEvidence(now, p, request, o)
 	t := v.targetsByKey[p.key]
 	if t == nil {
@@ -345,7 +328,7 @@
 // still be called when it ends.
 func (v *View) MarkOverdue(now thclock.Instant, p Picked) {
 	result := thfleet.AttemptResult{Target: p.key, Outcome: thhealth.Overdue, LatencyRatio: thfleet.UnknownLatencyRatio}
-	v.outbox.results = append(v.outbox.results, result)
+	v.outbox.addResult(result)
 	if t := v.targetsByKey[p.key]; t != nil {
 		v.setHealth(now, t, t.health.WithOutcome(now, thhealth.Overdue))
 		v.countResult(now, t, result)
@@ -416,6 +399,9 @@
 // Receive applies another VM's notice, and returns what was new in it.
 func (v *View) Receive(now thclock.Instant, n thfleet.Notice) thfleet.Update {
 	update := v.Fleet.Receive(now, n)
+	if update.BecameLive {
+		v.dropLostParts(now)
+	}
 	v.receiveCrashEvidence(now, update)
 	for _, result := range update.Results {
 		if t := v.targetsByKey[result.Target]; t != nil {
@@ -431,12 +417,6 @@
 			t.usedAt = now
 		}
 	}
-	share := thquota.UsableShare(v.Fleet.Size(now))
-	for _, a := range update.Admitted {
-		if c := v.customers[a.Key]; c != nil {
-			c.bucket = c.bucket.WithRemoteRequests(now, c.limit, share, float64(a.Count))
-		}
-	}
 	for _, r := range update.Refused {
 		if s := v.servicesByKey[r.Key]; s != nil {
 			s.floor = s.floor.WithFailures(now, float64(r.Count))
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -63,13 +63,15 @@
 
 // broadcast passes the notice of one VM to all others.
 func (f *fleet) broadcast(from int) {
-	n := f.views[from].TakeNotice()
+	outgoing := f.views[from].TakeNotices(f.instant())
 	if f.dropNotices {
 		return
 	}
-	for i, v := range f.views {
-		if i != from {
-			v.Receive(f.instant(), n)
+	for _, o := range outgoing {
+		for i, v := range f.views {
+			if i != from {
+				v.Receive(f.instant(), o.Notice)
+			}
 		}
 	}
 }
@@ -247,10 +249,11 @@
 	refusing := f.views[0]
 	f.views = f.views[1:]
 	for until := f.now + 2*time.Second; f.now < until; f.now += time.Second / 60 {
-		refusing.Admit(f.instant(), greedy, route)
-		n := refusing.TakeNotice()
-		for _, v := range f.views {
-			v.Receive(f.instant(), n)
+		refusing.BeginAdmission(f.instant(), greedy, route)
+		for _, o := range refusing.TakeNotices(f.instant()) {
+			for _, v := range f.views {
+				v.Receive(f.instant(), o.Notice)
+			}
 		}
 		f.attempt(thtable.AtMostOnce, 100*time.Millisecond)
 	}
@@ -268,7 +271,8 @@
 		}
 		for _, other := range f.views {
 			if thfleet.VMKeyOf(other.Introduction(false).Identity.ID) == lenders[0].Key {
-				v.AddLoan(f.instant(), other.Lend(f.instant(), request))
+				t, _ := other.GiveTokens(f.instant(), request)
+				v.AddLoan(f.instant(), "s", t)
 			}
 		}
 	}
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -12,6 +12,7 @@
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thfleet"
 	"tamarackhollow/core/thhealth"
 	"tamarackhollow/core/thmessage"
 	"tamarackhollow/core/thpick"
@@ -27,7 +28,7 @@
 	Retain(targets []thtable.Target)
 }
 
-// Options configure a Forwarder. Only Log, BorrowRetry and RecordAttempt may be nil.
+// Options configure a Forwarder. Only Log, Ask and RecordAttempt may be nil.
 type Options struct {
 	View   *thview.View
 	Table  func() thtable.Table
@@ -36,10 +37,9 @@
 	Log    thevent.Logger
 	// NotifyPeers is called when the view has something new to send to other VMs.
 	NotifyPeers func()
-	// BorrowRetry is called, without the lock, when this VM's part of a service's retry
-	// budget has no room for a retry. It asks other VMs to lend what is missing and
-	// returns when they have or when none can. It may be nil.
-	BorrowRetry func(service string)
+	// Ask asks another VM for tokens, without the lock, and returns its answer, and false
+	// if none came in time. It may be nil if there are no other VMs.
+	Ask func(p thfleet.Peer, r thfleet.TokenRequest) (thfleet.Tokens, bool)
 	// RecordAttempt, if not nil, is called after each attempt, for metrics.
 	// newConnection is true if a connection was opened for the attempt.
 	RecordAttempt func(service string, end thpick.AttemptEnd, took time.Duration, newConnection bool)
@@ -60,6 +60,9 @@
 	if options.Log == nil {
 		options.Log = thevent.Discard{}
 	}
+	if options.Ask == nil {
+		options.Ask = func(thfleet.Peer, thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{}, false }
+	}
 	return &Forwarder{options: options}
 }
 
@@ -78,24 +81,11 @@
 	f.options.Sender.Retain(ts)
 }
 
-// Admit counts a request on the route against the customer's rate limit, which
-// holds over all VMs. It returns a refusal if the limit is exceeded, else nil.
-func (f *Forwarder) Admit(c thtable.Customer, r thtable.Route) *thingress.Refusal {
-	var wait time.Duration
-	var ok bool
-	f.WithView(func(now thclock.Instant, v *thview.View) { wait, ok = v.Admit(now, c, r) })
-	if ok {
-		return nil
-	}
-	return &thingress.Refusal{Err: therror.New(therror.OverLimit, "customer %s is over its rate", c.Name), RetryAfter: wait}
-}
-
 // requestState is the state of one request while it is forwarded.
 type requestState struct {
 	request *thmessage.Request
 	service string
-	// maxConnections bounds this VM's connections to each target. It is the
-	// service's limit for all VMs together.
+	// maxConnections bounds this VM's connections to each target.
 	maxConnections int
 	// requireNew is set once an attempt on a reused connection was lost, or once a
 	// hedged attempt is sent.
@@ -111,12 +101,18 @@
 // allowed. It returns the answer or a refusal.
 func (f *Forwarder) Forward(ctx context.Context, request *thmessage.Request) (*thmessage.Answer, *thingress.Refusal) {
 	s := &requestState{request: request}
-	f.WithView(func(_ thclock.Instant, v *thview.View) { s.service = v.PickBackend(request.Route) })
-	service, ok := f.options.Table().Service(s.service)
+	table := f.options.Table()
+	var ok bool
+	f.WithView(func(now thclock.Instant, v *thview.View) {
+		s.service = v.PickBackend(request.Route)
+		var service thtable.Service
+		if service, ok = table.Service(s.service); ok {
+			s.maxConnections = v.ConnectionShare(now, service.MaxConnections)
+		}
+	})
 	if !ok {
 		return nil, f.logRefusal(s, &thingress.Refusal{Err: therror.New(therror.NoTarget, "service %q is not configured", s.service)})
 	}
-	s.maxConnections = service.MaxConnections
 	if !request.Route.IsIdempotent() {
 		// Non-idempotent requests are never cancelled once sent.
 		if ctx.Err() != nil {
@@ -263,8 +259,8 @@
 	}
 	readBudget()
 	_, retry := d.(thpick.Retry)
-	if retry && budget.Left < 1 && f.options.BorrowRetry != nil {
-		f.options.BorrowRetry(s.service)
+	if retry && budget.Left < 1 {
+		f.borrowRetry(s.service)
 		readBudget()
 	}
 	if retry && budget.Left < 1 {
--- a/io/thforward/forwarder_test.go
+++ b/io/thforward/forwarder_test.go
@@ -33,14 +33,17 @@
 	sent []string
 	// cancelled counts the attempts whose context ended.
 	cancelled int
+	// options are those of the last attempt.
+	options thsend.ConnectionOptions
 	// attempt returns the result of the attempt with the given number, from 1.
 	attempt func(ctx context.Context, number int) thsend.Result
 }
 
 func (s *fakeSender) Retain([]thtable.Target) {}
 
-func (s *fakeSender) Send(ctx context.Context, t thtable.Target, _ *thmessage.Request, _ thsend.ConnectionOptions) thsend.Result {
+func (s *fakeSender) Send(ctx context.Context, t thtable.Target, _ *thmessage.Request, o thsend.ConnectionOptions) thsend.Result {
 	s.mu.Lock()
+	s.options = o
 	s.sent = append(s.sent, t.ID)
 	number := len(s.sent)
 	s.mu.Unlock()
@@ -178,9 +181,11 @@
 		close(done)
 	}()
 	reported := func() (overdue bool) {
-		f.WithView(func(_ thclock.Instant, v *thview.View) {
-			for _, e := range v.TakeNotice().Results {
-				overdue = overdue || e.Outcome == thhealth.Overdue
+		f.WithView(func(now thclock.Instant, v *thview.View) {
+			for _, o := range v.TakeNotices(now) {
+				for _, e := range o.Notice.Results {
+					overdue = overdue || e.Outcome == thhealth.Overdue
+				}
 			}
 		})
 		return overdue
--- /dev/null
+++ b/io/thforward/tokens.go
@@ -0,0 +1,61 @@
+package thforward
+
+import (
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thtable"
+	"tamarackhollow/core/thview"
+	"tamarackhollow/io/thingress"
+)
+
+// Admit takes a token of the customer's limit, which holds over all VMs, for a request on
+// the route. It returns a refusal if there is none left or none can be had, else nil.
+func (f *Forwarder) Admit(c thtable.Customer, r thtable.Route) *thingress.Refusal {
+	var admission *thview.Admission
+	var step thview.AdmissionStep
+	f.WithView(func(now thclock.Instant, v *thview.View) { admission, step = v.BeginAdmission(now, c, r) })
+	for {
+		switch s := step.(type) {
+		case thview.AskOwner:
+			var answer *thfleet.Tokens
+			if t, ok := f.options.Ask(s.Owner, s.Request); ok {
+				answer = &t
+			}
+			f.WithView(func(now thclock.Instant, v *thview.View) { step = v.ContinueAdmission(now, admission, answer) })
+		case thview.OverLimit:
+			return &thingress.Refusal{
+				Err:        therror.New(therror.OverLimit, "customer %s is over its rate: %d owners have no token, %d are silent", c.Name, s.EmptyOwners, s.SilentOwners),
+				RetryAfter: s.RetryAfter,
+			}
+		case thview.LimitUnknown:
+			return &thingress.Refusal{
+				Err:        therror.New(therror.LimitUnknown, "no owner of customer %s's limit answers, %d were asked", c.Name, s.SilentOwners),
+				RetryAfter: s.RetryAfter,
+			}
+		default:
+			return nil
+		}
+	}
+}
+
+// borrowRetry asks other VMs, one after the other, to lend what this VM's part of the
+// service's retry budget lacks for one more retry. It returns when they have lent
+// enough, or when all that it asked had too little or did not answer.
+func (f *Forwarder) borrowRetry(service string) {
+	var lenders []thfleet.Peer
+	prepare := func() (request thfleet.TokenRequest) {
+		f.WithView(func(now thclock.Instant, v *thview.View) { request, lenders = v.PrepareLoan(now, service) })
+		return request
+	}
+	request := prepare()
+	for _, p := range lenders {
+		if t, ok := f.options.Ask(p, request); ok {
+			f.WithView(func(now thclock.Instant, v *thview.View) { v.AddLoan(now, service, t) })
+		}
+		if request = prepare(); request.Thousandths == 0 {
+			return
+		}
+	}
+	f.WithView(func(now thclock.Instant, v *thview.View) { v.RecordNoLoan(now, service) })
+}
--- /dev/null
+++ b/io/thforward/tokens_test.go
@@ -0,0 +1,168 @@
+package thforward_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thpick"
+	"tamarackhollow/core/thtable"
+	"tamarackhollow/core/thview"
+	"tamarackhollow/io/thforward"
+	"tamarackhollow/io/thsend"
+
+	"gotest.tools/v3/assert"
+)
+
+// askingFixture is a forwarder of a VM that knows three other VMs, and the questions that
+// it has asked them.
+type askingFixture struct {
+	forwarder *thforward.Forwarder
+	sender    *fakeSender
+	asked     []thfleet.TokenRequest
+}
+
+// newAskingFixture returns a fixture whose other VMs answer questions with the tokens that
+// answer returns, or not at all if it returns false.
+func newAskingFixture(rule thpick.RetryBudgetRule, answer func(r thfleet.TokenRequest) (thfleet.Tokens, bool)) *askingFixture {
+	g := &askingFixture{sender: &fakeSender{}}
+	clock := thclock.System{}
+	v := thview.New(thview.Options{
+		Self: thfleet.Identity{ID: "vm", Zone: "z"}, RetryBudgetRule: rule, StartedAt: clock.Now(), Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	v.MarkJoined(clock.Now())
+	for i := range 3 {
+		id := thfleet.Identity{ID: fmt.Sprintf("other-%d", i), Zone: "z", Address: fmt.Sprintf("10.0.0.%d:1", i+1)}
+		v.Receive(clock.Now(), thfleet.Notice{From: thfleet.VMKeyOf(id.ID), StartMillis: 1, Sequence: 1, Identity: &id})
+	}
+	table := thtable.New(thtable.Document{Version: 1, Services: []thtable.Service{{Name: "s", MaxConnections: 110}}})
+	g.forwarder = thforward.New(thforward.Options{
+		View: v, Table: func() thtable.Table { return table }, Sender: g.sender, Clock: clock, NotifyPeers: func() {},
+		Ask: func(_ thfleet.Peer, r thfleet.TokenRequest) (thfleet.Tokens, bool) {
+			g.asked = append(g.asked, r)
+			return answer(r)
+		},
+	})
+	var ts []thtable.Target
+	for i := range 6 {
+		ts = append(ts, thtable.Target{ID: fmt.Sprint(i), Service: "s", Slots: 2})
+	}
+	g.forwarder.SetTargets(ts)
+	return g
+}
+
+// customerOfOthers returns the name of a customer of whose limit the VM is in line for no
+// part.
+func (g *askingFixture) customerOfOthers() (name string) {
+	isSelf := func(o thfleet.Owner) bool { return o.IsSelf }
+	g.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
+		for i := 0; name == ""; i++ {
+			parts := v.Fleet.LimitParts(now, thfleet.KeyOf(fmt.Sprint(i)))
+			if !slices.ContainsFunc(parts, func(p thfleet.Part) bool { return slices.ContainsFunc(p.Line[:3], isSelf) }) {
+				name = fmt.Sprint(i)
+			}
+		}
+	})
+	return name
+}
+
+// A VM that has just started has no retries of its own. It must borrow one, and pass on
+// the target's failure if it cannot.
+func TestRetryIsBorrowedOrNotMade(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		answer       func(r thfleet.TokenRequest) (thfleet.Tokens, bool)
+		wantAttempts int
+		wantStatus   int
+		maxAsked     int
+	}{
+		{"lent", func(r thfleet.TokenRequest) (thfleet.Tokens, bool) {
+			return thfleet.Tokens{Thousandths: r.Thousandths}, true
+		}, 2, 200, 1},
+		{"lent by two", func(r thfleet.TokenRequest) (thfleet.Tokens, bool) {
+			return thfleet.Tokens{Thousandths: min(600, r.Thousandths)}, true
+		}, 2, 200, 2},
+		{"nothing left", func(thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{}, true }, 1, 500, 3},
+		{"no answer", func(thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{}, false }, 1, 500, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newAskingFixture(thpick.RetryBudgetRule{Window: 10 * time.Second, Slack: 6}, c.answer)
+			g.sender.attempt = func(_ context.Context, number int) thsend.Result {
+				if number == 1 {
+					return failed
+				}
+				return answered
+			}
+			a, refusal := g.forwarder.Forward(context.Background(), newRequest(thtable.Idempotent, time.Second))
+			assert.Assert(t, refusal == nil)
+			assert.Equal(t, a.Status, c.wantStatus)
+			assert.Equal(t, len(g.sender.attempts()), c.wantAttempts)
+			assert.Assert(t, len(g.asked) <= c.maxAsked, "%+v", g.asked)
+		})
+	}
+}
+
+// A VM that has asked in vain must not ask for each failed request.
+func TestVainQuestionsForRetriesArePaused(t *testing.T) {
+	g := newAskingFixture(thpick.RetryBudgetRule{Window: 10 * time.Second, Slack: 6}, func(thfleet.TokenRequest) (thfleet.Tokens, bool) {
+		return thfleet.Tokens{}, true
+	})
+	g.sender.attempt = func(context.Context, int) thsend.Result { return failed }
+	for range 5 {
+		_, refusal := g.forwarder.Forward(context.Background(), newRequest(thtable.Idempotent, time.Second))
+		assert.Assert(t, refusal == nil)
+	}
+	assert.Assert(t, len(g.asked) <= 3, "%d questions", len(g.asked))
+}
+
+// The owners of a customer's limit decide on a request, and a refusal says whether the
+// customer is over its limit or no owner answers.
+func TestAdmitFollowsOwnersOfLimit(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer func(r thfleet.TokenRequest) (thfleet.Tokens, bool)
+		want   therror.Kind
+		// isRefused is set if the request must be refused with an error of that kind.
+		isRefused bool
+	}{
+		{"token", func(r thfleet.TokenRequest) (thfleet.Tokens, bool) {
+			return thfleet.Tokens{Thousandths: r.Thousandths}, true
+		}, 0, false},
+		{"no tokens left", func(thfleet.TokenRequest) (thfleet.Tokens, bool) {
+			return thfleet.Tokens{RetryAfterMillis: 700}, true
+		}, therror.OverLimit, true},
+		{"no answer", func(thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{}, false }, therror.LimitUnknown, true},
+		{"not the owner", func(thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{NotOwner: true}, true }, therror.LimitUnknown, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newAskingFixture(thpick.RetryBudgetRule{}, c.answer)
+			refusal := g.forwarder.Admit(thtable.Customer{Name: g.customerOfOthers(), Rate: 1, Burst: 1}, thtable.Route{})
+			if !c.isRefused {
+				assert.Assert(t, refusal == nil)
+				return
+			}
+			assert.Assert(t, refusal != nil)
+			assert.Assert(t, therror.Is(refusal.Err, c.want), "%v", refusal.Err)
+			assert.Assert(t, refusal.RetryAfter > 0)
+		})
+	}
+}
+
+// A target accepts a number of connections from all VMs together.
+func TestConnectionLimitIsDividedAmongVMs(t *testing.T) {
+	g := newAskingFixture(thpick.RetryBudgetRule{}, nil)
+	g.sender.attempt = func(context.Context, int) thsend.Result { return answered }
+	_, refusal := g.forwarder.Forward(context.Background(), newRequest(thtable.Idempotent, time.Second))
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, g.sender.options.MaxConnections, 110/4)
+	g.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
+		assert.Equal(t, v.ConnectionShare(now, 0), 0)
+		assert.Equal(t, v.ConnectionShare(now, 3), 1)
+	})
+}
--- a/io/thgossip/bench_test.go
+++ b/io/thgossip/bench_test.go
@@ -43,12 +43,14 @@
 			sender, receiver := newView("vm-1", targets), newView("vm-2", targets)
 			bytes := 0
 			deliver := func(now thclock.Instant) {
-				data, err := cbor.Marshal(sender.TakeNotice())
-				assert.NilError(b, err)
-				bytes += len(data)
-				var n thfleet.Notice
-				assert.NilError(b, cbor.Unmarshal(data, &n))
-				receiver.Receive(now, n)
+				for _, o := range sender.TakeNotices(now) {
+					data, err := cbor.Marshal(o.Notice)
+					assert.NilError(b, err)
+					bytes += len(data)
+					var n thfleet.Notice
+					assert.NilError(b, cbor.Unmarshal(data, &n))
+					receiver.Receive(now, n)
+				}
 			}
 			customer := thtable.Customer{Name: "c", Rate: 1e6, Burst: 1e6}
 			for i := range b.N {
@@ -57,7 +59,7 @@
 					Customer: customer, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second),
 					Route: thtable.Route{Name: "r", MaxAttempts: 1, LatencyObjectiveMillis: 1000},
 				}
-				sender.Admit(now, customer, q.Route)
+				sender.BeginAdmission(now, customer, q.Route)
 				p, refusal := sender.Pick(now, q, fmt.Sprintf("s%d", i%max(1, targets/10)), nil, false)
 				assert.Assert(b, refusal == nil)
 				deliver(now)
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -1,6 +1,7 @@
 // Package thgossip exchanges notices between VMs as UDP datagrams. What one VM
-// observes of a target, and the requests it admits, reach all others within a
-// round trip. A lost datagram does little harm, since counts are sent as totals.
+// observes of a target reaches the VMs that use it within a round trip; that a VM joins,
+// leaves or is lost reaches all. A lost datagram does little harm: counts are sent as
+// totals, and a VM that seems to be lost is probed again.
 package thgossip
 
 import (
@@ -18,12 +19,15 @@
 )
 
 const (
-	// heartbeatInterval is the longest time between two broadcasts. So other VMs' view
-	// of this one is at most that old, unless datagrams are lost.
-	heartbeatInterval = time.Second
-	// introductionInterval is the least time between two introductions to a VM
-	// that is not live.
+	// maxHold is how long the rate may hold back pending notices. After that they are
+	// sent in any case, so that other VMs' view of this one is at most that old.
+	maxHold = time.Second
+	// introductionInterval is the least time between two introductions to all VMs that
+	// are not live.
 	introductionInterval = 2 * time.Second
+	// lossRepeatDelay is the time after which a loss is reported a second time, in case
+	// the first report was lost itself.
+	lossRepeatDelay = 2 * time.Second
 	// maxDatagramBytes is the size of the receive buffer.
 	maxDatagramBytes = 16 << 10
 )
@@ -42,6 +46,9 @@
 	// OnAnnouncement is called, without a lock, after each received notice that
 	// announces versions of the store's data; nil is allowed.
 	OnAnnouncement func()
+	// OnRosterDiffers is called, without a lock, if a VM has known other live VMs than
+	// this one for a while; nil is allowed.
+	OnRosterDiffers func(p thfleet.Peer)
 }
 
 // Stats count the datagrams since the start. Bytes include headers, and Sent
@@ -64,17 +71,14 @@
 	mu    sync.Mutex
 	stats Stats
 	rate  thfleet.SendRate
-	// heldSince is when the rate first held back the pending notice; zero if it does
+	// heldSince is when the rate first held back the pending notices; zero if it does
 	// not.
 	heldSince thclock.Instant
-	// heartbeatAt is when the next heartbeat is due.
-	heartbeatAt time.Time
-	// introducedAt holds the time of the last introduction to each silent VM.
-	introducedAt map[thfleet.VMKey]time.Time
-	// silent tells by ID whether a VM was not live when it was last checked.
-	silent map[string]bool
-
-	loans loans
+	// introduceAt is when this VM may next introduce itself to all VMs that are not
+	// live.
+	introduceAt thclock.Instant
+
+	questions questions
 }
 
 // New returns an exchange that uses the socket, and closes it in Close.
@@ -83,27 +87,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Exchange{
-		options: options, socket: socket, encode: encode, wake: make(chan struct{}, 1), done: make(chan struct{}),
-		introducedAt: make(map[thfleet.VMKey]time.Time), silent: make(map[string]bool),
-	}, nil
+	return &Exchange{options: options, socket: socket, encode: encode, wake: make(chan struct{}, 1), done: make(chan struct{})}, nil
 }
 
 // Start starts sending and receiving notices.
 func (x *Exchange) Start() {
-	x.goroutines.Add(2)
-	go x.receiveLoop()
-	go x.sendLoop()
+	x.goroutines.Go(x.receiveLoop)
+	x.goroutines.Go(x.sendLoop)
+	x.goroutines.Go(x.probeLoop)
 }
 
-// Close broadcasts that this VM leaves, closes the socket and waits for the
+// Close tells all VMs that this one leaves, closes the socket and waits for the
 // goroutines to end.
 func (x *Exchange) Close() {
 	close(x.done)
-	var n thfleet.Notice
-	x.options.LockedView.WithView(func(_ thclock.Instant, v *thview.View) { n = v.Introduction(false) })
-	n.Leaving = true
-	x.broadcast(n, true)
+	x.sendOutgoing(func(_ thclock.Instant, v *thview.View) []thview.Outgoing {
+		n := v.Introduction(false)
+		n.Leaving = true
+		return []thview.Outgoing{{Notice: n, Members: v.Fleet.Live(), Urgent: true}}
+	})
 	_ = x.socket.Close() // ends receiveLoop
 	x.goroutines.Wait()
 }
@@ -115,8 +117,7 @@
 	return x.stats
 }
 
-// Wake makes the exchange check for pending notices without waiting for its
-// timer.
+// Wake makes the exchange check for pending notices.
 func (x *Exchange) Wake() {
 	select {
 	case x.wake <- struct{}{}:
@@ -124,9 +125,8 @@
 	}
 }
 
-// sendLoop sends heartbeats and, within the rate, pending notices until Close.
+// sendLoop sends pending notices, within the rate, until Close.
 func (x *Exchange) sendLoop() {
-	defer x.goroutines.Done()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -135,169 +135,152 @@
 			return
 		case <-x.wake:
 		case <-timer.C:
-			x.sendHeartbeat()
 		}
-		x.sendPending()
-		timer.Reset(x.nextDelay())
+		if delay, held := x.sendPending(); held {
+			timer.Reset(max(delay, time.Millisecond))
+		}
 	}
 }
 
-// nextDelay returns the time until the next heartbeat is due or, if a notice is
-// pending, until the rate allows sending it.
-func (x *Exchange) nextDelay() time.Duration {
-	pending := false
-	var now thclock.Instant
-	x.options.LockedView.WithView(func(n thclock.Instant, v *thview.View) {
-		pending, _ = v.Pending()
-		now = n
+// sendPending sends the pending notices, if there are any and the rate allows it. If it
+// does not, sendPending returns true and the time after which to try again.
+func (x *Exchange) sendPending() (delay time.Duration, held bool) {
+	x.sendOutgoing(func(now thclock.Instant, v *thview.View) []thview.Outgoing {
+		pending, urgent := v.Pending()
+		if !pending {
+			return nil
+		}
+		if delay, held = x.hold(now, urgent); held {
+			return nil
+		}
+		return v.TakeNotices(now)
 	})
+	return delay, held
+}
+
+// hold reports whether the rate holds back notices now, and for how long. It logs how
+// long those were held back that may be sent now.
+func (x *Exchange) hold(now thclock.Instant, urgent bool) (time.Duration, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	delay := time.Until(x.heartbeatAt)
-	if pending {
-		delay = min(delay, x.rate.NextAt(now).Sub(now))
+	var heldFor time.Duration
+	if x.heldSince != (thclock.Instant{}) {
+		heldFor = now.Sub(x.heldSince)
+	}
+	if !x.rate.MaySend(now, urgent) && heldFor < maxHold {
+		if x.heldSince == (thclock.Instant{}) {
+			x.heldSince = now
+		}
+		return min(x.rate.NextAt(now).Sub(now), maxHold-heldFor), true
 	}
-	return max(delay, time.Millisecond)
+	x.heldSince = thclock.Instant{}
+	if heldFor >= loggedNoticeDelay {
+		x.options.Log.Log(thevent.NoticeDelayed, thevent.F("delayMillis", heldFor.Milliseconds()))
+	}
+	return 0, false
 }
 
-// sendPending broadcasts the pending notice if the rate allows it.
-func (x *Exchange) sendPending() {
-	var n thfleet.Notice
-	send, urgent := false, false
+// loggedNoticeDelay is the delay from which notices that the rate held back are logged.
+const loggedNoticeDelay = 250 * time.Millisecond
+
+// sending is a notice with its recipients.
+type sending struct {
+	notice         thfleet.Notice
+	direct, relays []thfleet.Peer
+	// relayed is how many datagrams the relays send.
+	relayed int
+}
+
+// sendOutgoing sends the notices that take returns, to the VMs of other zones through
+// relays, and charges them to the rate.
+func (x *Exchange) sendOutgoing(take func(now thclock.Instant, v *thview.View) []thview.Outgoing) {
+	var sendings []sending
+	var sentAt thclock.Instant
 	x.options.LockedView.WithView(func(now thclock.Instant, v *thview.View) {
-		var pending bool
-		pending, urgent = v.Pending()
-		if send = pending && x.maySend(now, urgent); send {
-			n = v.TakeNotice()
+		sentAt = now
+		for _, o := range take(now, v) {
+			s := sending{notice: o.Notice}
+			s.direct, s.relays = v.Fleet.SelectRecipients(o.Members, o.Notice.Sequence, o.Urgent)
+			s.relayed = v.Fleet.RelayedDatagrams(o.Members, s.relays)
+			if o.Notice.IsForAll() {
+				s.direct = append(s.direct, v.Fleet.NewlyDiscovered(now)...)
+			}
+			sendings = append(sendings, s)
 		}
 	})
-	if send {
-		x.broadcast(n, urgent)
+	for _, s := range sendings {
+		length := x.sendTo(s.notice, s.direct)
+		s.notice.Relay = true
+		length = max(length, x.sendTo(s.notice, s.relays))
+		x.charge(sentAt, length, len(s.direct)+len(s.relays)+s.relayed)
 	}
 }
 
-// maySend reports whether the rate allows a notice now, and records since when it does
-// not.
-func (x *Exchange) maySend(now thclock.Instant, urgent bool) bool {
+// charge charges a notice of this VM to its rate.
+func (x *Exchange) charge(now thclock.Instant, length, datagrams int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	may := x.rate.MaySend(now, urgent)
-	if !may && x.heldSince == (thclock.Instant{}) {
-		x.heldSince = now
-	}
-	return may
+	x.rate = x.rate.WithSent(now, length, datagrams)
 }
 
-// loggedNoticeDelay is the delay from which a notice that the rate held back is
-// logged.
-const loggedNoticeDelay = 250 * time.Millisecond
-
-// logDelay logs how long the rate held back the notice that is about to be sent.
-func (x *Exchange) logDelay(now thclock.Instant) {
-	x.mu.Lock()
-	held := x.heldSince
-	x.heldSince = thclock.Instant{}
-	x.mu.Unlock()
-	if delay := now.Sub(held); held != (thclock.Instant{}) && delay >= loggedNoticeDelay {
-		x.options.Log.Log(thevent.NoticeDelayed, thevent.F("delayMillis", delay.Milliseconds()))
-	}
+// send sends the notice that take returns to the peers that it returns.
+func (x *Exchange) send(take func(now thclock.Instant, v *thview.View) (thfleet.Notice, []thfleet.Peer)) {
+	var n thfleet.Notice
+	var to []thfleet.Peer
+	var sentAt thclock.Instant
+	x.options.LockedView.WithView(func(now thclock.Instant, v *thview.View) {
+		sentAt = now
+		n, to = take(now, v)
+	})
+	x.charge(sentAt, x.sendTo(n, to), len(to))
 }
 
 // AnnounceVersions sends the versions that this VM holds to the live VMs of its
 // zone and, if it has read them from the store itself, to the leaders of the
 // other zones.
 func (x *Exchange) AnnounceVersions(versions thfleet.StoreVersions, fromStore bool) {
-	var n thfleet.Notice
-	var to []thfleet.Peer
-	var now thclock.Instant
-	x.options.LockedView.WithView(func(t thclock.Instant, v *thview.View) {
-		now, n = t, v.Introduction(false)
-		to = v.Fleet.LivePeersInZone(now, n.From)
+	x.send(func(_ thclock.Instant, v *thview.View) (thfleet.Notice, []thfleet.Peer) {
+		n := v.Announcement(versions)
+		to := v.Fleet.LivePeersInZone(n.From)
 		if fromStore {
-			to = append(to, v.Fleet.OtherZoneLeaders(now)...)
+			to = append(to, v.Fleet.OtherZoneLeaders()...)
 		}
+		return n, to
 	})
-	n.StoreVersions = &versions
-	x.charge(now, x.sendTo(n, to), len(to))
 }
 
-// sendHeartbeat introduces this VM to silent VMs and broadcasts a notice with what is
-// pending, whatever the rate, unless another notice was broadcast within
-// heartbeatInterval.
-func (x *Exchange) sendHeartbeat() {
-	x.mu.Lock()
-	due := time.Until(x.heartbeatAt) <= time.Millisecond
-	x.mu.Unlock()
-	if !due {
-		return
-	}
-	var introduction, n thfleet.Notice
-	x.options.LockedView.WithView(func(_ thclock.Instant, v *thview.View) {
-		introduction, n = v.Introduction(false), v.TakeNotice()
+// IntroduceTo introduces this VM to others that it has just learned of.
+func (x *Exchange) IntroduceTo(to []thfleet.Peer) {
+	x.send(func(_ thclock.Instant, v *thview.View) (thfleet.Notice, []thfleet.Peer) {
+		return v.Introduction(true), to
 	})
-	x.introduceToSilent(introduction)
-	x.broadcast(n, false)
 }
 
-// introduceToSilent sends the introduction to the VMs that are not live and are
-// due for one, and logs which VMs became silent or live.
-func (x *Exchange) introduceToSilent(n thfleet.Notice) {
-	var to []thfleet.Peer
-	var now thclock.Instant
-	x.options.LockedView.WithView(func(t thclock.Instant, v *thview.View) {
-		now = t
-		for _, p := range v.Fleet.Peers() {
-			live := p.IsLive(now)
-			x.recordLiveness(p, live)
-			if !live && x.startIntroduction(p.Key) {
-				to = append(to, p)
-			}
-		}
+// introduceToSilent introduces this VM to the VMs that are not live.
+func (x *Exchange) introduceToSilent() {
+	x.send(func(now thclock.Instant, v *thview.View) (thfleet.Notice, []thfleet.Peer) {
+		x.mu.Lock()
+		x.introduceAt = now.Add(introductionInterval)
+		x.mu.Unlock()
+		return v.Introduction(true), v.Fleet.SilentPeers()
 	})
-	x.charge(now, x.sendTo(n, to), len(to))
 }
 
-// broadcast sends a notice to all live VMs, to some of them through relays in
-// their zones.
-func (x *Exchange) broadcast(n thfleet.Notice, urgent bool) {
-	var direct, relays []thfleet.Peer
-	var now thclock.Instant
-	relayed := 0
-	x.options.LockedView.WithView(func(t thclock.Instant, v *thview.View) {
-		now = t
-		direct, relays = v.Fleet.SelectRecipients(now, n.Sequence, urgent)
-		relayed = v.Fleet.RelayedDatagrams(now, relays)
+// mayIntroduce reports whether this VM may introduce itself to all VMs that are not
+// live.
+func (x *Exchange) mayIntroduce() (may bool) {
+	x.options.LockedView.WithView(func(now thclock.Instant, _ *thview.View) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		may = !now.Before(x.introduceAt)
 	})
-	x.logDelay(now)
-	x.mu.Lock()
-	x.heartbeatAt = time.Now().Add(heartbeatInterval)
-	x.mu.Unlock()
-	length := x.sendTo(n, direct)
-	n.Relay = true
-	length = max(length, x.sendTo(n, relays))
-	x.charge(now, length, len(direct)+len(relays)+relayed)
-}
-
-// charge charges a notice of this VM to its rate.
-func (x *Exchange) charge(now thclock.Instant, length, datagrams int) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.rate = x.rate.WithSent(now, length, datagrams)
-}
-
-// Introduce introduces this VM to the VMs that are not live, such as those just
-// listed, without waiting for the next heartbeat: after a restart, other VMs'
-// evidence reaches this VM only once they know it.
-func (x *Exchange) Introduce() {
-	var n thfleet.Notice
-	x.options.LockedView.WithView(func(_ thclock.Instant, v *thview.View) { n = v.Introduction(false) })
-	x.introduceToSilent(n)
+	return may
 }
 
-// relay forwards a notice to the other live VMs of this VM's zone.
+// relay forwards a notice that another VM sent to the VMs of this zone that it concerns.
 func (x *Exchange) relay(n thfleet.Notice) {
 	var to []thfleet.Peer
-	x.options.LockedView.WithView(func(now thclock.Instant, v *thview.View) { to = v.Fleet.LivePeersInZone(now, n.From) })
+	x.options.LockedView.WithView(func(_ thclock.Instant, v *thview.View) { to = v.Fleet.InZone(v.RelayMembers(n), n.From) })
 	n.Relay = false
 	length := x.sendTo(n, to)
 	x.mu.Lock()
@@ -305,33 +288,6 @@
 	x.stats.RelayedBytes += uint64((length + thfleet.HeaderBytes) * len(to))
 }
 
-// startIntroduction reports whether an introduction to a VM that is not live is
-// due, and if so records it as sent.
-func (x *Exchange) startIntroduction(k thfleet.VMKey) bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if time.Since(x.introducedAt[k]) < introductionInterval {
-		return false
-	}
-	x.introducedAt[k] = time.Now()
-	return true
-}
-
-// recordLiveness logs when a VM becomes silent and when it is live again. A VM
-// that was never live is not logged as silent.
-func (x *Exchange) recordLiveness(p thfleet.Peer, live bool) {
-	x.mu.Lock()
-	wasSilent := x.silent[p.Identity.ID]
-	x.silent[p.Identity.ID] = !live
-	x.mu.Unlock()
-	switch {
-	case !live && !wasSilent && p.LastHeardAt != (thclock.Instant{}):
-		x.options.Log.Log(thevent.VMLost, thevent.F("peer", p.Identity.ID), thevent.F("address", p.Identity.Address))
-	case live && wasSilent:
-		x.options.Log.Log(thevent.VMHeard, thevent.F("peer", p.Identity.ID))
-	}
-}
-
 // sendTo sends a notice to the VMs and returns its length in bytes, without headers.
 func (x *Exchange) sendTo(n thfleet.Notice, to []thfleet.Peer) int {
 	if len(to) == 0 {
@@ -344,7 +300,7 @@
 	}
 	failed := 0
 	for _, p := range to {
-		if err = x.write(data, p.Identity.Address); err != nil {
+		if err := x.write(data, p.Identity.Address); err != nil {
 			failed++
 		}
 	}
@@ -365,9 +321,8 @@
 	return err
 }
 
-// receiveLoop receives notices until Close.
+// receiveLoop handles datagrams until the socket is closed.
 func (x *Exchange) receiveLoop() {
-	defer x.goroutines.Done()
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		size, from, err := x.socket.ReadFromUDPAddrPort(buffer)
@@ -386,9 +341,8 @@
 	}
 }
 
-// receive decodes and applies a notice. It relays the notice if the sender asks for
-// that, and replies with an introduction if the sender is new, live again or
-// unknown, or wants one.
+// receive decodes and applies a notice, and does what it asks for: relay it, give
+// tokens or introduce this VM.
 func (x *Exchange) receive(data []byte, from netip.AddrPort) {
 	var n thfleet.Notice
 	err := cbor.Unmarshal(data, &n)
@@ -403,29 +357,59 @@
 		return // counted in Malformed
 	}
 	var update thfleet.Update
-	var reply thfleet.Notice
+	var introduction thfleet.Notice
+	sender := thfleet.Peer{Identity: thfleet.Identity{Address: from.String()}}
 	x.options.LockedView.WithView(func(now thclock.Instant, v *thview.View) {
 		update = v.Receive(now, n)
-		if update.Joined || update.BecameLive || update.SenderUnknown && !n.Relay || n.WantsIdentity {
-			reply = v.Introduction(update.SenderUnknown)
+		switch {
+		case n.Leaving || n.Relay: // a relayed notice comes from another VM than its sender
+		case n.WantsIdentity:
+			introduction = v.ProbeAnswer()
+		case update.SenderUnknown || n.Identity != nil && (update.Joined || update.BecameLive):
+			introduction = v.Introduction(update.SenderUnknown)
 		}
 	})
-	if n.LoanRequest != nil && !update.Duplicate {
-		x.lend(*n.LoanRequest, from.String())
+	if introduction.Identity != nil {
+		x.send(func(thclock.Instant, *thview.View) (thfleet.Notice, []thfleet.Peer) {
+			return introduction, []thfleet.Peer{sender}
+		})
 	}
-	if n.Loan != nil {
-		x.loans.deliver(*n.Loan)
+	if n.TokenRequest != nil && !update.Duplicate {
+		x.giveTokens(*n.TokenRequest, sender)
+	}
+	if n.Tokens != nil {
+		x.questions.deliver(*n.Tokens)
 	}
 	if n.Relay && !update.Duplicate {
 		x.relay(n)
 	}
-	if update.Joined && n.Identity != nil {
+	x.handleMembership(n, update)
+	if n.StoreVersions != nil && x.options.OnAnnouncement != nil {
+		x.options.OnAnnouncement()
+	}
+}
+
+// handleMembership logs what a notice says of the fleet's members, and does what follows
+// for this VM.
+func (x *Exchange) handleMembership(n thfleet.Notice, u thfleet.Update) {
+	if u.Joined && n.Identity != nil {
 		x.options.Log.Log(thevent.VMJoined, thevent.F("peer", n.Identity.ID), thevent.F("zone", n.Identity.Zone), thevent.F("address", n.Identity.Address))
 	}
-	if reply.Identity != nil && !n.Leaving {
-		x.sendTo(reply, []thfleet.Peer{{Identity: thfleet.Identity{Address: from.String()}}})
+	for _, i := range u.Lost {
+		x.options.Log.Log(thevent.VMLost, thevent.F("peer", i.ID), thevent.F("zone", i.Zone), thevent.F("reporter", uint64(n.From)))
 	}
-	if n.StoreVersions != nil && x.options.OnAnnouncement != nil {
-		x.options.OnAnnouncement()
+	if u.Healed && n.Identity != nil {
+		x.options.Log.Log(thevent.VMHeard, thevent.F("peer", n.Identity.ID), thevent.F("zone", n.Identity.Zone))
+		if x.mayIntroduce() {
+			x.introduceToSilent() // there may be a path to other lost VMs as well
+		}
+	}
+	if u.RosterDiffers && x.options.OnRosterDiffers != nil && n.Identity != nil {
+		x.options.OnRosterDiffers(thfleet.Peer{Identity: *n.Identity, Key: n.From})
+	}
+	if u.ReportedLost {
+		x.sendOutgoing(func(_ thclock.Instant, v *thview.View) []thview.Outgoing {
+			return []thview.Outgoing{{Notice: v.Introduction(false), Members: v.Fleet.Live(), Urgent: true}}
+		})
 	}
 }
--- a/io/thgossip/gossip_test.go
+++ b/io/thgossip/gossip_test.go
@@ -55,6 +55,8 @@
 	// loads gets the number of requests in flight of each notice of the VM that a peer
 	// receives.
 	loads chan uint16
+	// receivers are the goroutines that read the peers' datagrams.
+	receivers sync.WaitGroup
 	// sent counts the notices of the VM in another zone.
 	sent uint32
 }
@@ -75,7 +77,7 @@
 		p := listenUDP(t)
 		t.Cleanup(func() { _ = p.Close() })
 		g.peers = append(g.peers, p)
-		go g.receive(p)
+		g.receivers.Go(func() { g.receive(p) })
 		g.sendFromPeer(i, 1)
 	}
 	g.waitUntil("all peers are live", func() bool {
@@ -93,7 +95,19 @@
 	}
 }
 
-// receive receives the notices that a peer gets until its socket is closed.
+// stopReceiving ends the reading of the peers' datagrams, so that a test can read them.
+func (g *fixture) stopReceiving() {
+	for _, p := range g.peers {
+		_ = p.SetReadDeadline(time.Now())
+	}
+	g.receivers.Wait()
+	for _, p := range g.peers {
+		_ = p.SetReadDeadline(time.Time{})
+	}
+}
+
+// receive receives the notices that a peer gets until its socket is closed or
+// stopReceiving is called.
 func (g *fixture) receive(peer *net.UDPConn) {
 	buffer := make([]byte, 16<<10)
 	for {
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -80,8 +80,10 @@
 	burn           burnRecorder
 	pool           *thpool.Pool
 	monitor        *monitor
-	cancel         context.CancelFunc
-	goroutines     sync.WaitGroup
+	// context ends when the process stops.
+	context    context.Context
+	cancel     context.CancelFunc
+	goroutines sync.WaitGroup
 	// gracePeriod is in nanoseconds.
 	gracePeriod atomic.Int64
 }
@@ -102,6 +104,7 @@
 func Start(options Options) (*Node, error) {
 	debug.SetGCPercent(gcPercent)
 	n := &Node{options: options, clock: thclock.System{}}
+	n.context, n.cancel = context.WithCancel(context.Background())
 	callers, err := net.Listen("tcp", options.Settings.Listen.Callers)
 	if err != nil {
 		return nil, therror.Wrap(therror.Internal, err, "listener for callers")
@@ -141,14 +144,14 @@
 	})
 	n.forwarder = thforward.New(thforward.Options{
 		View: view, Table: n.table, Sender: n.sender, Clock: n.clock, Log: n.options.Log,
-		NotifyPeers: n.wakeExchange, BorrowRetry: n.borrowRetry, RecordAttempt: n.recordAttempt,
+		NotifyPeers: n.wakeExchange, Ask: n.ask, RecordAttempt: n.recordAttempt,
 	})
 	if err := n.openExchange(); err != nil {
 		return err
 	}
 	client := thwire.NewClient(thwire.ClientOptions{Credential: settings.Peers.Credential, From: settings.VM.ID, LocalIP: settings.LocalIP()})
 	n.source = thsource.New(thsource.Options{
-		Self: self, Store: n.options.Store, Fleet: fleetAdapter{n}, Client: client, Log: n.options.Log,
+		Self: self, FirstStart: settings.VM.FirstStart, Store: n.options.Store, Fleet: fleetAdapter{n}, Client: client, Log: n.options.Log,
 		ApplyTable: n.applyTable, ApplyTargets: n.forwarder.SetTargets,
 	})
 	n.peerServer = &thwire.Server{Credential: settings.Peers.Credential, Log: n.options.Log}
@@ -177,6 +180,9 @@
 	}
 	n.exchange, err = thgossip.New(thgossip.Options{
 		LockedView: n.forwarder, Log: n.options.Log, OnAnnouncement: func() { n.source.HandleAnnouncement() },
+		OnRosterDiffers: func(p thfleet.Peer) {
+			n.goroutines.Go(func() { n.source.CompareRoster(n.context, p.Identity.Address) })
+		},
 	}, socket)
 	if err != nil {
 		return therror.Wrap(therror.Internal, err, "codec of notices")
@@ -188,7 +194,9 @@
 
 func (n *Node) wakeExchange() { n.exchange.Wake() }
 
-func (n *Node) borrowRetry(service string) { n.exchange.BorrowRetry(service) }
+func (n *Node) ask(p thfleet.Peer, r thfleet.TokenRequest) (thfleet.Tokens, bool) {
+	return n.exchange.Ask(p, r)
+}
 
 func (n *Node) applyTable(t thtable.Table) {
 	n.forwarder.WithView(func(_ thclock.Instant, v *thview.View) { v.SetTable(t) })
@@ -200,12 +208,10 @@
 // serve starts all servers, the exchange, the source and the regular closing of
 // expired connections.
 func (n *Node) serve(callers net.Listener) {
-	ctx, cancel := context.WithCancel(context.Background())
-	n.cancel = cancel
 	n.listen(n.options.Settings.Listen.Peers, n.peerServer)
 	n.listen(n.options.Settings.Listen.Operators, n.operatorServer)
 	n.exchange.Start()
-	n.goroutines.Go(func() { n.source.Run(ctx) })
+	n.goroutines.Go(func() { n.source.Run(n.context) })
 	n.goroutines.Go(func() { n.ingress.Serve(callers) })
 	n.pool.RunEvery(expireInterval, nil, func(context.Context) { n.sender.CloseExpired() })
 	n.monitor.start()
@@ -269,7 +275,7 @@
 type fleetAdapter struct{ node *Node }
 
 func (f fleetAdapter) Role() (role thfleet.Role) {
-	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { role = v.Fleet.Role(now) })
+	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { role = v.Role(now) })
 	return role
 }
 
@@ -279,8 +285,8 @@
 }
 
 func (f fleetAdapter) FetchOrder(have thfleet.StoreVersions) (order []thfleet.Identity) {
-	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
-		for _, p := range v.Fleet.FetchOrder(now, have) {
+	f.node.forwarder.WithView(func(_ thclock.Instant, v *thview.View) {
+		for _, p := range v.Fleet.FetchOrder(have) {
 			order = append(order, p.Identity)
 		}
 	})
@@ -288,12 +294,47 @@
 }
 
 func (f fleetAdapter) RecordPeers(all []thfleet.Identity) {
+	var discovered []thfleet.Peer
 	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
 		for _, i := range all {
-			v.Fleet.RecordPeer(now, i)
+			if v.Fleet.RecordPeer(now, i) {
+				discovered = append(discovered, thfleet.Peer{Identity: i})
+			}
+		}
+	})
+	f.node.exchange.IntroduceTo(discovered)
+}
+
+func (f fleetAdapter) NotePeer(i thfleet.Identity) {
+	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { v.Fleet.RecordPeer(now, i) })
+}
+
+func (f fleetAdapter) Roster() (vms []thfleet.Identity, joined bool) {
+	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { vms, joined = v.Fleet.Roster(now), v.IsJoined(now) })
+	return vms, joined
+}
+
+func (f fleetAdapter) IsJoined() (joined bool) {
+	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { joined = v.IsJoined(now) })
+	return joined
+}
+
+func (f fleetAdapter) RandomPeers(n int) (all []thfleet.Identity) {
+	f.node.forwarder.WithView(func(_ thclock.Instant, v *thview.View) {
+		for _, p := range v.RandomPeers(n) {
+			all = append(all, p.Identity)
 		}
 	})
-	f.node.exchange.Introduce()
+	return all
+}
+
+func (f fleetAdapter) ZoneRank() (rank int) {
+	f.node.forwarder.WithView(func(_ thclock.Instant, v *thview.View) { rank = v.Fleet.ZoneRank() })
+	return rank
+}
+
+func (f fleetAdapter) MarkJoined() {
+	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { v.MarkJoined(now) })
 }
 
 func (f fleetAdapter) AnnounceVersions(versions thfleet.StoreVersions, fromStore bool) {
--- a/io/thnode/operators.go
+++ b/io/thnode/operators.go
@@ -76,7 +76,7 @@
 	var all []thfleet.Identity
 	n.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
 		for _, p := range v.Fleet.Peers() {
-			if p.IsLive(now) {
+			if p.IsLive() {
 				all = append(all, p.Identity)
 			}
 		}
--- /dev/null
+++ b/io/thsource/membership.go
@@ -0,0 +1,236 @@
+package thsource
+
+import (
+	"context"
+	"time"
+
+	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thfleet"
+	"tamarackhollow/io/thwire"
+)
+
+// pathRoster is the path of the call by which one VM learns of the others from another.
+const pathRoster = "/roster"
+
+// rosterRequest introduces the calling VM.
+type rosterRequest struct {
+	Self thfleet.Identity `json:"self"`
+}
+
+// rosterResponse holds the VMs that the called VM knows to run, itself included.
+type rosterResponse struct {
+	VMs []thfleet.Identity `json:"vms"`
+	// Joined is set if the called VM knows all members of the fleet. Otherwise it has
+	// just started itself.
+	Joined bool `json:"joined"`
+}
+
+const (
+	// seedRetryDelay is the time between two rounds of calls to the seeds.
+	seedRetryDelay = 100 * time.Millisecond
+	// seedPatience is how long a VM that starts waits for a seed that has joined the
+	// fleet before it reads table and targets from the store, which costs money. If all
+	// VMs restart at once, callers wait meanwhile.
+	seedPatience = 60 * time.Millisecond
+	// gatherTime is how long VMs that start together wait until they take those that the
+	// seeds know for all members of the fleet.
+	gatherTime = 250 * time.Millisecond
+	// firstStartPatience replaces seedPatience when the fleet starts for the first time:
+	// there are no callers yet, and each read of each VM would cost money.
+	firstStartPatience = 2 * time.Second
+	// storeJoinPatience is how long a VM waits for a seed before it learns of the other
+	// VMs from the store.
+	storeJoinPatience = time.Second
+	// peersAskedAtStart is how many VMs chosen at random a VM that starts asks for table
+	// and targets, and startFetchTimeout how long it waits for each.
+	peersAskedAtStart = 3
+	startFetchTimeout = 150 * time.Millisecond
+	// registeredRanks is how many VMs of each zone are listed in the store, for VMs that
+	// start while all seeds are gone.
+	registeredRanks = 2
+	// registerInterval is how often a VM checks whether it has to be listed.
+	registerInterval = time.Second
+)
+
+// registerRoster adds the handler of the call /roster to the server for other VMs.
+func (s *Source) registerRoster(w *thwire.Server) {
+	thwire.Handle(w, pathRoster, func(_ thwire.Sender, request rosterRequest) (rosterResponse, error) {
+		vms, joined := s.options.Fleet.Roster()
+		s.options.Fleet.NotePeer(request.Self)
+		return rosterResponse{VMs: vms, Joined: joined}, nil
+	})
+}
+
+// join makes this VM and the others known to each other, through a seed or, if none
+// answers, through the store. It then lists this VM in the store while it is one of the
+// first-ranked of its zone.
+func (s *Source) join(ctx context.Context) {
+	startedAt, storeAt, heard := time.Now(), time.Now().Add(storeJoinPatience), false
+	if !s.hasSeeds() {
+		storeAt = startedAt
+	}
+	for delay := time.Duration(0); sleep(ctx, delay, nil); delay = seedRetryDelay {
+		answered, joined := s.askSeeds(ctx)
+		heard = heard || answered
+		if joined || heard && time.Since(startedAt) >= gatherTime {
+			break
+		}
+		if !heard && !time.Now().Before(storeAt) {
+			if s.joinThroughStore(ctx) {
+				break
+			}
+			storeAt = time.Now().Add(max(minRetryDelay, min(maxRetryDelay, time.Since(startedAt))))
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	s.options.Fleet.MarkJoined()
+	wake(s.joined)
+	s.keepRegistered(ctx)
+}
+
+// loadAtStart gets table and targets for a VM that starts: from other VMs if it gets to
+// know these soon, else from the store.
+func (s *Source) loadAtStart(ctx context.Context) {
+	patience := seedPatience
+	if s.options.FirstStart {
+		patience = firstStartPatience
+	}
+	if !s.hasSeeds() {
+		patience = 0
+	}
+	if !sleep(ctx, patience, s.joined) || s.IsLoaded() {
+		return
+	}
+	if s.options.Fleet.IsJoined() && s.fetchFromRandomPeers(ctx) {
+		return
+	}
+	s.readTargets(ctx)
+	if _, err := s.readTable(ctx, 0); err != nil {
+		s.fetchFromSeeds(ctx)
+	}
+}
+
+// fetchFromRandomPeers asks other VMs for table and targets, and reports whether this VM
+// has both. It asks those that have answered this VM's introduction, since others may
+// have crashed.
+func (s *Source) fetchFromRandomPeers(ctx context.Context) bool {
+	if !sleep(ctx, introductionDelay, nil) {
+		return false
+	}
+	for _, p := range s.options.Fleet.RandomPeers(peersAskedAtStart) {
+		s.fetchFrom(ctx, p.Address, startFetchTimeout, 0)
+		if s.IsLoaded() || ctx.Err() != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// introductionDelay is how long answers to an introduction take.
+const introductionDelay = 20 * time.Millisecond
+
+// otherSeeds returns the seeds without this VM.
+func (s *Source) otherSeeds() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var seeds []string
+	for _, address := range s.options.Seeds {
+		if address != s.options.Self.Address {
+			seeds = append(seeds, address)
+		}
+	}
+	return seeds
+}
+
+func (s *Source) hasSeeds() bool { return len(s.otherSeeds()) > 0 }
+
+// askSeeds asks all seeds for the VMs that they know. It reports whether any answered and
+// whether one of them has joined the fleet, as soon as that is known.
+func (s *Source) askSeeds(ctx context.Context) (answered, joined bool) {
+	seeds := s.otherSeeds()
+	results := make(chan *rosterResponse, len(seeds))
+	for _, address := range seeds {
+		go func() {
+			r, err := s.fetchRoster(ctx, address)
+			if err != nil {
+				results <- nil // fetchRoster has logged the error
+				return
+			}
+			results <- &r
+		}()
+	}
+	for range seeds {
+		r := <-results
+		answered = answered || r != nil
+		if r != nil && r.Joined {
+			return true, true
+		}
+	}
+	return answered, false
+}
+
+// rosterTimeout bounds a call for the list of VMs.
+const rosterTimeout = 300 * time.Millisecond
+
+// fetchRoster asks another VM for those that it knows, and records them.
+func (s *Source) fetchRoster(ctx context.Context, address string) (rosterResponse, error) {
+	callCtx, cancel := context.WithTimeout(ctx, rosterTimeout)
+	defer cancel()
+	r, err := thwire.Call[rosterRequest, rosterResponse](callCtx, s.options.Client, address, pathRoster, rosterRequest{Self: s.options.Self})
+	fields := []thevent.Field{thevent.F("peer", address), thevent.F("call", pathRoster)}
+	if err != nil {
+		s.options.Log.Log(thevent.PeerAsked, append(fields, thevent.F("error", err.Error()))...)
+		return r, err
+	}
+	s.options.Log.Log(thevent.PeerAsked, append(fields, thevent.F("vms", len(r.VMs)), thevent.F("joined", r.Joined))...)
+	s.options.Fleet.RecordPeers(r.VMs)
+	return r, nil
+}
+
+// CompareRoster asks a VM that knows other VMs than this one for them.
+func (s *Source) CompareRoster(ctx context.Context, address string) {
+	_, _ = s.fetchRoster(ctx, address) // fetchRoster logs the error; the VMs are compared again with the next probes
+}
+
+// joinThroughStore adds this VM to the store's list of VMs and records the others. It
+// reports whether the store answered.
+func (s *Source) joinThroughStore(ctx context.Context) bool {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	all, err := s.options.Store.Join(callCtx, s.options.Self)
+	s.recordStoreResult(ctx, err)
+	if err != nil {
+		return false
+	}
+	s.mu.Lock()
+	s.registered = true
+	s.mu.Unlock()
+	s.options.Fleet.RecordPeers(all)
+	return true
+}
+
+// keepRegistered lists this VM in the store once it is one of the first-ranked of its
+// zone, until the context ends.
+func (s *Source) keepRegistered(ctx context.Context) {
+	for sleep(ctx, registerInterval, nil) {
+		if !s.isRegistered() && s.options.Fleet.ZoneRank() < registeredRanks {
+			s.joinThroughStore(ctx)
+		}
+	}
+}
+
+func (s *Source) isRegistered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registered
+}
+
+// Leave removes this VM from the store's list of VMs if it is there.
+func (s *Source) Leave(ctx context.Context) error {
+	if !s.isRegistered() {
+		return nil
+	}
+	return s.options.Store.Leave(ctx, s.options.Self)
+}
--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -48,8 +48,9 @@
 	answer   thwire.Encoded
 }
 
-// Register adds the handler of the call /known to the server for other VMs.
+// Register adds the handlers of the calls /known and /roster to the server for other VMs.
 func (s *Source) Register(w *thwire.Server) {
+	s.registerRoster(w)
 	thwire.Handle(w, pathKnown, func(_ thwire.Sender, request knownRequest) (thwire.Encoded, error) {
 		wait := min(time.Duration(request.WaitMillis)*time.Millisecond, maxWait)
 		s.content.awaitNewer(thfleet.StoreVersions{Table: request.Table, Targets: request.Targets}, time.Now().Add(wait))
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -47,8 +47,21 @@
 	// FetchOrder returns the VMs from which to fetch what is newer than the given
 	// versions, in the order in which to ask them; none if there is nothing newer.
 	FetchOrder(have thfleet.StoreVersions) []thfleet.Identity
-	// RecordPeers records the listed VMs.
+	// RecordPeers records the listed VMs and introduces this one to those that are new.
 	RecordPeers(all []thfleet.Identity)
+	// NotePeer records a VM that has just started and will introduce itself.
+	NotePeer(i thfleet.Identity)
+	// Roster returns the VMs that are known to run, this one included, and whether
+	// these are all members of the fleet.
+	Roster() (vms []thfleet.Identity, joined bool)
+	// MarkJoined records that all members of the fleet are known, and IsJoined reports
+	// whether they are.
+	MarkJoined()
+	IsJoined() bool
+	// RandomPeers returns up to n live VMs.
+	RandomPeers(n int) []thfleet.Identity
+	// ZoneRank returns this VM's rank in its zone; the first ones lead it.
+	ZoneRank() int
 	// AnnounceVersions sends the versions that this VM holds to its zone and, if
 	// it has read them from the store itself, to the leaders of the other zones.
 	AnnounceVersions(versions thfleet.StoreVersions, fromStore bool)
@@ -57,11 +70,13 @@
 // Options configure a Source.
 type Options struct {
 	Self thfleet.Identity
-	// Seeds are the addresses, "IP:port", of VMs to fetch from while the store
-	// does not answer.
+	// Seeds are the addresses, "IP:port", of VMs to learn of the other VMs from, and to
+	// fetch from while the store does not answer.
 	Seeds []string
-	Store Store
-	Fleet Fleet
+	// FirstStart is set if the whole fleet starts for the first time.
+	FirstStart bool
+	Store      Store
+	Fleet      Fleet
 	// Client makes the calls to other VMs.
 	Client *thwire.Client
 	Log    thevent.Logger
@@ -93,7 +108,9 @@
 	// roleChanged and behind wake the goroutines that act on this VM's role, and on
 	// newer versions of other VMs.
 	roleChanged, behind chan struct{}
-	fetches             fetches
+	// joined wakes the goroutine that loads table and targets once other VMs are known.
+	joined  chan struct{}
+	fetches fetches
 
 	content content
 	answers answerCache
@@ -103,6 +120,8 @@
 	wantsWhole bool
 	// reader tells whether this VM is the one that reads the store.
 	reader bool
+	// registered is set once this VM is in the store's list of VMs.
+	registered bool
 	// answeredAt is when the store last answered a call of Targets or Join.
 	answeredAt time.Time
 	// storeLost tells whether the last call of Targets or Join failed.
@@ -118,7 +137,7 @@
 // New returns a source without table and targets; Run gets them.
 func New(options Options) *Source {
 	return &Source{
-		options: options, roleChanged: make(chan struct{}, 1), behind: make(chan struct{}, 1),
+		options: options, roleChanged: make(chan struct{}, 1), behind: make(chan struct{}, 1), joined: make(chan struct{}, 1),
 		fetches: fetches{underWay: make(map[string]bool)}, content: content{changed: make(chan struct{})},
 	}
 }
@@ -204,10 +223,9 @@
 // ends.
 func (s *Source) Run(ctx context.Context) {
 	var goroutines sync.WaitGroup
-	goroutines.Go(func() { s.syncTable(ctx) })
-	goroutines.Go(func() { s.syncTargets(ctx) })
-	goroutines.Go(func() { s.syncFromPeers(ctx) })
-	goroutines.Go(func() { s.join(ctx) })
+	for _, task := range []func(context.Context){s.join, s.loadAtStart, s.syncTable, s.syncTargets, s.syncFromPeers} {
+		goroutines.Go(func() { task(ctx) })
+	}
 	goroutines.Wait()
 	s.fetches.done.Wait()
 }
@@ -355,20 +373,13 @@
 			continue
 		}
 		startedAt := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, tableLongPoll+storeTimeout)
-		d, err := s.options.Store.Table(callCtx, s.versions().Table, tableLongPoll)
-		cancel()
+		applied, err := s.readTable(ctx, tableLongPoll)
 		if err != nil {
-			id := thevent.TableUnread
-			if therror.Is(err, therror.MessageMalformed) {
-				id = thevent.TableRefused
-			}
-			s.options.Log.Log(id, thevent.F("error", err.Error()), thevent.F("tookMillis", time.Since(startedAt).Milliseconds()))
 			delay = min(maxRetryDelay, max(minRetryDelay, 2*delay))
 			continue
 		}
 		delay = 0
-		if !s.applyTable(d, sourceStore) && time.Since(startedAt) < minRetryDelay {
+		if !applied && time.Since(startedAt) < minRetryDelay {
 			delay = minRetryDelay // a store that has dropped its history or has no table answers at once
 			continue
 		}
@@ -378,26 +389,27 @@
 	}
 }
 
+// readTable reads a newer table from the store and applies it. If there is none, the
+// store waits for the given time. readTable reports whether it applied one; it logs
+// errors.
+func (s *Source) readTable(ctx context.Context, wait time.Duration) (applied bool, err error) {
+	startedAt := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
+	d, err := s.options.Store.Table(callCtx, s.versions().Table, wait)
+	if err != nil {
+		id := thevent.TableUnread
+		if therror.Is(err, therror.MessageMalformed) {
+			id = thevent.TableRefused
+		}
+		s.options.Log.Log(id, thevent.F("error", err.Error()), thevent.F("tookMillis", time.Since(startedAt).Milliseconds()))
+		return false, err
+	}
+	return s.applyTable(d, sourceStore), nil
+}
+
 func (s *Source) isReader() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.reader
 }
-
-// join adds this VM to the store's list of VMs and records the others. It retries
-// until it succeeds or the context ends.
-func (s *Source) join(ctx context.Context) {
-	for delay := time.Duration(0); sleep(ctx, delay, nil); delay = min(maxRetryDelay, max(minRetryDelay, 2*delay)) {
-		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		all, err := s.options.Store.Join(callCtx, s.options.Self)
-		cancel()
-		s.recordStoreResult(ctx, err)
-		if err == nil {
-			s.options.Fleet.RecordPeers(all)
-			return
-		}
-	}
-}
-
-// Leave removes this VM from the store's list of VMs.
-func (s *Source) Leave(ctx context.Context) error { return s.options.Store.Leave(ctx, s.options.Self) }
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -111,6 +111,12 @@
 	return f.newer
 }
 func (f *fakeFleet) RecordPeers([]thfleet.Identity)               {}
+func (f *fakeFleet) NotePeer(thfleet.Identity)                    {}
+func (f *fakeFleet) MarkJoined()                                  {}
+func (f *fakeFleet) IsJoined() bool                               { return false }
+func (f *fakeFleet) Roster() ([]thfleet.Identity, bool)           { return nil, true }
+func (f *fakeFleet) ZoneRank() int                                { return 0 }
+func (f *fakeFleet) RandomPeers(int) []thfleet.Identity           { return nil }
 func (f *fakeFleet) AnnounceVersions(thfleet.StoreVersions, bool) {}
 
 func targets(ids ...string) []thtable.Target {
