thnode: close idle connections within 2.8 s of the signal to stop

A request that came 3.1 s after SIGTERM, on a connection that was still open, ran at its target for 2.5 s and was cut off when the process had to end. This is also what operators told of: a planned stop that cuts requests just accepted.

Cause: idle connections were closed after 0.6 of the grace period, 3.6 s of 6 s and 6 s of 10 s; requests have deadlines of up to 40 s. Ruled out: rejecting requests on open connections instead of closing these, which only costs the caller another round trip. Change: idle connections are closed after 2.8 s at the latest: by the platform's specification, a request sent later than three seconds after the signal must be answered if it is accepted. A second call of Stop waits for the first. Conclusion: requests that arrive late in a stop go to another VM.

--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -86,6 +86,7 @@
 	goroutines sync.WaitGroup
 	// gracePeriod is in nanoseconds.
 	gracePeriod atomic.Int64
+	stopping    sync.Once
 }
 
 const (
@@ -240,12 +241,20 @@
 	// no longer waited for.
 	idleCloseShare   = 0.6
 	requestWaitShare = 0.93
+	// maxAcceptTime bounds the time after the signal to stop in which requests on open
+	// connections are accepted. By the platform's specification, one that is sent more
+	// than three seconds after the signal and accepted must be answered, however long its
+	// target takes.
+	maxAcceptTime = 2800 * time.Millisecond
 )
 
 // Stop drains and stops the VM. First IsReady becomes false and each answer closes
 // its connection. Idle connections are closed once the load balancer has had time
 // to notice. Requests in flight may finish within the grace period.
-func (n *Node) Stop() {
+// Further calls wait until the first one has ended.
+func (n *Node) Stop() { n.stopping.Do(n.stop) }
+
+func (n *Node) stop() {
 	n.options.Log.Log(thevent.ProcessDraining, thevent.F("inFlight", n.ingress.InFlight()))
 	startedAt, gracePeriod := time.Now(), float64(n.gracePeriod.Load())
 	n.ingress.Drain()
@@ -254,7 +263,7 @@
 		n.options.Log.Log(thevent.StoreLost, thevent.F("error", err.Error()), thevent.F("during", "leave"))
 	}
 	cancel()
-	closeIdleAt := startedAt.Add(time.Duration(idleCloseShare * gracePeriod))
+	closeIdleAt := startedAt.Add(min(maxAcceptTime, time.Duration(idleCloseShare*gracePeriod)))
 	for time.Now().Before(closeIdleAt) && n.ingress.Connections() > 0 {
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/io/thnode/node_test.go
+++ b/io/thnode/node_test.go
@@ -1,6 +1,7 @@
 package thnode_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -281,3 +282,26 @@
 	assert.Equal(t, r.Rows[0].SeriesKey, thburn.SeriesKey{Customer: "c", Service: "s"})
 	assert.Equal(t, r.Rows[0].Windows[2].Counts.Valid(), uint64(12))
 }
+
+// A request that comes late in a stop on an open connection may not be finished before the
+// process has to end. So the connection must be closed in time.
+func TestStopClosesIdleConnectionsWithinThreeSeconds(t *testing.T) {
+	g := newFixture(t, 1, 1)
+	g.nodes[0].ApplyLiveSettings(thnode.LiveSettings{RetryBudget: thpick.RetryBudgetRule{Window: 10 * time.Second, Ratio: 0.2, Slack: 60}, GracePeriod: time.Minute})
+	c, err := net.Dial("tcp", g.callers[0])
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "GET /safe/look HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer key\r\n%s: id-1\r\n\r\n", host, thmessage.DefaultHeaderNames().RequestID)
+	assert.NilError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+	_, err = io.Copy(io.Discard, answer.Body)
+	assert.NilError(t, err)
+	startedAt := time.Now()
+	go g.nodes[0].Stop()
+	assert.NilError(t, c.SetReadDeadline(startedAt.Add(testTimeout)))
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Assert(t, time.Since(startedAt) < 3*time.Second, "closed after %s", time.Since(startedAt))
+}
