thfleet, thview, thsource: let one VM read the store when a whole fleet starts

Cause: a VM that had just joined counted the time since the last read that it heard of from the beginning of time, so that it took the reader for silent (readingBegun of 157 VMs at -8.0 s). VMs asked all seeds every 100 ms until they had joined. At a first start the goroutine that loads table and targets was woken by the joining itself, and read the store after 0.25 s although it should wait for the reader for 2 s.

Fetching from other VMs after a restart of all VMs: it would save calls, but callers would wait longer.

Each seed is asked until it has answered once; VMs that it does not know yet learn of this VM from it. Only a seed that has joined ends the wait for the reader.

--- a/core/thfleet/fleet_test.go
+++ b/core/thfleet/fleet_test.go
@@ -155,7 +155,7 @@
 	for now := time.Duration(0); now < 30*time.Second; now += 100 * time.Millisecond {
 		if now > 0 && now%(8*time.Second) == 0 {
 			for i := range fleets {
-				if !crashed[i] && fleets[i].Role(at(now)) == thfleet.Reader {
+				if !crashed[i] && fleets[i].Role(at(now), thclock.Instant{}) == thfleet.Reader {
 					crashed[i] = true
 				}
 			}
@@ -171,7 +171,7 @@
 				continue
 			}
 			n := notice(i, sequence)
-			if now%thfleet.ReadInterval == 0 && fleets[i].Role(at(now)) == thfleet.Reader {
+			if now%thfleet.ReadInterval == 0 && fleets[i].Role(at(now), thclock.Instant{}) == thfleet.Reader {
 				readers++
 				n.StoreVersions = &thfleet.StoreVersions{Table: 1, Targets: 1}
 			}
--- a/core/thfleet/live.go
+++ b/core/thfleet/live.go
@@ -52,6 +52,8 @@
 	hash uint64
 	// changedAt is when the live VMs of each zone last changed.
 	changedAt map[string]thclock.Instant
+	// lastChangedAt is when the live VMs of any zone last changed.
+	lastChangedAt thclock.Instant
 }
 
 // IsLive reports whether the VM is known, has sent a notice and was not lost since.
@@ -64,7 +66,7 @@
 	if f.live.changedAt == nil {
 		f.live.changedAt = make(map[string]thclock.Instant)
 	}
-	f.live.changedAt[zone] = now
+	f.live.changedAt[zone], f.live.lastChangedAt = now, now
 	f.live.outdated = true
 	f.size = sizeCache{}
 }
@@ -143,6 +145,9 @@
 	return ring[i]
 }
 
+// ChangedAt returns when the live VMs last changed.
+func (f *Fleet) ChangedAt() thclock.Instant { return f.live.lastChangedAt }
+
 // ZoneChangedAt returns when the live VMs of this VM's zone last changed.
 func (f *Fleet) ZoneChangedAt() thclock.Instant { return f.live.changedAt[f.self.Zone] }
 
--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -62,9 +62,9 @@
 // isZoneLeader reports whether this VM has to keep its zone up to date: it has the
 // best rank of its zone, or better-ranked VMs have reported no read for its takeover
 // delay.
-func (f *Fleet) isZoneLeader(now thclock.Instant) bool {
+func (f *Fleet) isZoneLeader(now, since thclock.Instant) bool {
 	rank := f.ZoneRank()
-	return rank == 0 || now.Sub(f.LastReadInZone()) >= takeoverDelay(rank)
+	return rank == 0 || now.Sub(since.Max(f.LastReadInZone())) >= takeoverDelay(rank)
 }
 
 // takeoverDelay returns how long a VM of the given rank waits for a better-ranked VM
@@ -86,9 +86,10 @@
 	Reader
 )
 
-// Role returns the current role of this VM.
-func (f *Fleet) Role(now thclock.Instant) Role {
-	if !f.isZoneLeader(now) {
+// Role returns the current role of this VM, which has known the other VMs since the given
+// time. Before that, it would not have heard of a read.
+func (f *Fleet) Role(now, since thclock.Instant) Role {
+	if !f.isZoneLeader(now, since) {
 		return Follower
 	}
 	ownHash, rank := rankHash(f.self.ID), 0
@@ -97,7 +98,7 @@
 			rank++
 		}
 	}
-	if rank > 0 && now.Sub(f.lastReadInOtherZones(ownHash)) < takeoverDelay(rank) {
+	if rank > 0 && now.Sub(since.Max(f.lastReadInOtherZones(ownHash))) < takeoverDelay(rank) {
 		return Relayer
 	}
 	return Reader
--- a/core/thfleet/role_test.go
+++ b/core/thfleet/role_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thfleet"
 
 	"gotest.tools/v3/assert"
@@ -94,7 +95,7 @@
 			s.probe(i)
 		}
 		inZone := func(j int) bool { return s.ids[j].Zone == s.ids[i].Zone }
-		role := f.Role(at(s.now))
+		role := f.Role(at(s.now), thclock.Instant{})
 		switch {
 		case role == thfleet.Reader && !s.refused[i]:
 			if s.now%thfleet.ReadInterval != 0 {
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -102,6 +102,10 @@
 	// joined is set once this VM knows the members of the fleet, at joinedAt.
 	joined   bool
 	joinedAt thclock.Instant
+	// settled is set once this VM may take a role other than thfleet.Follower, at
+	// settledAt.
+	settled   bool
+	settledAt thclock.Instant
 }
 
 // New returns the view of a VM that knows no targets and no other VMs yet.
--- a/io/thsource/content.go
+++ b/io/thsource/content.go
@@ -45,17 +45,21 @@
 	return c.targets
 }
 
+// nextChange returns a channel that is closed when a newer table or list is applied.
+func (c *content) nextChange() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
 // awaitNewer waits until a version is newer than the given ones, or until the time
 // has passed.
 func (c *content) awaitNewer(than thfleet.StoreVersions, until time.Time) {
 	timeout := time.NewTimer(time.Until(until))
 	defer timeout.Stop()
 	for {
-		c.mu.Lock()
-		have := thfleet.StoreVersions{Table: c.table.Version(), Targets: c.targets.List().Version}
-		changed := c.changed
-		c.mu.Unlock()
-		if have.IsNewerThan(than) {
+		changed := c.nextChange()
+		if c.versions().IsNewerThan(than) {
 			return
 		}
 		select {
--- a/io/thsource/membership.go
+++ b/io/thsource/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"tamarackhollow/core/thevent"
@@ -65,17 +66,20 @@
 // answers, through the store. It then lists this VM in the store while it is one of the
 // first-ranked of its zone.
 func (s *Source) join(ctx context.Context) {
-	startedAt, storeAt, heard := time.Now(), time.Now().Add(storeJoinPatience), false
+	startedAt, storeAt := time.Now(), time.Now().Add(storeJoinPatience)
 	if !s.hasSeeds() {
 		storeAt = startedAt
 	}
+	answered := make(map[string]bool)
 	for delay := time.Duration(0); sleep(ctx, delay, nil); delay = seedRetryDelay {
-		answered, joined := s.askSeeds(ctx)
-		heard = heard || answered
-		if joined || heard && time.Since(startedAt) >= gatherTime {
+		joined := s.askSeeds(ctx, answered)
+		if joined {
+			wake(s.joined)
+		}
+		if joined || len(answered) > 0 && time.Since(startedAt) >= gatherTime {
 			break
 		}
-		if !heard && !time.Now().Before(storeAt) {
+		if len(answered) == 0 && !time.Now().Before(storeAt) {
 			if s.joinThroughStore(ctx) {
 				break
 			}
@@ -86,12 +90,12 @@
 		return
 	}
 	s.options.Fleet.MarkJoined()
-	wake(s.joined)
 	s.keepRegistered(ctx)
 }
 
-// loadAtStart gets table and targets for a VM that starts: from other VMs if it gets to
-// know these soon, else from the store.
+// loadAtStart gets table and targets for a VM that starts. It fetches them from other VMs
+// if the fleet was running before, and else reads them from the store, unless another VM
+// does so first.
 func (s *Source) loadAtStart(ctx context.Context) {
 	patience := seedPatience
 	if s.options.FirstStart {
@@ -100,10 +104,7 @@
 	if !s.hasSeeds() {
 		patience = 0
 	}
-	if !sleep(ctx, patience, s.joined) || s.IsLoaded() {
-		return
-	}
-	if s.options.Fleet.IsJoined() && s.fetchFromRandomPeers(ctx) {
+	if s.awaitRunningFleet(ctx, patience) && s.fetchFromRandomPeers(ctx) || s.IsLoaded() || ctx.Err() != nil {
 		return
 	}
 	s.readTargets(ctx)
@@ -112,6 +113,28 @@
 	}
 }
 
+// awaitRunningFleet reports whether a seed answers within the given time that knows all
+// members of the fleet. It also returns once this VM has table and targets.
+func (s *Source) awaitRunningFleet(ctx context.Context, patience time.Duration) bool {
+	timeout := time.NewTimer(patience)
+	defer timeout.Stop()
+	for {
+		changed := s.content.nextChange()
+		if s.IsLoaded() {
+			return false
+		}
+		select {
+		case <-s.joined:
+			return true
+		case <-changed:
+		case <-timeout.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // fetchFromRandomPeers asks other VMs for table and targets, and reports whether this VM
 // has both. It asks those that have answered this VM's introduction, since others may
 // have crashed.
@@ -146,29 +169,35 @@
 
 func (s *Source) hasSeeds() bool { return len(s.otherSeeds()) > 0 }
 
-// askSeeds asks all seeds for the VMs that they know. It reports whether any answered and
-// whether one of them has joined the fleet, as soon as that is known.
-func (s *Source) askSeeds(ctx context.Context) (answered, joined bool) {
-	seeds := s.otherSeeds()
-	results := make(chan *rosterResponse, len(seeds))
+// askSeeds asks the seeds that have not answered yet for the VMs that they know, and adds
+// those that do to answered. One answer of each is enough: VMs that the seed does not know
+// yet will learn of this one from it. askSeeds reports whether a seed has joined the fleet,
+// as soon as that is known.
+func (s *Source) askSeeds(ctx context.Context, answered map[string]bool) (joined bool) {
+	type result struct {
+		address string
+		roster  rosterResponse
+		err     error
+	}
+	seeds := slices.DeleteFunc(s.otherSeeds(), func(address string) bool { return answered[address] })
+	results := make(chan result, len(seeds))
 	for _, address := range seeds {
 		go func() {
-			r, err := s.fetchRoster(ctx, address)
-			if err != nil {
-				results <- nil // fetchRoster has logged the error
-				return
-			}
-			results <- &r
+			roster, err := s.fetchRoster(ctx, address)
+			results <- result{address, roster, err}
 		}()
 	}
 	for range seeds {
 		r := <-results
-		answered = answered || r != nil
-		if r != nil && r.Joined {
-			return true, true
+		if r.err != nil {
+			continue // fetchRoster has logged the error
+		}
+		answered[r.address] = true
+		if r.roster.Joined {
+			return true
 		}
 	}
-	return answered, false
+	return false
 }
 
 // rosterTimeout bounds a call for the list of VMs.
--- a/io/thsource/peers_test.go
+++ b/io/thsource/peers_test.go
@@ -22,6 +22,7 @@
 // knownAnswer is the answer to that call.
 type knownAnswer struct {
 	Table        *thtable.Document     `json:"table,omitempty"`
+	Targets      *thtable.TargetList   `json:"targets,omitempty"`
 	TableChanges []thtable.TableChange `json:"tableChanges,omitempty"`
 }
 
@@ -48,9 +49,7 @@
 // 2 of the table.
 func (g *fixture) announce(vms ...thfleet.Identity) {
 	g.fleet.setReader(false)
-	g.fleet.mu.Lock()
-	g.fleet.newer, g.fleet.announced = vms, thfleet.StoreVersions{Table: 2}
-	g.fleet.mu.Unlock()
+	g.fleet.announce(thfleet.StoreVersions{Table: 2}, vms...)
 	g.source.HandleAnnouncement()
 }
 
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -108,7 +108,8 @@
 	// roleChanged and behind wake the goroutines that act on this VM's role, and on
 	// newer versions of other VMs.
 	roleChanged, behind chan struct{}
-	// joined wakes the goroutine that loads table and targets once other VMs are known.
+	// joined wakes the goroutine that loads table and targets once this VM has joined a
+	// fleet that was running before.
 	joined  chan struct{}
 	fetches fetches
 
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -83,6 +83,7 @@
 	// newer are the VMs that may hold the versions announced.
 	newer     []thfleet.Identity
 	announced thfleet.StoreVersions
+	joined    bool
 }
 
 func (f *fakeFleet) Role() thfleet.Role {
@@ -96,6 +97,13 @@
 
 func (f *fakeFleet) HasRecentReadInOtherZone() bool { return false }
 
+// announce says that the VMs hold the versions.
+func (f *fakeFleet) announce(versions thfleet.StoreVersions, vms ...thfleet.Identity) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.newer, f.announced = vms, versions
+}
+
 func (f *fakeFleet) setReader(reader bool) {
 	f.mu.Lock()
 	f.reader = reader
@@ -110,10 +118,19 @@
 	}
 	return f.newer
 }
-func (f *fakeFleet) RecordPeers([]thfleet.Identity)               {}
-func (f *fakeFleet) NotePeer(thfleet.Identity)                    {}
-func (f *fakeFleet) MarkJoined()                                  {}
-func (f *fakeFleet) IsJoined() bool                               { return false }
+func (f *fakeFleet) RecordPeers([]thfleet.Identity) {}
+func (f *fakeFleet) NotePeer(thfleet.Identity)      {}
+func (f *fakeFleet) MarkJoined() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.joined = true
+}
+
+func (f *fakeFleet) IsJoined() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.joined
+}
 func (f *fakeFleet) Roster() ([]thfleet.Identity, bool)           { return nil, true }
 func (f *fakeFleet) ZoneRank() int                                { return 0 }
 func (f *fakeFleet) RandomPeers(int) []thfleet.Identity           { return nil }
