thfleet: let VMs take turns at a store that does not answer

Cause: a VM takes over from those before it in rank when they have reported no read for a while, at most 1.5 s. In an outage nobody reports a read, so all take over.

Ruled out: longer delays between the ranks alone, since an outage may last hours; a report of failed reads, which needs messages and says little, as the store may refuse one VM and answer the next.

Change: after the first four ranks of a zone, one more VM takes over each second. A VM that took over but reports no read gives way after 1.2 s, until its turn comes again. The first-ranked VM of a zone always tries.

Conclusion: an outage costs the store calls of a few VMs of each zone.

--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -76,6 +76,8 @@
 	heardAt thclock.Instant
 	// unanswered is how many questions of this VM were not answered since then.
 	unanswered int
+	// announcedAt is when this VM last announced versions; zero if it did not.
+	announcedAt thclock.Instant
 	// probes records since when this VM probes others.
 	probes probes
 	size   sizeCache
--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -15,7 +15,9 @@
 // their ID. In each availability zone the live VM with the best rank is the leader:
 // it notifies the other VMs of its zone of each read. The best-ranked leader is the
 // reader and notifies the other leaders. If no read is reported for a while, the
-// next in rank takes over, both among the leaders and within a zone.
+// next in rank takes over, both among the leaders and within a zone. A VM that took over
+// but can't read either gives way to the next after a turn, so that an outage of the store
+// does not make all VMs try it.
 const (
 	// ReadInterval is how often the reader reads the list of targets. A draining
 	// target must get no new requests after two seconds, so two reads in a row may
@@ -26,9 +28,12 @@
 	// delay per rank times its rank, where the best rank is 0.
 	baseTakeoverDelay    = 900 * time.Millisecond
 	takeoverDelayPerRank = 150 * time.Millisecond
-	// maxDelayedRanks is the highest rank that counts for the takeover delay, which
-	// bounds the delay.
-	maxDelayedRanks = 4
+	// fastRanks is how many VMs follow each other after takeoverDelayPerRank. Only if all
+	// of them fail do the others follow, one after each turnInterval.
+	fastRanks    = 4
+	turnInterval = time.Second
+	// turnDuration is how long a VM that took over tries to read before it gives way.
+	turnDuration = 1200 * time.Millisecond
 )
 
 // ZoneRank returns this VM's rank among the live VMs of its zone; the best rank
@@ -61,18 +66,37 @@
 
 // isZoneLeader reports whether this VM has to keep its zone up to date: it has the
 // best rank of its zone, or better-ranked VMs have reported no read for its takeover
-// delay.
+// delay and either this VM reports reads or it is its turn to try.
 func (f *Fleet) isZoneLeader(now, since thclock.Instant) bool {
 	rank := f.ZoneRank()
-	return rank == 0 || now.Sub(since.Max(f.LastReadInZone())) >= takeoverDelay(rank)
+	if rank == 0 {
+		return true
+	}
+	silence := now.Sub(since.Max(f.LastReadInZone()))
+	if silence < takeoverDelay(rank) {
+		return false
+	}
+	zoneSize, _ := f.ZoneSize(now)
+	return now.Sub(f.announcedAt) < turnDuration || isInTurn(rank, zoneSize, silence)
 }
 
 // takeoverDelay returns how long a VM of the given rank waits for a better-ranked VM
 // to report a read.
 func takeoverDelay(rank int) time.Duration {
-	return baseTakeoverDelay + time.Duration(min(rank, maxDelayedRanks))*takeoverDelayPerRank
+	return baseTakeoverDelay + time.Duration(min(rank, fastRanks))*takeoverDelayPerRank + time.Duration(max(0, rank-fastRanks))*turnInterval
 }
 
+// isInTurn reports whether a VM may try to read that waits since better-ranked VMs became
+// silent. Once all VMs of the zone had a turn, they begin again.
+func isInTurn(rank, zoneSize int, silence time.Duration) bool {
+	round := max(turnDuration, takeoverDelay(zoneSize)-takeoverDelay(1))
+	return (silence-takeoverDelay(rank))%round < turnDuration
+}
+
+// RecordAnnouncement records that this VM announces versions that it, or the VM that it
+// follows, has just read.
+func (f *Fleet) RecordAnnouncement(now thclock.Instant) { f.announcedAt = now }
+
 // Role is the part that a VM takes in keeping its zone up to date with the store.
 type Role uint8
 
--- a/core/thfleet/role_test.go
+++ b/core/thfleet/role_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,8 +12,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// simulation runs nine VMs in three zones that act as their roles require. VMs are
-// numbered by their index in ids.
+// simulation runs VMs in three zones that act as their roles require. VMs are numbered by
+// their index in ids.
 type simulation struct {
 	ids     []thfleet.Identity
 	fleets  []*thfleet.Fleet
@@ -25,13 +26,14 @@
 	updatedAt []time.Duration
 	sequence  uint32
 	now       time.Duration
-	// recentReaders holds the VMs that read the store in the last second.
-	recentReaders map[int]bool
+	// recentReaders holds the VMs that read the store in the last second, and refusedReaders
+	// those that it refused.
+	recentReaders, refusedReaders map[int]bool
 }
 
-func newSimulation() *simulation {
-	s := &simulation{recentReaders: map[int]bool{}, refused: map[int]bool{}}
-	for i := range 9 {
+func newSimulation(vms int) *simulation {
+	s := &simulation{recentReaders: map[int]bool{}, refused: map[int]bool{}, refusedReaders: map[int]bool{}}
+	for i := range vms {
 		id := thfleet.Identity{ID: fmt.Sprintf("vm-%d", i), Zone: fmt.Sprintf("zone-%d", i%3), Address: fmt.Sprintf("10.0.0.%d:1", i+1)}
 		s.ids = append(s.ids, id)
 		s.fleets = append(s.fleets, thfleet.New(id))
@@ -96,14 +98,19 @@
 		}
 		inZone := func(j int) bool { return s.ids[j].Zone == s.ids[i].Zone }
 		role := f.Role(at(s.now), thclock.Instant{})
+		if role == thfleet.Reader && s.refused[i] {
+			s.refusedReaders[i] = true
+		}
 		switch {
 		case role == thfleet.Reader && !s.refused[i]:
 			if s.now%thfleet.ReadInterval != 0 {
 				break
 			}
 			s.recentReaders[i], s.updatedAt[i] = true, s.now
+			f.RecordAnnouncement(at(s.now))
 			s.send(i, true, func(j int) bool { return inZone(j) || s.isLeader(f, j) })
 		case role == thfleet.Relayer, role == thfleet.Reader && f.HasRecentReadInOtherZone(at(s.now)):
+			f.RecordAnnouncement(at(s.now))
 			s.send(i, true, inZone)
 		}
 	}
@@ -127,6 +134,7 @@
 	for until := s.now + span; s.now < until; {
 		if s.now%time.Second == 0 {
 			clear(s.recentReaders)
+			clear(s.refusedReaders)
 		}
 		s.step()
 		for i := range s.fleets {
@@ -144,7 +152,7 @@
 // The reader crashes five times. Each time, one VM must take over before any VM's
 // list of targets is two seconds old.
 func TestOneVMReadsForAllZones(t *testing.T) {
-	s := newSimulation()
+	s := newSimulation(9)
 	s.run(5 * time.Second)
 	for range 5 {
 		assert.Assert(t, s.run(900*time.Millisecond) < maxDrainDelay)
@@ -159,7 +167,7 @@
 // An isolated zone receives no versions from the reader and must read the store
 // itself, until the zones are connected again.
 func TestIsolatedZoneReadsForItself(t *testing.T) {
-	s := newSimulation()
+	s := newSimulation(9)
 	s.run(5 * time.Second)
 	s.isolatedZone = "zone-1"
 	assert.Assert(t, s.run(5*time.Second) < maxDrainDelay)
@@ -172,7 +180,7 @@
 // A reader whose requests the store refuses still sends notices, so that only the
 // missing versions show that another VM has to read.
 func TestReaderRefusedByStoreIsReplaced(t *testing.T) {
-	s := newSimulation()
+	s := newSimulation(9)
 	s.run(5 * time.Second)
 	for i := range s.recentReaders {
 		s.refused[i] = true
@@ -180,3 +188,43 @@
 	assert.Assert(t, s.run(5*time.Second) < maxDrainDelay)
 	assert.Equal(t, len(s.recentReaders), 1, "%v", s.recentReaders)
 }
+
+// Each VM that takes itself for the reader calls the store at least once in two seconds.
+// During an outage the store must not get more calls for each VM of a large fleet.
+func TestOutageOfStoreMakesFewVMsTryIt(t *testing.T) {
+	const vms, zones, maxPerZone = 150, 3, 5
+	s := newSimulation(vms)
+	s.run(5 * time.Second)
+	for i := range vms {
+		s.refused[i] = true
+	}
+	s.run(5 * time.Second)
+	for range 20 {
+		s.run(900 * time.Millisecond)
+		assert.Assert(t, len(s.refusedReaders) <= zones*maxPerZone, "%d VMs try to read the store", len(s.refusedReaders))
+		s.run(100 * time.Millisecond)
+	}
+	clear(s.refused)
+	s.run(3 * time.Second)
+	assert.Equal(t, len(s.recentReaders), 1, "%v", s.recentReaders)
+}
+
+// The store may refuse most VMs and answer the others. One of these must read for all,
+// while few others try.
+func TestReaderIsFoundThoughStoreRefusesMostVMs(t *testing.T) {
+	const vms, zones, maxPerZone = 60, 3, 5
+	for seed := range uint64(5) {
+		s := newSimulation(vms)
+		s.run(5 * time.Second)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		for i := range vms {
+			s.refused[i] = rng.Float64() < 0.7
+		}
+		assert.Assert(t, s.run(5*time.Second) < 2*maxDrainDelay, "seed %d", seed)
+		for range 20 {
+			assert.Assert(t, s.run(900*time.Millisecond) < maxDrainDelay, "seed %d", seed)
+			assert.Assert(t, len(s.refusedReaders) <= zones*maxPerZone, "seed %d: %d VMs try in vain", seed, len(s.refusedReaders))
+			s.run(100 * time.Millisecond)
+		}
+	}
+}
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -171,8 +171,9 @@
 }
 
 // Announcement returns a notice with the versions of the store's data that this VM
-// holds.
-func (v *View) Announcement(versions thfleet.StoreVersions) thfleet.Notice {
+// holds, after it has read them or has heard of another VM's read.
+func (v *View) Announcement(now thclock.Instant, versions thfleet.StoreVersions) thfleet.Notice {
+	v.Fleet.RecordAnnouncement(now)
 	n := v.newNotice()
 	n.StoreVersions = &versions
 	return n
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -239,8 +239,8 @@
 // zone and, if it has read them from the store itself, to the leaders of the
 // other zones.
 func (x *Exchange) AnnounceVersions(versions thfleet.StoreVersions, fromStore bool) {
-	x.send(func(_ thclock.Instant, v *thview.View) (thfleet.Notice, []thfleet.Peer) {
-		n := v.Announcement(versions)
+	x.send(func(now thclock.Instant, v *thview.View) (thfleet.Notice, []thfleet.Peer) {
+		n := v.Announcement(now, versions)
 		to := v.Fleet.LivePeersInZone(n.From)
 		if fromStore {
 			to = append(to, v.Fleet.OtherZoneLeaders()...)
