thsource, platform, thingress: serve callers sooner after a start

Cause: the table was read after the list of targets, which is three calls. One bound of a second held for all calls of a list together: with a store that takes 0.3 s for a call, a list of four pages could never be read, by no VM.

Ruled out: a shorter bound for each call, as the store may be sixty times slower than usual.

Change: a VM that starts reads table and targets at the same time. The client bounds each call by a second, and a list may take ten. A VM without a table sends a Retry-After of 0.4 s.

Conclusion: callers of a VM that starts are sent back for less time; long lists can be read while the store is slow.

--- a/io/thingress/message.go
+++ b/io/thingress/message.go
@@ -54,6 +54,9 @@
 	return nil
 }
 
+// retryAfterStart is the time after which a VM that has just started is mostly ready.
+const retryAfterStart = 400 * time.Millisecond
+
 // convertRequest copies the request, whose buffers will be reused, and finds its
 // route and customer. If it returns a refusal, the copy is incomplete.
 func (s *Server) convertRequest(q *fasthttp.Request) (*thmessage.Request, *Refusal) {
@@ -64,7 +67,7 @@
 	}
 	table := s.options.Table()
 	if table.Version() == 0 {
-		return request, &Refusal{Err: therror.New(therror.NotReady, "the VM has no configuration yet"), RetryAfter: time.Second}
+		return request, &Refusal{Err: therror.New(therror.NotReady, "the VM has no configuration yet"), RetryAfter: retryAfterStart}
 	}
 	if request.Method == fasthttp.MethodConnect {
 		return request, &Refusal{Err: therror.New(therror.RequestMalformed, "method CONNECT")}
--- a/io/thsource/membership.go
+++ b/io/thsource/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"tamarackhollow/core/thevent"
@@ -107,8 +108,11 @@
 	if s.awaitRunningFleet(ctx, patience) && s.fetchFromRandomPeers(ctx) || s.IsLoaded() || ctx.Err() != nil {
 		return
 	}
-	s.readTargets(ctx)
-	if _, err := s.readTable(ctx, 0); err != nil {
+	var reads sync.WaitGroup
+	reads.Go(func() { s.readTargets(ctx) })
+	_, err := s.readTable(ctx, 0)
+	reads.Wait()
+	if err != nil {
 		s.fetchFromSeeds(ctx)
 	}
 }
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -28,7 +28,7 @@
 	// call waits for a newer one for at most wait.
 	Table(ctx context.Context, after uint64, wait time.Duration) (thtable.Document, error)
 	// Targets returns the list of targets. Each change raises its version, which
-	// may also rise without one.
+	// may also rise without one. If the store is silent, it returns within about a second.
 	Targets(ctx context.Context) (thtable.TargetList, error)
 	// Join adds this VM to the list of VMs and returns the whole list.
 	Join(ctx context.Context, self thfleet.Identity) ([]thfleet.Identity, error)
@@ -92,6 +92,8 @@
 	// storeTimeout bounds a call to the store, which usually takes 4 ms but may
 	// be sixty times slower.
 	storeTimeout = time.Second
+	// listTimeout bounds a read of the list of targets, which may take many calls.
+	listTimeout = 10 * time.Second
 	// tableLongPoll is how long a call waits at the store for a newer table. A
 	// connection that has gone silent holds back changes for that long and storeTimeout.
 	tableLongPoll = 2 * time.Second
@@ -297,7 +299,7 @@
 // readTargets reads the list of targets from the store and applies it. It
 // reports whether the store answered.
 func (s *Source) readTargets(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list, err := s.options.Store.Targets(callCtx)
 	s.mu.Lock()
