thsend: do not believe a rejection without an ID on a connection in use again

What could happen: a target sends a second copy of an earlier answer late. If that was a rejection without the request's ID, the request that used the connection meanwhile counted as not run: it was sent to another target as well, or its caller was told that it had not run.

Cause: an answer that says that the request did not run was believed before its ID was compared.

Ruled out: reading on after such an answer: if it was the only one, the caller would wait until its deadline.

Change: on a connection that has served a request before, such an answer without an ID ends the attempt as lost. On a new connection it can only be to this request.

Figures: TestLateAnswerOnReusedConnectionIsNotTheNextCallers: two of seven cases failed before (503 and 421 without an ID); all pass. Late copies of whole answers and of rejections with an ID, and interim answers, passed before.

Conclusion: a late copy of an answer reaches no other caller, nor does what it says.

--- a/io/thsend/client_test.go
+++ b/io/thsend/client_test.go
@@ -246,6 +246,42 @@
 	}
 }
 
+// TestLateAnswerOnReusedConnectionIsNotTheNextCallers guards against an answer that comes
+// late, when the connection is in use for the next request, and reaches that one's caller.
+// A rejection must not be believed either: the next request may be running.
+func TestLateAnswerOnReusedConnectionIsNotTheNextCallers(t *testing.T) {
+	const withoutID = "HTTP/1.1 %s\r\nX-Stamp: s\r\n%sContent-Length: 4\r\n\r\nlate"
+	for _, c := range []struct {
+		name, late string
+		want       thpick.AttemptEnd
+	}{
+		{"second copy of an answer", answerText("id-1", "late"), thpick.Answered},
+		{"two more copies", answerText("id-1", "late") + answerText("id-1", "late"), thpick.Answered},
+		{"copy of a rejection", strings.Replace(answerText("id-1", "late", "X-Not-Run: 1"), "200 OK", "503 Full", 1), thpick.Answered},
+		{"interim answers", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 3), thpick.Answered},
+		{"answer without an ID", fmt.Sprintf(withoutID, "200 OK", ""), thpick.Lost},
+		{"rejection without an ID", fmt.Sprintf(withoutID, "503 Full", "X-Not-Run: 1\r\n"), thpick.Lost},
+		{"wrong target without an ID", fmt.Sprintf(withoutID, "421 Misdirected Request", ""), thpick.Lost},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rs, s := sendAll(t, func(_ *scriptedTarget, k net.Conn, _ *bufio.Reader, number int, id string) bool {
+				if number == 2 && !write(k, c.late) {
+					return false
+				}
+				return write(k, answerText(id, "own "+id))
+			}, newRequest("id-1", thtable.AtMostOnce, testTimeout), newRequest("id-2", thtable.AtMostOnce, testTimeout), newRequest("id-3", thtable.AtMostOnce, testTimeout))
+			assert.Equal(t, rs[1].End, c.want, "%v", rs[1].Err)
+			if c.want == thpick.Answered {
+				assert.Equal(t, string(rs[1].Answer.Body), "own id-2")
+			}
+			assert.Equal(t, rs[2].End, thpick.Answered, "%v", rs[2].Err)
+			assert.Equal(t, string(rs[2].Answer.Body), "own id-3")
+			requests, _ := s.counts()
+			assert.Equal(t, requests, 3)
+		})
+	}
+}
+
 // TestConnectionIsNotReusedAfterEarlyAnswer guards against the rest of a request
 // body reaching the target as a later request: the target answers before it has
 // read a long body.
--- a/io/thsend/exchange.go
+++ b/io/thsend/exchange.go
@@ -67,7 +67,7 @@
 		}
 		return c.classifyError(ctx, p, n, err), false
 	}
-	result := c.classifyAnswer(r, request)
+	result := c.classifyAnswer(n, r, request)
 	if !keep {
 		p.discard(n)
 		return result, false
@@ -234,12 +234,17 @@
 }
 
 // classifyAnswer returns the result of an attempt that got a whole answer.
-func (c *Client) classifyAnswer(r *fasthttp.Response, request *thmessage.Request) Result {
+func (c *Client) classifyAnswer(n *connection, r *fasthttp.Response, request *thmessage.Request) Result {
 	names, status := c.options.HeaderNames, r.StatusCode()
+	isNotRun := status == fasthttp.StatusMisdirectedRequest || len(r.Header.Peek(names.NotRun)) > 0
+	if isNotRun && n.completed > 0 && len(r.Header.Peek(names.RequestID)) == 0 {
+		// It may be a late answer to an earlier request, while this one runs.
+		return Result{End: thpick.Lost, Outcome: thhealth.Failed, Err: errWrongRequestID}
+	}
 	if status == fasthttp.StatusMisdirectedRequest {
 		return Result{End: thpick.NotRun, Outcome: thhealth.ConnectionRefused, Err: errors.New("the address now belongs to another target")}
 	}
-	if len(r.Header.Peek(names.NotRun)) > 0 {
+	if isNotRun {
 		return Result{End: thpick.NotRun, Outcome: thhealth.Rejected, Err: errors.New("the target rejected the request with status " + strconv.Itoa(status))}
 	}
 	if err := c.verifyAnswer(r, request); err != nil {
