thview: keep an attempt at a target apart from the process that follows it

What could happen: a target that restarts under its ID closes the connections of the requests that it ran. Each of these counted one request less in flight at the new process, down to below zero, so that it got more than its slots hold; and the closed connections counted against its health.

Cause: an attempt was booked by the target's key alone.

Ruled out: a lower bound of 0 for the count alone: later attempts would be missing in it.

Change: an attempt that began before the target's process was listed ends without an effect on it, but for what it says of requests that crash targets. Other VMs learn that this one has nothing in flight at the new process.

Figures: TestAttemptAtRestartedTargetSaysNothingOfNewProcess had -1 request in flight and a higher failure probability before; it passes.

Conclusion: a restart begins with a clean count.

--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -31,6 +31,8 @@
 	health thhealth.Health
 	// ownInFlight is the number of this VM's requests in flight at the target.
 	ownInFlight int
+	// listedAt is when the target, or its latest process, was first listed.
+	listedAt    thclock.Instant
 	warmupUntil thclock.Instant
 	// usedAt is when any VM last had a request in flight at the target.
 	usedAt thclock.Instant
@@ -139,7 +141,10 @@
 	for _, t := range ts {
 		state := previous[t.ID]
 		if state == nil || state.StartMillis != t.StartMillis {
-			state = &target{key: thfleet.KeyOf(t.ID), warmupUntil: now.Add(time.Duration(t.WarmupMillis) * time.Millisecond)}
+			if state != nil && state.ownInFlight > 0 {
+				v.outbox.loads[state.key] = 0 // other VMs count this one's requests as well
+			}
+			state = &target{key: thfleet.KeyOf(t.ID), listedAt: now, warmupUntil: now.Add(time.Duration(t.WarmupMillis) * time.Millisecond)}
 		}
 		state.Target = t
 		v.targets[t.ID] = state
@@ -206,6 +211,7 @@
 	// ExpectedLatency is the expected median latency of the answer.
 	ExpectedLatency time.Duration
 	key             thfleet.Key
+	pickedAt        thclock.Instant
 }
 
 // Refusal says why no target was picked.
@@ -286,7 +292,7 @@
 		s.retryBudget = s.retryBudget.WithRetry(now, v.retryRule(now))
 		s.retries++
 	}
-	return Picked{Target: t.Target, FailureProbability: v.candidates[i].Health.FailureProbability(now), InFlight: v.candidates[i].InFlight, ExpectedLatency: query.ExpectedLatency, key: t.key}
+	return Picked{Target: t.Target, FailureProbability: v.candidates[i].Health.FailureProbability(now), InFlight: v.candidates[i].InFlight, ExpectedLatency: query.ExpectedLatency, key: t.key, pickedAt: now}
 }
 
 const (
@@ -319,14 +325,14 @@
 		v.estimates[request.Route.Name] = v.estimates[request.Route.Name].WithAnswer(took)
 		result.LatencyRatio = encodeLatencyRatio(float64(took) / float64(max(p.ExpectedLatency, 1)))
 	}
-	v.outbox.addResult(result)
 	v.recordCrashEvidence(now, p, request, o)
-	t := v.targetsByKey[p.key]
+	t := v.pickedTarget(p)
 	if t == nil {
 		return
 	}
+	v.outbox.addResult(result)
 	t.ownInFlight--
-	v.outbox.loads[t.key] = uint16(min(max(t.ownInFlight, 0), math.MaxUint16))
+	v.outbox.loads[t.key] = uint16(min(t.ownInFlight, math.MaxUint16))
 	v.setHealth(now, t, withLatencyRatio(t.health.WithOutcome(now, o), result))
 	v.countResult(now, t, result)
 }
@@ -334,12 +340,24 @@
 // MarkOverdue records that an attempt is overdue but still under way. Finish must
 // still be called when it ends.
 func (v *View) MarkOverdue(now thclock.Instant, p Picked) {
-	result := thfleet.AttemptResult{Target: p.key, Outcome: thhealth.Overdue, LatencyRatio: thfleet.UnknownLatencyRatio}
+	t := v.pickedTarget(p)
+	if t == nil {
+		return
+	}
+	result := thfleet.AttemptResult{Target: t.key, Outcome: thhealth.Overdue, LatencyRatio: thfleet.UnknownLatencyRatio}
 	v.outbox.addResult(result)
-	if t := v.targetsByKey[p.key]; t != nil {
-		v.setHealth(now, t, t.health.WithOutcome(now, thhealth.Overdue))
-		v.countResult(now, t, result)
+	v.setHealth(now, t, t.health.WithOutcome(now, thhealth.Overdue))
+	v.countResult(now, t, result)
+}
+
+// pickedTarget returns the target of a pick, or nil if it has restarted or was not listed
+// for a while since.
+func (v *View) pickedTarget(p Picked) *target {
+	t := v.targetsByKey[p.key]
+	if t == nil || p.pickedAt.Before(t.listedAt) {
+		return nil
 	}
+	return t
 }
 
 // setHealth replaces the target's health, and calls OnSuspectChange if the target
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -472,3 +472,37 @@
 	}
 	assert.Equal(t, pick().Target.ID, "busy")
 }
+
+// An attempt may end after its target has restarted. It must neither make the new process
+// look emptier than it is nor count against its health, and the same holds for an attempt
+// that is overdue.
+func TestAttemptAtRestartedTargetSaysNothingOfNewProcess(t *testing.T) {
+	f := newFleet(1, 1)
+	v := f.views[0]
+	q := &thmessage.Request{Route: thtable.Route{Name: "r", MaxAttempts: 1, LatencyObjectiveMillis: 800}, Deadline: f.instant().Add(time.Minute)}
+	status := func() thview.TargetStatus { return v.TargetStatuses(f.instant())[0] }
+	for _, end := range []func(p thview.Picked){
+		func(p thview.Picked) { v.Finish(f.instant(), p, q, thhealth.ConnectionClosed, time.Second) },
+		func(p thview.Picked) {
+			v.MarkOverdue(f.instant(), p)
+			v.Finish(f.instant(), p, q, thhealth.Inconclusive, time.Second)
+		},
+	} {
+		p, refusal := v.Pick(f.instant(), q, "s", nil, false)
+		assert.Assert(t, refusal == nil)
+		restarted := p.Target
+		restarted.StartMillis++
+		f.now += time.Millisecond
+		v.SetTargets(f.instant(), []thtable.Target{restarted})
+		before := status()
+		end(p)
+		assert.Equal(t, status().InFlight, 0)
+		for _, o := range v.TakeNotices(f.instant()) {
+			for _, l := range o.Notice.Loads {
+				assert.Equal(t, l.InFlight, uint16(0))
+			}
+			assert.Equal(t, len(o.Notice.Results), 0)
+		}
+		assert.Equal(t, status().FailureProbability, before.FailureProbability)
+	}
+}
