thsend: bound the memory of answers that do not end

What could happen: each answer is bounded by 16 MiB, but not all of them together. A dozen targets that begin long answers and don't end them take more than the 184 MB of a small VM, whose process is then killed with all its requests. Cause: the bound for one answer was the only one. fasthttp also allocates the length that an answer announces before a byte of it has come. Ruled out: heads and trailers without end, lines that are no head, interim answers and answers to others without end: TestEndlessAnswerEndsAttempt, 14 cases, passed before. A lower bound for one answer, since callers may be owed a long one. Change: the unfinished answers of a VM hold at most 0.15 of its memory, by their announced or received length, whichever is more; above that, an answer longer than 256 KiB ends as lost. The setting is live, as the memory is.

--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -98,7 +98,10 @@
 	// memoryShare is the share of the allowed memory that the Go runtime gets as
 	// its limit.
 	memoryShare = 0.7
-	megabyte    = 1 << 20
+	// unfinishedShare is the share of the allowed memory that answers may take which are
+	// not complete yet. Their buffers take up to twice as much.
+	unfinishedShare = 0.15
+	megabyte        = 1 << 20
 )
 
 // Start starts a VM's process and begins to serve callers.
@@ -126,6 +129,7 @@
 	n.forwarder.WithView(func(_ thclock.Instant, v *thview.View) { v.SetRules(s.RetryBudget, s.FloorShare) })
 	if s.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMegabytes) * megabyte))
+		n.sender.LimitUnfinishedBytes(int64(unfinishedShare * float64(s.MemoryMegabytes) * megabyte))
 	}
 }
 
--- a/io/thsend/client.go
+++ b/io/thsend/client.go
@@ -58,13 +58,18 @@
 type Client struct {
 	options Options
 	dialer  net.Dialer
-	mu      sync.Mutex
+	// unfinished holds the bytes of the answers that have not been read whole yet.
+	unfinished byteBudget
+	mu         sync.Mutex
 	// pools is keyed by target ID, since another target may later get the same
 	// address.
 	pools map[string]*pool
 }
 
-const defaultMaxAnswerBytes = 16 << 20
+const (
+	defaultMaxAnswerBytes     = 16 << 20
+	defaultMaxUnfinishedBytes = 64 << 20
+)
 
 // New returns a client that has no connections yet.
 func New(o Options) *Client {
@@ -72,6 +77,7 @@
 		o.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
 	c := &Client{options: o, pools: make(map[string]*pool)}
+	c.LimitUnfinishedBytes(defaultMaxUnfinishedBytes)
 	c.dialer.Timeout = dialTimeout
 	c.dialer.KeepAlive = -1 // TCP_USER_TIMEOUT and deadlines detect dead connections
 	c.dialer.Control = setUserTimeout
@@ -81,6 +87,10 @@
 	return c
 }
 
+// LimitUnfinishedBytes bounds the answers together that have not been read whole yet. Until
+// it is called, the limit is 64 MiB.
+func (c *Client) LimitUnfinishedBytes(limit int64) { c.unfinished.limit.Store(limit) }
+
 // pool returns the target's pool, which it creates if there is none.
 func (c *Client) pool(id string) *pool {
 	c.mu.Lock()
@@ -209,7 +219,7 @@
 		p.releaseReservation()
 		return nil, err
 	}
-	n, err := newConnection(nc)
+	n, err := newConnection(nc, &c.unfinished)
 	if err != nil {
 		p.releaseReservation()
 		return nil, err
--- a/io/thsend/connection.go
+++ b/io/thsend/connection.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,6 +17,22 @@
 // connection before it had read the whole request.
 var errEarlyAnswer = errors.New("the target answered or closed the connection before it had read the whole request")
 
+// shortAnswerBytes is the length up to which an answer is read whatever the others take.
+const shortAnswerBytes = 256 << 10
+
+// errUnfinishedBudget is returned by a read when the answers that all targets have begun
+// take too much memory. A target may send bytes without end.
+var errUnfinishedBudget = errors.New("the unfinished answers of all targets are longer than the limit")
+
+// byteBudget limits the bytes of answers that several connections hold.
+type byteBudget struct {
+	limit, used atomic.Int64
+}
+
+// add counts bytes that are held, or released if negative, and reports whether those held
+// are within the limit.
+func (b *byteBudget) add(bytes int) bool { return b.used.Add(int64(bytes)) <= b.limit.Load() }
+
 // connection wraps a connection to a target. It counts the bytes of the current
 // exchange and bounds its reads and writes by a deadline.
 type connection struct {
@@ -31,10 +48,13 @@
 	// bytesSent and bytesReceived count the bytes of the current exchange.
 	bytesSent, bytesReceived int
 	deadline                 time.Time
+	unfinished               *byteBudget
+	// held is how many bytes of unfinished are taken by the answer.
+	held int
 }
 
-func newConnection(nc net.Conn) (*connection, error) {
-	n := &connection{Conn: nc}
+func newConnection(nc net.Conn, unfinished *byteBudget) (*connection, error) {
+	n := &connection{Conn: nc, unfinished: unfinished}
 	s, ok := nc.(syscall.Conn)
 	if !ok {
 		return n, nil
@@ -78,13 +98,31 @@
 	}
 }
 
-// Read reads into b and counts the bytes received.
+// Read reads into b and counts the bytes received. It returns errUnfinishedBudget if they
+// do not fit into memory.
 func (n *connection) Read(b []byte) (int, error) {
 	r, err := n.Conn.Read(b)
 	n.bytesReceived += r
+	if err == nil && !n.hold(n.bytesReceived) {
+		return 0, errUnfinishedBudget // fasthttp ignores an error that comes with bytes
+	}
 	return r, err
 }
 
+// hold counts the answer as having at least the given length, and reports whether it
+// is short or all unfinished answers together are within their limit.
+func (n *connection) hold(length int) bool {
+	more := max(0, length-n.held)
+	n.held += more
+	return n.unfinished.add(more) || length <= shortAnswerBytes
+}
+
+// endExchange gives back what the answer held.
+func (n *connection) endExchange() {
+	n.unfinished.add(-n.held)
+	n.held = 0
+}
+
 // isQuiet reports whether the connection is open and has no data to read.
 func (n *connection) isQuiet() bool {
 	if n.raw == nil {
--- a/io/thsend/exchange.go
+++ b/io/thsend/exchange.go
@@ -57,6 +57,7 @@
 	r := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(r)
 	keep, err := c.roundTrip(n, t, request, timeLeft, r)
+	n.endExchange()
 	if !stop() {
 		keep = false
 	}
@@ -107,7 +108,7 @@
 		br.Reset(nil)
 		readers.Put(br)
 	}()
-	skipped, err := c.readAnswer(br, r, request)
+	skipped, err := c.readAnswer(n, br, r, request)
 	if err != nil {
 		return false, err
 	}
@@ -183,7 +184,7 @@
 // readAnswer reads the whole answer to the request into r. It skips interim
 // (1xx) answers and answers to other requests, and returns how many of the
 // latter it skipped.
-func (c *Client) readAnswer(br *bufio.Reader, r *fasthttp.Response, request *thmessage.Request) (skipped int, err error) {
+func (c *Client) readAnswer(n *connection, br *bufio.Reader, r *fasthttp.Response, request *thmessage.Request) (skipped int, err error) {
 	for answers := 0; answers <= maxSkippedAnswers; answers++ {
 		r.Reset()
 		r.Header.SetNoDefaultContentType(true)
@@ -197,7 +198,7 @@
 		case status < 200:
 			continue
 		}
-		if err := c.readBody(br, r, request); err != nil {
+		if err := c.readBody(n, br, r, request); err != nil {
 			return skipped, err
 		}
 		id := r.Header.Peek(c.options.HeaderNames.RequestID)
@@ -211,7 +212,7 @@
 
 // readBody reads the answer's body, if it has one, and the trailer of a chunked
 // body. It returns errAnswerTooLarge if the announced length is over the limit.
-func (c *Client) readBody(br *bufio.Reader, r *fasthttp.Response, request *thmessage.Request) error {
+func (c *Client) readBody(n *connection, br *bufio.Reader, r *fasthttp.Response, request *thmessage.Request) error {
 	status := r.StatusCode()
 	if request.Method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		r.SkipBody = true
@@ -221,6 +222,9 @@
 	if length > c.options.MaxAnswerBytes {
 		return errAnswerTooLarge
 	}
+	if !n.hold(length) { // fasthttp allocates the announced length at once
+		return errUnfinishedBudget
+	}
 	if length == closeDelimited {
 		r.Header.SetConnectionClose()
 	}
