thsource: compare two VMs before a VM that starts applies its first table

What could happen: operators told of a server that had left, or a withdrawn key, in use again after a restart. A VM that starts fetched table and targets from the first VM that answered, chosen at random. If that one had been isolated, the VM that started used its old table and targets until the next announcement, half a second later or more.

Cause: one VM's answer was taken for the fleet's state. Ruled out: the store (a call costs more than a VM's, and it may be down); versions in introductions, which would let VMs that are not in the tree of sources be taken for such. Change: the VM asks a second one for what is newer than the first one's answer, and applies the newest. It asks three at most. The second answer is empty if the first one is current, so the cost is one round trip within the region. Conclusion: a restart brings back a removed key only if both VMs asked are behind.

--- a/io/thsource/membership.go
+++ b/io/thsource/membership.go
@@ -44,9 +44,11 @@
 	// VMs from the store.
 	storeJoinPatience = time.Second
 	// peersAskedAtStart is how many VMs chosen at random a VM that starts asks for table
-	// and targets, and startFetchTimeout how long it waits for each.
-	peersAskedAtStart = 3
-	startFetchTimeout = 150 * time.Millisecond
+	// and targets at most, until peersComparedAtStart have answered. It waits for each
+	// for startFetchTimeout.
+	peersAskedAtStart    = 3
+	peersComparedAtStart = 2
+	startFetchTimeout    = 150 * time.Millisecond
 	// registeredRanks is how many VMs of each zone are listed in the store, for VMs that
 	// start while all seeds are gone.
 	registeredRanks = 2
@@ -141,18 +143,46 @@
 
 // fetchFromRandomPeers asks other VMs for table and targets, and reports whether this VM
 // has both. It asks those that have answered this VM's introduction, since others may
-// have crashed.
+// have crashed, and applies the newest versions of two of them, since one may have been
+// isolated and hold a key or target that was removed.
 func (s *Source) fetchFromRandomPeers(ctx context.Context) bool {
 	if !sleep(ctx, introductionDelay, nil) {
 		return false
 	}
+	var newest knownResponse
+	var source string
+	answers := 0
 	for _, p := range s.options.Fleet.RandomPeers(peersAskedAtStart) {
-		s.fetchFrom(ctx, p.Address, startFetchTimeout, 0)
-		if s.IsLoaded() || ctx.Err() != nil {
-			return true
+		k, ok := s.askPeer(ctx, p.Address, startFetchTimeout, newest.versionsRequest())
+		if !ok {
+			continue
+		}
+		answers++
+		if k.Table != nil {
+			newest.Table, source = k.Table, p.Address
+		}
+		if k.Targets != nil {
+			newest.Targets = k.Targets
+		}
+		if answers == peersComparedAtStart {
+			break
 		}
 	}
-	return false
+	if err := s.apply(newest, source); err != nil {
+		s.options.Log.Log(thevent.PeerAsked, thevent.F("peer", source), thevent.F("call", pathKnown), thevent.F("error", err.Error()))
+	}
+	return s.IsLoaded()
+}
+
+// versionsRequest returns the request for the whole content that is newer than this.
+func (k knownResponse) versionsRequest() (request knownRequest) {
+	if k.Table != nil {
+		request.Table = k.Table.Version
+	}
+	if k.Targets != nil {
+		request.Targets = k.Targets.Version
+	}
+	return request
 }
 
 // introductionDelay is how long answers to an introduction take.
--- a/io/thsource/membership_test.go
+++ b/io/thsource/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,7 +26,10 @@
 func startJoining(t *testing.T, o thsource.Options) *thsource.Source {
 	t.Helper()
 	o.Client, o.Log = thwire.NewClient(thwire.ClientOptions{Credential: "credential"}), thevent.Discard{}
-	o.ApplyTable, o.ApplyTargets = func(thtable.Table) {}, func([]thtable.Target) {}
+	if o.ApplyTable == nil {
+		o.ApplyTable = func(thtable.Table) {}
+	}
+	o.ApplyTargets = func([]thtable.Target) {}
 	s := thsource.New(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -105,3 +109,57 @@
 	}
 	store.set(func(s *fakeStore) { assert.Equal(t, s.reads+s.polls, 0) })
 }
+
+// A VM that starts may ask one that was isolated and still holds a withdrawn key. What
+// another VM knows to be older must not be applied.
+func TestStartingVMAppliesNewestOfTwoPeers(t *testing.T) {
+	newest := thtable.Document{Version: 3}
+	for _, c := range []struct {
+		name     string
+		versions []uint64
+		want     []uint64
+	}{
+		{"the first is behind", []uint64{2, 3}, []uint64{3}},
+		{"the second is behind", []uint64{3, 2}, []uint64{3}},
+		{"the first does not answer", []uint64{0, 2, 3}, []uint64{3}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			fleet := &fakeFleet{}
+			for _, version := range c.versions {
+				fleet.random = append(fleet.random, startPeer(t, "peer", func(s *thwire.Server) {
+					thwire.Handle(s, "/known", func(_ thwire.Sender, request known) (answer knownAnswer, err error) {
+						switch {
+						case version == 0:
+							time.Sleep(time.Second) // longer than the VM waits for an answer
+						case version > request.Table:
+							d := newest
+							d.Version = version
+							answer.Table = &d
+						}
+						if version > request.Targets {
+							answer.Targets = &thtable.TargetList{Version: version, Targets: targets(fmt.Sprint(version))}
+						}
+						return answer, nil
+					})
+				}))
+			}
+			seed := startPeer(t, "seed", func(s *thwire.Server) {
+				thwire.Handle(s, "/roster", func(thwire.Sender, struct{}) (rosterAnswer, error) { return rosterAnswer{Joined: true}, nil })
+			})
+			applied := make(chan uint64, 10)
+			s := startJoining(t, thsource.Options{
+				Store: &fakeStore{down: true}, Fleet: fleet, Seeds: []string{seed.Address}, FirstStart: true,
+				ApplyTable: func(table thtable.Table) { applied <- table.Version() },
+			})
+			for until := time.Now().Add(testTimeout); !s.IsLoaded(); time.Sleep(5 * time.Millisecond) {
+				assert.Assert(t, time.Now().Before(until), "the VM has no table or no targets")
+			}
+			var versions []uint64
+			for len(applied) > 0 {
+				versions = append(versions, <-applied)
+			}
+			assert.DeepEqual(t, versions, c.want)
+			assert.Equal(t, s.Table().Version(), c.want[0])
+		})
+	}
+}
--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -196,10 +196,23 @@
 // fetchFrom fetches and applies the newer versions that the VM at the address has. If
 // it has none yet, it may wait for them.
 func (s *Source) fetchFrom(ctx context.Context, address string, timeout, wait time.Duration) {
+	request := s.nextRequest()
+	request.WaitMillis = wait.Milliseconds()
+	k, ok := s.askPeer(ctx, address, timeout, request)
+	if !ok {
+		return
+	}
+	if err := s.apply(k, address); err != nil {
+		s.options.Log.Log(thevent.PeerAsked, thevent.F("peer", address), thevent.F("call", pathKnown), thevent.F("error", err.Error()))
+	}
+}
+
+// askPeer asks the VM at the address for what the request lacks, and returns its answer,
+// and false if there is none. It logs both.
+func (s *Source) askPeer(ctx context.Context, address string, timeout time.Duration, request knownRequest) (knownResponse, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	startedAt, request := time.Now(), s.nextRequest()
-	request.WaitMillis = wait.Milliseconds()
+	startedAt := time.Now()
 	k, size, err := thwire.CallSized[knownRequest, knownResponse](callCtx, s.options.Client, address, pathKnown, request)
 	fields := []thevent.Field{thevent.F("peer", address), thevent.F("bytes", size), thevent.F("tookMillis", time.Since(startedAt).Milliseconds())}
 	s.mu.Lock()
@@ -207,16 +220,14 @@
 		fields = append(fields, thevent.F("behindMillis", time.Since(s.behindSince).Milliseconds()))
 	}
 	s.mu.Unlock()
-	if err == nil {
-		s.options.Fleet.RecordPeers(k.VMs)
-		err = s.apply(k, address)
-	}
 	if err != nil {
 		s.options.Log.Log(thevent.PeerAsked, append(fields, thevent.F("error", err.Error()))...)
-		return
+		return k, false
 	}
 	s.options.Log.Log(thevent.PeerAsked, append(fields, thevent.F("table", k.Table != nil), thevent.F("targets", k.Targets != nil),
 		thevent.F("tableChanges", len(k.TableChanges)), thevent.F("targetChanges", len(k.TargetChanges)))...)
+	s.options.Fleet.RecordPeers(k.VMs)
+	return k, true
 }
 
 // nextRequest returns the request for what this VM lacks.
--- a/io/thsource/peers_test.go
+++ b/io/thsource/peers_test.go
@@ -17,6 +17,7 @@
 type known struct {
 	Table       uint64         `json:"table"`
 	TableDigest thtable.Digest `json:"tableDigest"`
+	Targets     uint64         `json:"targets"`
 }
 
 // knownAnswer is the answer to that call.
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -94,6 +94,8 @@
 	newer     []thfleet.Identity
 	announced thfleet.StoreVersions
 	joined    bool
+	// random are the VMs that RandomPeers returns.
+	random []thfleet.Identity
 }
 
 func (f *fakeFleet) Role() thfleet.Role {
@@ -143,7 +145,7 @@
 }
 func (f *fakeFleet) Roster() ([]thfleet.Identity, bool)           { return nil, true }
 func (f *fakeFleet) ZoneRank() int                                { return 0 }
-func (f *fakeFleet) RandomPeers(int) []thfleet.Identity           { return nil }
+func (f *fakeFleet) RandomPeers(int) []thfleet.Identity           { return f.random }
 func (f *fakeFleet) AnnounceVersions(thfleet.StoreVersions, bool) {}
 
 func targets(ids ...string) []thtable.Target {
