thforward, thview: log what decided a refusal for a customer's limit

Ruled out: the state of the other owners, which the VM does not know. Change: the line has the limit, the owners without a token and without an answer, the VMs known to live and known, and for a part that the VM owns itself its share, tokens and age. Figures: TestAdmitFollowsOwnersOfLimit and TestRefusalByOwnPartIsLoggedWithItsTokens check the fields; they did not exist before. Conclusion: a refusal can be explained from its own line.

--- a/core/thquota/bucket.go
+++ b/core/thquota/bucket.go
@@ -69,6 +69,9 @@
 	return b, true
 }
 
+// Tokens returns the number of requests that could be admitted at the last refill.
+func (b Bucket) Tokens() float64 { return b.tokens }
+
 // RetryAfter returns the time from the last refill until the bucket holds enough
 // for one request; 0 if it does already.
 func (b Bucket) RetryAfter(l Limit, share float64) time.Duration {
--- a/core/thview/admission.go
+++ b/core/thview/admission.go
@@ -31,13 +31,19 @@
 // customer holds a customer's rate limit, and the buckets of the parts that this VM owns.
 type customer struct {
 	limit thquota.Limit
-	// owned holds the buckets by the number of the part: from the first token that was
-	// asked of this VM until it does not own the part any more.
-	owned map[uint8]thquota.Bucket
+	// owned holds the parts by their number: from the first token that was asked of this
+	// VM until it does not own the part any more.
+	owned map[uint8]ownedPart
 	// admittedUnjoined is how many requests were admitted before this VM had joined.
 	admittedUnjoined int
 }
 
+// ownedPart is a part of a customer's limit that this VM owns since the given time.
+type ownedPart struct {
+	bucket thquota.Bucket
+	since  thclock.Instant
+}
+
 // Admission is the state of one request that needs a token of its customer's limit.
 type Admission struct {
 	customer thfleet.Key
@@ -49,6 +55,31 @@
 	empty, silent int
 	// retryAfter is the shortest time after which an owner may have a token.
 	retryAfter time.Duration
+	// own is the last part owned by this VM that had no token.
+	own OwnPart
+}
+
+// OwnPart describes a part of a customer's limit at the VM that owns it.
+type OwnPart struct {
+	// Share is the fraction of the limit that the VM may give out, 0 if it owns none.
+	Share float64
+	// Tokens is the number of requests that the part has left.
+	Tokens float64
+	// OwnedFor is how long the VM has owned the part.
+	OwnedFor time.Duration
+}
+
+// AdmissionBasis is what the refusal of a request for its customer's limit was based on.
+type AdmissionBasis struct {
+	Limit thquota.Limit
+	// EmptyOwners and SilentOwners are how many other VMs had no token, and how many did
+	// not answer.
+	EmptyOwners, SilentOwners int
+	// LiveVMs and Members are the VMs that this one knows to live, and those that were
+	// live lately, itself included.
+	LiveVMs, Members int
+	// Own is a part that this VM owns and that had no token; zero if there is none.
+	Own OwnPart
 }
 
 // candidateOwner is the VM at a position in the line for a part of a limit.
@@ -72,15 +103,13 @@
 type OverLimit struct {
 	// RetryAfter is the time after which the request may be retried.
 	RetryAfter time.Duration
-	// EmptyOwners and SilentOwners are how many owners had no token, and how many did
-	// not answer.
-	EmptyOwners, SilentOwners int
+	Basis      AdmissionBasis
 }
 
 // LimitUnknown refuses the request because no owner of the limit could be asked.
 type LimitUnknown struct {
-	RetryAfter   time.Duration
-	SilentOwners int
+	RetryAfter time.Duration
+	Basis      AdmissionBasis
 }
 
 // AskOwner asks an owner for a token. ContinueAdmission must follow.
@@ -199,6 +228,7 @@
 			return Admitted{}
 		}
 		if !t.NotOwner {
+			a.own = v.ownPart(now, request)
 			a.retryAfter = min(a.retryAfter, time.Duration(t.RetryAfterMillis)*time.Millisecond)
 		}
 	}
@@ -209,10 +239,26 @@
 	for _, b := range a.route.Backends {
 		v.countRefusal(now, v.service(b.Service))
 	}
+	basis := AdmissionBasis{EmptyOwners: a.empty, SilentOwners: a.silent, Own: a.own}
+	basis.LiveVMs, basis.Members = v.Fleet.Size(now)
+	if c := v.customers[a.customer]; c != nil {
+		basis.Limit = c.limit
+	}
 	if a.retryAfter == math.MaxInt64 {
-		return LimitUnknown{RetryAfter: retryAfterUnknownLimit, SilentOwners: a.silent}
+		return LimitUnknown{RetryAfter: retryAfterUnknownLimit, Basis: basis}
+	}
+	return OverLimit{RetryAfter: a.retryAfter, Basis: basis}
+}
+
+// ownPart describes the part of a customer's limit of which a token was asked last.
+func (v *View) ownPart(now thclock.Instant, r thfleet.TokenRequest) OwnPart {
+	c := v.customers[r.Key]
+	if c == nil {
+		return OwnPart{}
 	}
-	return OverLimit{RetryAfter: a.retryAfter, EmptyOwners: a.empty, SilentOwners: a.silent}
+	_, parts, _ := v.Fleet.LimitPart(now, r.Key, r.Part)
+	p := c.owned[r.Part]
+	return OwnPart{Share: v.usablePartShare(now) / float64(max(1, parts)), Tokens: p.bucket.Tokens(), OwnedFor: now.Sub(p.since)}
 }
 
 // GiveTokens answers another VM's request for tokens. If this VM is in line for a part
@@ -246,19 +292,20 @@
 		return thfleet.Tokens{NotOwner: true}, before
 	}
 	share := v.usablePartShare(now) / float64(parts)
-	b, ok := c.owned[r.Part]
+	owned, ok := c.owned[r.Part]
 	if !ok {
-		b = v.newBucket(now, part, share)
+		owned.since = v.ownerSince(now, part)
+		owned.bucket = thquota.NewBucket(owned.since, share)
 	}
-	b, ok = b.WithRequest(now, c.limit, share)
+	owned.bucket, ok = owned.bucket.WithRequest(now, c.limit, share)
 	if c.owned == nil {
-		c.owned = make(map[uint8]thquota.Bucket)
+		c.owned = make(map[uint8]ownedPart)
 	}
-	c.owned[r.Part] = b
+	c.owned[r.Part] = owned
 	if ok {
 		return thfleet.Tokens{Thousandths: wholeToken}, nil
 	}
-	wait := b.RetryAfter(c.limit, share)
+	wait := owned.bucket.RetryAfter(c.limit, share)
 	return thfleet.Tokens{RetryAfterMillis: uint16(min(math.MaxUint16, wait.Milliseconds()+1))}, nil
 }
 
@@ -276,12 +323,13 @@
 	return false, nil
 }
 
-// newBucket returns the bucket of a part of which this VM has not given out a token yet.
-func (v *View) newBucket(now thclock.Instant, p thfleet.Part, share float64) thquota.Bucket {
+// ownerSince returns since when this VM owns a part of which it has not given out a token
+// yet.
+func (v *View) ownerSince(now thclock.Instant, p thfleet.Part) thclock.Instant {
 	if !p.Line[0].IsSelf {
-		return thquota.NewBucket(now, share) // it takes over from a VM that does not answer
+		return now // it takes over from a VM that does not answer
 	}
-	return thquota.NewBucket(v.Fleet.ZoneChangedAt().Max(v.options.StartedAt), share)
+	return v.Fleet.ZoneChangedAt().Max(v.options.StartedAt)
 }
 
 // usablePartShare returns the fraction of a part that this VM may use as its owner.
--- a/io/thforward/tokens.go
+++ b/io/thforward/tokens.go
@@ -3,6 +3,7 @@
 import (
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thfleet"
 	"tamarackhollow/core/thtable"
 	"tamarackhollow/core/thview"
@@ -25,13 +26,13 @@
 			f.WithView(func(now thclock.Instant, v *thview.View) { step = v.ContinueAdmission(now, admission, answer) })
 		case thview.OverLimit:
 			return &thingress.Refusal{
-				Err:        therror.New(therror.OverLimit, "customer %s is over its rate: %d owners have no token, %d are silent", c.Name, s.EmptyOwners, s.SilentOwners),
-				RetryAfter: s.RetryAfter,
+				Err:        therror.New(therror.OverLimit, "customer %s is over its rate", c.Name),
+				RetryAfter: s.RetryAfter, LogFields: basisLogFields(s.Basis),
 			}
 		case thview.LimitUnknown:
 			return &thingress.Refusal{
-				Err:        therror.New(therror.LimitUnknown, "no owner of customer %s's limit answers, %d were asked", c.Name, s.SilentOwners),
-				RetryAfter: s.RetryAfter,
+				Err:        therror.New(therror.LimitUnknown, "no owner of customer %s's limit answers, %d were asked", c.Name, s.Basis.SilentOwners),
+				RetryAfter: s.RetryAfter, LogFields: basisLogFields(s.Basis),
 			}
 		default:
 			return nil
@@ -39,6 +40,21 @@
 	}
 }
 
+// basisLogFields returns the log fields for what a refusal by a customer's limit was
+// based on.
+func basisLogFields(b thview.AdmissionBasis) []thevent.Field {
+	fields := []thevent.Field{
+		thevent.F("rate", b.Limit.Rate), thevent.F("burst", b.Limit.Burst),
+		thevent.F("emptyOwners", b.EmptyOwners), thevent.F("silentOwners", b.SilentOwners),
+		thevent.F("vmsLive", b.LiveVMs), thevent.F("vmsKnown", b.Members),
+	}
+	if b.Own.Share > 0 {
+		fields = append(fields, thevent.F("ownShare", roundToThousandths(b.Own.Share)),
+			thevent.F("ownTokens", roundToThousandths(b.Own.Tokens)), thevent.F("ownedMillis", b.Own.OwnedFor.Milliseconds()))
+	}
+	return fields
+}
+
 // borrowRetry asks other VMs, one after the other, to lend what this VM's part of the
 // service's retry budget lacks for one more retry. It returns when they have lent
 // enough, or when all that it asked had too little or did not answer.
--- a/io/thforward/tokens_test.go
+++ b/io/thforward/tokens_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -130,15 +131,17 @@
 		want   therror.Kind
 		// isRefused is set if the request must be refused with an error of that kind.
 		isRefused bool
+		// logged is one of the refusal's log fields.
+		logged string
 	}{
 		{"token", func(r thfleet.TokenRequest) (thfleet.Tokens, bool) {
 			return thfleet.Tokens{Thousandths: r.Thousandths}, true
-		}, 0, false},
+		}, 0, false, ""},
 		{"no tokens left", func(thfleet.TokenRequest) (thfleet.Tokens, bool) {
 			return thfleet.Tokens{RetryAfterMillis: 700}, true
-		}, therror.OverLimit, true},
-		{"no answer", func(thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{}, false }, therror.LimitUnknown, true},
-		{"not the owner", func(thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{NotOwner: true}, true }, therror.LimitUnknown, true},
+		}, therror.OverLimit, true, "{emptyOwners 2}"},
+		{"no answer", func(thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{}, false }, therror.LimitUnknown, true, "{silentOwners 5}"},
+		{"not the owner", func(thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{NotOwner: true}, true }, therror.LimitUnknown, true, "{emptyOwners 0}"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newAskingFixture(thpick.RetryBudgetRule{}, c.answer)
@@ -150,10 +153,35 @@
 			assert.Assert(t, refusal != nil)
 			assert.Assert(t, therror.Is(refusal.Err, c.want), "%v", refusal.Err)
 			assert.Assert(t, refusal.RetryAfter > 0)
+			logged := fmt.Sprint(refusal.LogFields)
+			for _, field := range []string{"{rate 1}", "{burst 1}", "{vmsLive 4}", "{vmsKnown 4}", c.logged} {
+				assert.Assert(t, strings.Contains(logged, field), "%s in %s", field, logged)
+			}
 		})
 	}
 }
 
+// A refusal by the VM that owns a part of the limit says what that part had left.
+func TestRefusalByOwnPartIsLoggedWithItsTokens(t *testing.T) {
+	g := newAskingFixture(thpick.RetryBudgetRule{}, func(thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{}, true })
+	for i := range 100 {
+		c := thtable.Customer{Name: fmt.Sprint(i), Rate: 0.001, Burst: 1}
+		refusal := g.forwarder.Admit(c, thtable.Route{})
+		for refusal == nil {
+			refusal = g.forwarder.Admit(c, thtable.Route{})
+		}
+		logged := fmt.Sprint(refusal.LogFields)
+		if !strings.Contains(logged, "{ownShare") {
+			continue // it owns no part of this customer's limit
+		}
+		for _, field := range []string{"{ownTokens 0.", "{ownedMillis "} {
+			assert.Assert(t, strings.Contains(logged, field), "%s in %s", field, logged)
+		}
+		return
+	}
+	t.Fatal("the VM owns no part of a customer's limit")
+}
+
 // A target accepts a number of connections from all VMs together.
 func TestConnectionLimitIsDividedAmongVMs(t *testing.T) {
 	g := newAskingFixture(thpick.RetryBudgetRule{}, nil)
--- a/io/thingress/message.go
+++ b/io/thingress/message.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -173,14 +174,21 @@
 	if refusal == nil {
 		answer, refusal = s.options.Forwarder.Forward(ctx, request)
 	} else {
-		s.options.Log.Log(thevent.RequestRefused, thevent.F("request", request.ID), thevent.F("route", request.Route.Name),
-			thevent.F("customer", request.Customer.Name), thevent.F("version", s.options.Table().Version()),
-			thevent.F("error", refusal.Err.Error()), thevent.F("afterMillis", refusal.RetryAfter.Milliseconds()))
+		s.logRefusal(request, refusal)
 	}
 	s.recordResult(request, answer, refusal)
 	return answer, refusal
 }
 
+// logRefusal logs the refusal of a request that was not passed to the Forwarder.
+func (s *Server) logRefusal(request *thmessage.Request, refusal *Refusal) {
+	s.options.Log.Log(thevent.RequestRefused, slices.Concat([]thevent.Field{
+		thevent.F("request", request.ID), thevent.F("route", request.Route.Name),
+		thevent.F("customer", request.Customer.Name), thevent.F("version", s.options.Table().Version()),
+		thevent.F("error", refusal.Err.Error()), thevent.F("afterMillis", refusal.RetryAfter.Milliseconds()),
+	}, refusal.LogFields)...)
+}
+
 // recordResult passes the request's result to RecordRequest.
 func (s *Server) recordResult(request *thmessage.Request, answer *thmessage.Answer, refusal *Refusal) {
 	if s.options.RecordRequest == nil {
--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -23,6 +23,8 @@
 	// RetryAfter is how long the caller should wait before it retries; 0 if that
 	// is not known.
 	RetryAfter time.Duration
+	// LogFields are what decided a refusal that the Server logs.
+	LogFields []thevent.Field
 }
 
 // Forwarder forwards requests to targets.
