thpick: enforce the floor from a second of failures on, and for targets without lasting failure

Cause: a customer at six times its rate was refused from 7.0 s on. The floor counted failures over two seconds, so that a third of the requests failed for 0.6 s before it was enforced, and unused targets got requests at 8.03 s, when the two seconds were over. Also, the platform counts a target as healthy if it did not fail for two seconds before and during the span; that leaves few of the targets in use, which fail now and then, and all unused ones. The floor counted targets 1.7 s after a failure, so the unused ones were a smaller share. Ruled out: lost notices (VMs knew of the refusals within 0.1 s); a lower share of failures, which is near the usual one. Change: the floor is also enforced if more than 8 %, and more than four, of the requests of the last second failed. It holds both for targets that have not failed for 1.7 s and for those that have not for 3.7 s.

--- a/core/thpick/floor.go
+++ b/core/thpick/floor.go
@@ -32,8 +32,13 @@
 	// is enforced. It is below the tenth from which the platform requires it.
 	floorFailureShare = 0.08
 	// floorIgnoredFailures is the number of failed requests up to which the
-	// floor is not enforced, whatever their share.
-	floorIgnoredFailures = 2
+	// floor is not enforced, whatever their share; floorIgnoredLatestFailures is
+	// that of the latest floorLatestSlots, where the share varies more.
+	floorIgnoredFailures       = 2
+	floorIgnoredLatestFailures = 4
+	// floorLatestSlots is how many slots show a rise of the failures early, so that
+	// there is time to use more targets before two seconds are over.
+	floorLatestSlots = 2
 	// floorRecentUse is how long a target counts as in use after a request. It
 	// is shorter than the platform's two seconds, because VMs receive each
 	// other's notices with a delay.
@@ -41,6 +46,11 @@
 	// floorRecentFailure is how long the floor leaves out a target that failed.
 	// The platform counts the target as healthy again after two seconds.
 	floorRecentFailure = 1700 * time.Millisecond
+	// floorLastingSuccess is how long a target must not have failed for the
+	// platform to count it as healthy during all of two seconds. The floor holds for
+	// these targets as well: unused ones are a larger share of them, because a target
+	// that gets no requests doesn't fail.
+	floorLastingSuccess = floorRecentFailure + 2*time.Second
 	// floorMargin is added to the share of targets to keep in use, because VMs
 	// pick at the same time and differ in what they know.
 	floorMargin = 0.05
@@ -72,18 +82,24 @@
 	return s
 }
 
-// IsEnforced reports whether enough of the latest requests failed for the
-// floor to apply.
+// IsEnforced reports whether enough requests failed in the last two seconds, or
+// in the last one, for the floor to apply.
 func (f Floor) IsEnforced(now thclock.Instant) bool {
+	return f.hasFailures(now, floorSlots, floorIgnoredFailures) || f.hasFailures(now, floorLatestSlots, floorIgnoredLatestFailures)
+}
+
+// hasFailures reports whether more than the ignored number of requests, and more than
+// floorFailureShare of all, failed in the newest slots.
+func (f Floor) hasFailures(now thclock.Instant, slots int64, ignored float64) bool {
 	newest := int64(now.Mono / floorSlotSpan)
 	var succeeded, failed float64
 	for _, s := range f.slots {
-		if newest-s.number < floorSlots {
+		if newest-s.number < slots {
 			succeeded += s.succeeded
 			failed += s.failed
 		}
 	}
-	return failed > floorIgnoredFailures && failed > floorFailureShare*(succeeded+failed)
+	return failed > ignored && failed > floorFailureShare*(succeeded+failed)
 }
 
 // maxExtraCost is how much more than the best target an unused target may cost
@@ -103,12 +119,23 @@
 }
 
 // cheapestUnused returns the index of the cheapest candidate that is not in
-// use, and false if there is none or enough targets are in use. It counts those
-// in use first, to compute costs only when needed.
+// use, and false if there is none or enough targets are in use, both of those that
+// have not just failed and of those that have not failed for longer.
 func cheapestUnused(q Query, candidates []Candidate, share float64) (int, bool) {
+	for _, span := range [...]time.Duration{floorRecentFailure, floorLastingSuccess} {
+		if i, ok := cheapestUnusedWithoutFailure(q, candidates, share, span); ok {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// cheapestUnusedWithoutFailure is cheapestUnused for the targets that have not failed
+// within span. It counts those in use first, to compute costs only when needed.
+func cheapestUnusedWithoutFailure(q Query, candidates []Candidate, share float64, span time.Duration) (int, bool) {
 	counted, inUse := 0, 0
 	for _, c := range candidates {
-		if !isCountedByFloor(q, c) {
+		if !isCountedByFloor(q, c, span) {
 			continue
 		}
 		counted++
@@ -121,7 +148,7 @@
 	}
 	best, lowest := -1, math.Inf(1)
 	for i, c := range candidates {
-		if !isCountedByFloor(q, c) || isRecentlyUsed(q, c) || !isEligible(q, c) {
+		if !isCountedByFloor(q, c, span) || isRecentlyUsed(q, c) || !isEligible(q, c) {
 			continue
 		}
 		if cost := Cost(q, c); cost < lowest {
@@ -132,10 +159,10 @@
 }
 
 // isCountedByFloor reports whether the candidate is one of the targets of which
-// a share must be in use. A draining target or one that has just failed is not, nor
-// is one that other VMs keep in use.
-func isCountedByFloor(q Query, c Candidate) bool {
-	return !c.Target.Draining && !c.IsExtra && (c.FailedAt == (thclock.Instant{}) || q.Now.Sub(c.FailedAt) >= floorRecentFailure)
+// a share must be in use. A draining target or one that has failed within span is not,
+// nor is one that other VMs keep in use.
+func isCountedByFloor(q Query, c Candidate, span time.Duration) bool {
+	return !c.Target.Draining && !c.IsExtra && (c.FailedAt == (thclock.Instant{}) || q.Now.Sub(c.FailedAt) >= span)
 }
 
 // isRecentlyUsed reports whether any VM had a request at the candidate within
--- a/core/thpick/floor_test.go
+++ b/core/thpick/floor_test.go
@@ -34,6 +34,44 @@
 	}
 }
 
+// TestFloorIsEnforcedBeforeTenthOfRequestsFailed guards against a floor that is enforced
+// so late that unused targets get nothing for two seconds in which a tenth of the
+// requests fail: it must be enforced while there are 0.2 s left to use them.
+func TestFloorIsEnforcedBeforeTenthOfRequestsFailed(t *testing.T) {
+	const (
+		perSecond = 250
+		span      = 2 * time.Second
+		required  = 0.1
+		spare     = 200 * time.Millisecond
+	)
+	for _, share := range []float64{0.15, 0.25, 0.33, 0.45} {
+		for _, offset := range []time.Duration{0, 130 * time.Millisecond, 260 * time.Millisecond, 390 * time.Millisecond} {
+			t.Run(fmt.Sprint(share, offset), func(t *testing.T) {
+				var f thpick.Floor
+				start := now.Add(offset)
+				for i := int(span.Seconds() * perSecond); i > 0; i-- {
+					f = f.WithSuccess(start.Add(-time.Duration(i) * time.Second / perSecond))
+				}
+				var failed, due float64
+				for i := 0; failed < required*span.Seconds()*perSecond; i++ {
+					at := start.Add(time.Duration(i) * time.Second / perSecond)
+					if due += share; due >= 1 {
+						due--
+						failed++
+						f = f.WithFailures(at, 1)
+					} else {
+						f = f.WithSuccess(at)
+					}
+					left := (required*span.Seconds()*perSecond - failed) / (share * perSecond)
+					if left <= spare.Seconds() {
+						assert.Assert(t, f.IsEnforced(at), "%v after the first failure", at.Sub(start))
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestPickUnusedKeepsShareOfTargetsInUse checks when PickUnused picks an unused
 // target for a floor of 0.7, and which targets it leaves out of the count.
 func TestPickUnusedKeepsShareOfTargetsInUse(t *testing.T) {
@@ -41,13 +79,14 @@
 	for _, c := range []struct {
 		name                     string
 		used, unused, failed     int
-		draining                 int
+		failedInUse, draining    int
 		enforced, suspects, want bool
 	}{
 		{name: "all are in use", used: 8, enforced: true},
 		{name: "enough are in use", used: 8, unused: 2, enforced: true},
 		{name: "too few are in use", used: 6, unused: 4, enforced: true, want: true},
 		{name: "the unused ones have just failed", used: 6, failed: 4, enforced: true},
+		{name: "most of those in use have failed lately", used: 6, unused: 4, failedInUse: 10, enforced: true, want: true},
 		{name: "the unused ones are draining", used: 6, draining: 4, enforced: true},
 		{name: "the unused ones are suspect and no requests fail", used: 6, unused: 4, suspects: true},
 		{name: "the unused ones are suspect and requests fail", used: 6, unused: 4, suspects: true, enforced: true, want: true},
@@ -69,6 +108,9 @@
 				}
 			})
 			add(c.failed, func(added *thpick.Candidate) { added.FailedAt = now.Add(-time.Second) })
+			add(c.failedInUse, func(added *thpick.Candidate) {
+				added.UsedAt, added.FailedAt = now.Add(-time.Second), now.Add(-3*time.Second)
+			})
 			add(c.draining, func(added *thpick.Candidate) { added.Target.Draining = true })
 			i, ok := thpick.PickUnused(query(), candidates, share, c.enforced, 0)
 			assert.Equal(t, ok, c.want)
