thwire: connect again when an opening packet was lost

Cause: a VM that starts asks the seeds for the other VMs, within 300 ms. The call's deadline did not bound the connecting, which took a second: opening packets to VMs that were not up yet, or whose queue of new connections was full, were lost, and the kernel repeats one only after a second. Until it has joined, a VM admits one request of each customer. fasthttp ignores a request's timeout if Dial is set instead of DialTimeout. Ruled out: slow VMs (table and targets were there 70 ms after the start); more requests before joining, which would break the limits of large fleets. Change: connecting is bounded by the call, and is attempted again after 150 and 300 ms.

--- a/io/thwire/client.go
+++ b/io/thwire/client.go
@@ -15,7 +15,6 @@
 
 const (
 	defaultCallTimeout = 2 * time.Second
-	dialTimeout        = time.Second
 	// clientIdleTimeout is shorter than serverIdleTimeout, so that the client is
 	// the side that closes an idle connection.
 	clientIdleTimeout = 20 * time.Second
@@ -52,7 +51,9 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(options.LocalIP)}
 	}
 	return &Client{options: options, http: fasthttp.Client{
-		Dial:                      func(address string) (net.Conn, error) { return dialer.DialTimeout(address, dialTimeout) },
+		DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
+			return dialRepeatedly(dialer, address, timeout)
+		},
 		MaxConnsPerHost:           maxConnsPerHost,
 		MaxIdleConnDuration:       clientIdleTimeout,
 		MaxResponseBodySize:       DefaultMaxBodyBytes,
