thingress, thforward: let requests wait for a VM that starts instead of sending callers away

VMs were ready 0.1 to 0.4 s later; a refused caller comes back after 0.2 to 0.4 s, with a new connection to a VM that is no further.

Cause: a VM that starts refused at once what it could not decide yet. Ruled out: more requests admitted before joining, since each of hundreds of VMs would admit them; reading the store sooner, which every VM would pay for. Change: a request waits up to 0.3 s for the configuration, and up to 0.4 s, but no more than 0.3 of the route's latency objective, until the VM has joined. Then it is refused as before. Figures: TestRequestWaitsForConfigurationOfVMThatStarts and TestRequestsWaitUntilVMHasJoined saw a refusal before.

--- a/core/thview/admission.go
+++ b/core/thview/admission.go
@@ -26,6 +26,11 @@
 	// joined the fleet, so that callers need not wait for that. If all VMs restart, the
 	// customer has sent less while they were down.
 	maxUnjoinedRequests = 1
+	// maxJoinWait is how long a request waits until the VM has joined, at most, and
+	// joinWaitShare the share of the route's latency objective that it waits at most. A
+	// refused caller comes back later than most VMs take to join.
+	maxJoinWait   = 400 * time.Millisecond
+	joinWaitShare = 0.3
 )
 
 // customer holds a customer's rate limit, and the buckets of the parts that this VM owns.
@@ -93,7 +98,7 @@
 func (c candidateOwner) owner() thfleet.Owner { return c.part.Line[c.position] }
 
 // AdmissionStep is what follows for a request that needs a token: Admitted, OverLimit,
-// LimitUnknown or AskOwner.
+// LimitUnknown, AskOwner or AwaitJoin.
 type AdmissionStep interface{ admissionStep() }
 
 // Admitted lets the request pass.
@@ -118,10 +123,15 @@
 	Request thfleet.TokenRequest
 }
 
+// AwaitJoin waits until this VM has joined the fleet, but not beyond Until.
+// ResumeAdmission must follow.
+type AwaitJoin struct{ Until thclock.Instant }
+
 func (Admitted) admissionStep()     {}
 func (OverLimit) admissionStep()    {}
 func (LimitUnknown) admissionStep() {}
 func (AskOwner) admissionStep()     {}
+func (AwaitJoin) admissionStep()    {}
 
 // BeginAdmission asks for a token of the customer's limit for a request on the route.
 func (v *View) BeginAdmission(now thclock.Instant, c thtable.Customer, r thtable.Route) (*Admission, AdmissionStep) {
@@ -132,7 +142,8 @@
 	a := &Admission{customer: thfleet.KeyOf(c.Name), route: r, retryAfter: math.MaxInt64}
 	if !v.IsJoined(now) {
 		if state.admittedUnjoined >= maxUnjoinedRequests {
-			return a, v.refuseAdmission(now, a)
+			objective := time.Duration(r.LatencyObjectiveMillis) * time.Millisecond
+			return a, AwaitJoin{Until: now.Add(min(maxJoinWait, time.Duration(joinWaitShare*float64(objective))))}
 		}
 		state.admittedUnjoined++
 		return a, Admitted{}
@@ -141,6 +152,16 @@
 	return a, v.nextAdmissionStep(now, a)
 }
 
+// ResumeAdmission asks for a token for a request that has waited until this VM joined the
+// fleet, and refuses it if this VM has not.
+func (v *View) ResumeAdmission(now thclock.Instant, a *Admission) AdmissionStep {
+	if !v.IsJoined(now) {
+		return v.refuseAdmission(now, a)
+	}
+	a.queue = v.ownersToAsk(now, a.customer)
+	return v.nextAdmissionStep(now, a)
+}
+
 // ownersToAsk returns the VMs to ask for a token, one for each part: this VM first, then
 // those of its zone. A VM that did not answer lately is passed over for the next in line.
 func (v *View) ownersToAsk(now thclock.Instant, customer thfleet.Key) []candidateOwner {
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -51,6 +51,9 @@
 	options Options
 	// mu guards options.View.
 	mu sync.Mutex
+	// joined is closed once the VM knows the members of the fleet.
+	joined     chan struct{}
+	joinedOnce sync.Once
 }
 
 var _ thingress.Forwarder = (*Forwarder)(nil)
@@ -63,7 +66,13 @@
 	if options.Ask == nil {
 		options.Ask = func(thfleet.Peer, thfleet.TokenRequest) (thfleet.Tokens, bool) { return thfleet.Tokens{}, false }
 	}
-	return &Forwarder{options: options}
+	return &Forwarder{options: options, joined: make(chan struct{})}
+}
+
+// MarkJoined records that the VM knows the members of the fleet.
+func (f *Forwarder) MarkJoined() {
+	f.WithView(func(now thclock.Instant, v *thview.View) { v.MarkJoined(now) })
+	f.joinedOnce.Do(func() { close(f.joined) })
 }
 
 // WithView calls visit with the current time and the view, whose lock is held during
--- a/io/thforward/tokens.go
+++ b/io/thforward/tokens.go
@@ -1,6 +1,8 @@
 package thforward
 
 import (
+	"time"
+
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
@@ -24,6 +26,9 @@
 				answer = &t
 			}
 			f.WithView(func(now thclock.Instant, v *thview.View) { step = v.ContinueAdmission(now, admission, answer) })
+		case thview.AwaitJoin:
+			f.awaitJoin(s.Until)
+			f.WithView(func(now thclock.Instant, v *thview.View) { step = v.ResumeAdmission(now, admission) })
 		case thview.OverLimit:
 			return &thingress.Refusal{
 				Err:        therror.New(therror.OverLimit, "customer %s is over its rate", c.Name),
@@ -40,6 +45,17 @@
 	}
 }
 
+// awaitJoin waits until the VM knows the members of the fleet, but not beyond the time
+// until.
+func (f *Forwarder) awaitJoin(until thclock.Instant) {
+	timeout := time.NewTimer(until.Sub(f.options.Clock.Now()))
+	defer timeout.Stop()
+	select {
+	case <-f.joined:
+	case <-timeout.C:
+	}
+}
+
 // basisLogFields returns the log fields for what a refusal by a customer's limit was
 // based on.
 func basisLogFields(b thview.AdmissionBasis) []thevent.Field {
--- a/io/thforward/tokens_test.go
+++ b/io/thforward/tokens_test.go
@@ -16,6 +16,7 @@
 	"tamarackhollow/core/thtable"
 	"tamarackhollow/core/thview"
 	"tamarackhollow/io/thforward"
+	"tamarackhollow/io/thingress"
 	"tamarackhollow/io/thsend"
 
 	"gotest.tools/v3/assert"
@@ -194,3 +195,34 @@
 		assert.Equal(t, v.ConnectionShare(now, 3), 1)
 	})
 }
+
+// While a VM joins the fleet it admits few requests of a customer, as all other VMs may do the
+// same. Further ones wait until it has joined, which takes less time than a refused caller
+// stays away, and are refused if that takes long.
+func TestRequestsWaitUntilVMHasJoined(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		joins     bool
+		isRefused bool
+	}{{"the VM joins", true, false}, {"the VM does not join", false, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := thclock.System{}
+			v := thview.New(thview.Options{Self: thfleet.Identity{ID: "vm", Zone: "z"}, StartedAt: clock.Now(), Rand: rand.New(rand.NewPCG(1, 2))})
+			f := thforward.New(thforward.Options{View: v, Clock: clock})
+			customer, route := thtable.Customer{Name: "c", Rate: 100, Burst: 100}, thtable.Route{LatencyObjectiveMillis: 1000}
+			assert.Assert(t, f.Admit(customer, route) == nil, "the first request was refused")
+			decided := make(chan *thingress.Refusal, 1)
+			go func() { decided <- f.Admit(customer, route) }()
+			if c.joins {
+				time.Sleep(20 * time.Millisecond)
+				f.MarkJoined()
+			}
+			refusal := <-decided
+			assert.Equal(t, refusal != nil, c.isRefused)
+			if c.isRefused {
+				assert.Assert(t, therror.Is(refusal.Err, therror.LimitUnknown), "%v", refusal.Err)
+				assert.Assert(t, refusal.RetryAfter > 0)
+			}
+		})
+	}
+}
--- a/io/thingress/connection.go
+++ b/io/thingress/connection.go
@@ -178,7 +178,9 @@
 	}
 	c.setReadDeadline(time.Time{})
 	next := c.newCall()
-	request, refusal := c.server.convertRequest(q)
+	arrived := c.server.options.Clock.Now()
+	c.server.awaitConfiguration(c.ctx)
+	request, refusal := c.server.convertRequest(q, arrived)
 	next.reply.close = q.ConnectionClose() || !q.Header.IsHTTP11()
 	next.reply.omitBody = q.Header.IsHead()
 	c.calls <- next
--- a/io/thingress/message.go
+++ b/io/thingress/message.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thmessage"
@@ -55,16 +56,27 @@
 	return nil
 }
 
+// maxStartWait is how long a request waits at a VM that has just started. A VM of a
+// running fleet is ready sooner, and a refused caller comes back later.
+const maxStartWait = 300 * time.Millisecond
+
+// awaitConfiguration waits until the VM has its configuration, for at most maxStartWait.
+func (s *Server) awaitConfiguration(ctx context.Context) {
+	if s.options.AwaitConfiguration != nil {
+		s.options.AwaitConfiguration(ctx, time.Now().Add(maxStartWait))
+	}
+}
+
 // retryAfterStart is the time after which a VM that has just started is mostly ready.
 const retryAfterStart = 400 * time.Millisecond
 
 // convertRequest copies the request, whose buffers will be reused, and finds its
-// route and customer. If it returns a refusal, the copy is incomplete.
-func (s *Server) convertRequest(q *fasthttp.Request) (*thmessage.Request, *Refusal) {
-	now := s.options.Clock.Now()
+// route and customer. If it returns a refusal, the copy is incomplete. The objective and
+// the deadline count from when the request arrived.
+func (s *Server) convertRequest(q *fasthttp.Request, arrived thclock.Instant) (*thmessage.Request, *Refusal) {
 	request := &thmessage.Request{
 		ID: string(q.Header.Peek(s.options.HeaderNames.RequestID)), Method: string(q.Header.Method()),
-		Host: string(q.Header.Host()), URI: string(q.Header.RequestURI()), Arrived: now,
+		Host: string(q.Header.Host()), URI: string(q.Header.RequestURI()), Arrived: arrived,
 	}
 	table := s.options.Table()
 	if table.Version() == 0 {
@@ -91,10 +103,10 @@
 	if err != nil {
 		return request, &Refusal{Err: err}
 	}
-	request.Objective = now.Add(time.Duration(route.LatencyObjectiveMillis) * time.Millisecond)
-	request.Deadline = now.Add(timeout)
+	request.Objective = arrived.Add(time.Duration(route.LatencyObjectiveMillis) * time.Millisecond)
+	request.Deadline = arrived.Add(timeout)
 	if limit := time.Duration(route.TimeoutMillis) * time.Millisecond; limit > 0 && limit < timeout {
-		request.Deadline = now.Add(limit)
+		request.Deadline = arrived.Add(limit)
 	}
 	request.Header = s.forwardedFields(q, table.RequiresKey())
 	request.Body = append([]byte(nil), q.Body()...)
--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -44,6 +44,9 @@
 	Clock       thclock.Clock
 	Log         thevent.Logger
 	HeaderNames thmessage.HeaderNames
+	// AwaitConfiguration, if not nil, waits until the VM has its configuration, but not
+	// beyond the time until or the context. It is called before each request is handled.
+	AwaitConfiguration func(ctx context.Context, until time.Time)
 	// Submit starts a task on a pool of workers, or returns an error if none is
 	// free. If it is nil, each task gets its own goroutine.
 	Submit func(task func()) error
--- a/io/thingress/server_test.go
+++ b/io/thingress/server_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -408,3 +409,30 @@
 	assert.NilError(t, err)
 	assert.Assert(t, retryAfter > 0 && retryAfter <= 0.5, "Retry-After is %g s", retryAfter)
 }
+
+// A VM that starts gets its configuration within a fraction of the time after which a refused
+// caller would come back. The time that a request waits is part of its deadline.
+func TestRequestWaitsForConfigurationOfVMThatStarts(t *testing.T) {
+	const startTime = 100 * time.Millisecond
+	var configured atomic.Bool
+	s := newTestServerWith(t, thingress.Options{
+		Table: func() thtable.Table {
+			if configured.Load() {
+				return table()
+			}
+			return thtable.Table{}
+		},
+		AwaitConfiguration: func(context.Context, time.Time) {
+			if !configured.Load() {
+				time.Sleep(startTime)
+				configured.Store(true)
+			}
+		},
+	})
+	c := s.dial()
+	c.get("/safe/1")
+	assert.Equal(t, c.readAnswer().StatusCode(), 200)
+	q := s.forwarder.requests[0]
+	left := q.Deadline.Sub(thclock.System{}.Now())
+	assert.Assert(t, left <= 5*time.Second-startTime, "%v are left of 5 s", left)
+}
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -167,7 +167,7 @@
 	n.monitor = newMonitor(n)
 	n.ingress = thingress.New(thingress.Options{
 		Table: n.table, Forwarder: n.forwarder, Clock: n.clock, Log: n.options.Log, HeaderNames: n.options.HeaderNames,
-		Submit: n.pool.Submit, RecordRequest: n.recordRequest,
+		AwaitConfiguration: n.source.AwaitLoaded, Submit: n.pool.Submit, RecordRequest: n.recordRequest,
 	})
 	return nil
 }
@@ -301,9 +301,7 @@
 	return rank
 }
 
-func (f fleetAdapter) MarkJoined() {
-	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { v.MarkJoined(now) })
-}
+func (f fleetAdapter) MarkJoined() { f.node.forwarder.MarkJoined() }
 
 func (f fleetAdapter) AnnounceVersions(versions thfleet.StoreVersions, fromStore bool) {
 	f.node.exchange.AnnounceVersions(versions, fromStore)
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -154,6 +154,25 @@
 	return have.Table > 0 && have.Targets > 0
 }
 
+// AwaitLoaded waits until IsLoaded, but not beyond the time until or the context.
+func (s *Source) AwaitLoaded(ctx context.Context, until time.Time) {
+	timeout := time.NewTimer(time.Until(until))
+	defer timeout.Stop()
+	for {
+		changed := s.content.nextChange()
+		if s.IsLoaded() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Status tells which versions a source holds and how it gets them, for metrics
 // and operators.
 type Status struct {
