thpick: give spent retries back after a window, and as soon as requests add to them

Cause: a VM's part of the budget was a token bucket with 0.78 of its slack as capacity and 0.2 as refill in a window, so that a failure that lasts had a fifth of the slack for each window after the first. Loans that did not add up to a retry were lost. Ruled out: a sliding window for the requests' part as well, which lets VMs use the window in which each had most requests; a smaller capacity with a larger refill, which only moves the limit. A VM asks five others instead of three. Figures: TestRetryBudgetCanBeSpentAgainAfterWindow: no retry in the second window before, at least 0.6 of the slack now. Conclusion: the budget can be used in each window, within the same bound.

--- a/core/thpick/budget_test.go
+++ b/core/thpick/budget_test.go
@@ -136,3 +136,24 @@
 	// A suspended VM's monotonic clock stands still.
 	assert.Assert(t, !b.HasRoom(thclock.Instant{Mono: now.Mono, Wall: now.Wall + time.Second}, rule))
 }
+
+// A service that fails for long needs retries in each window, not only in the first one.
+func TestRetryBudgetCanBeSpentAgainAfterWindow(t *testing.T) {
+	const vms = 40
+	rule := thpick.RetryBudgetRule{Window: 10 * time.Second, Ratio: 0.2, Slack: 60}
+	s := &budgetScript{rule: rule, budgets: make([]thpick.RetryBudget, vms)}
+	retriesUntil := func(until time.Duration) int {
+		before := len(s.retries)
+		for ; s.now < until; s.now += 20 * time.Millisecond {
+			for vm := range vms {
+				s.retry(vm)
+			}
+		}
+		return len(s.retries) - before
+	}
+	retriesUntil(11 * time.Second)
+	for _, until := range []time.Duration{22 * time.Second, 33 * time.Second} {
+		n := retriesUntil(until)
+		assert.Assert(t, float64(n) >= 0.6*rule.Slack, "%d retries up to %s", n, until)
+	}
+}
--- a/core/thview/retry.go
+++ b/core/thview/retry.go
@@ -12,7 +12,7 @@
 const (
 	// lendersAsked is how many VMs are asked in turn to lend a part of their retry
 	// budgets.
-	lendersAsked = 3
+	lendersAsked = 5
 	// borrowPause is how long a VM does not ask again after none of the lenders had
 	// anything left: then retries have used up the budget of most VMs.
 	borrowPause = 500 * time.Millisecond
