thpick, thview: take only targets for new that were listed while the VM ran

Cause: a target without evidence got a bonus, so that targets that were just added get their first requests. A VM that starts knows nothing of any target, and one whose part of the targets shifts nothing of those that it begins to use. Both sent requests there before they used targets known to be healthy, while three in ten targets fail. Ruled out: no bonus at all; new targets then get no requests while others have idle connections (TestNewTargetsGetRequestsWithinTwoSeconds). Change: a target is new if it was listed after the VM's first list, and had no request that the VM knows of. TestPickPrefersNewTarget says which targets are new, and that others are not preferred.

--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -28,6 +28,9 @@
 	// UsedAt is when any VM last had a request in flight at the target, and
 	// FailedAt is when a request last failed there; zero if never.
 	UsedAt, FailedAt thclock.Instant
+	// IsNew is set if the target was listed while the VM ran, and has had no request
+	// that the VM knows of.
+	IsNew bool
 	// IsExtra is set if the VM does not use the target regularly, so that it knows only
 	// what it has seen there itself.
 	IsExtra bool
@@ -133,7 +136,7 @@
 	if !c.HasIdleConnection {
 		cost += connectCost
 	}
-	if c.Health == (thhealth.Health{}) && c.InFlight == 0 && !c.IsExtra {
+	if c.IsNew && !c.IsExtra {
 		cost -= newTargetBonus
 	}
 	return cost
--- a/core/thpick/pick_test.go
+++ b/core/thpick/pick_test.go
@@ -125,8 +125,10 @@
 
 func TestPickPrefersNewTarget(t *testing.T) {
 	fresh := candidate("fresh")
-	fresh.Health, fresh.HasIdleConnection = thhealth.Health{}, false
+	fresh.Health, fresh.HasIdleConnection, fresh.IsNew = thhealth.Health{}, false, true
 	assert.Equal(t, pick(t, query(), candidate("old"), fresh), "fresh")
+	fresh.IsNew = false // other VMs have used it
+	assert.Equal(t, pick(t, query(), candidate("old"), fresh), "old")
 }
 
 func TestShouldShedLowPriorityFirst(t *testing.T) {
--- a/core/thview/subset.go
+++ b/core/thview/subset.go
@@ -6,6 +6,7 @@
 
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thhealth"
 	"tamarackhollow/core/thmessage"
 	"tamarackhollow/core/thpick"
 	"tamarackhollow/core/thsubset"
@@ -160,6 +161,9 @@
 		Target: t.Target, Health: t.health, WarmupUntil: t.warmupUntil,
 		InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key), UsedAt: t.usedAt, FailedAt: t.failedAt,
 	}
+	// Other targets that this VM knows nothing of were used before it started, or by other
+	// VMs before it began to use them.
+	c.IsNew = v.firstListedAt.Before(t.listedAt) && t.health == (thhealth.Health{}) && c.InFlight == 0
 	if v.options.HasIdleConnection != nil {
 		c.HasIdleConnection = v.options.HasIdleConnection(t.ID, idempotent)
 	}
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -97,6 +97,8 @@
 	// quarantine holds the requests that coincided with crashes of targets.
 	quarantine thquarantine.Table
 	sweptAt    thclock.Instant
+	// firstListedAt is when this VM got its first list of targets.
+	firstListedAt thclock.Instant
 	// candidates holds the candidates of the latest pick, and candidateTargets their
 	// targets; each pick reuses them.
 	candidates       []thpick.Candidate
@@ -133,6 +135,9 @@
 // is still listed and has not been restarted.
 func (v *View) SetTargets(now thclock.Instant, ts []thtable.Target) {
 	previous := v.targets
+	if len(previous) == 0 {
+		v.firstListedAt = now
+	}
 	v.targets = make(map[string]*target, len(ts))
 	clear(v.targetsByKey)
 	for _, s := range v.services {
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -188,6 +188,33 @@
 	}
 }
 
+// A VM that starts, or that begins to use other targets because a VM has left, knows nothing of
+// targets that others have long used. It must not send requests that can't be retried there
+// as if they had just been added, since some of them are failing.
+func TestUnknownTargetIsNotTakenForNew(t *testing.T) {
+	v := thview.New(thview.Options{
+		Self: thfleet.Identity{ID: "vm"}, Rand: rand.New(rand.NewPCG(1, 1)),
+		HasIdleConnection: func(string, bool) bool { return true },
+	})
+	now := thclock.At(time.Hour)
+	ts := []thtable.Target{{ID: "t0", Service: "s", Slots: 2}, {ID: "t1", Service: "s", Slots: 2}}
+	v.SetTargets(now, ts)
+	q := &thmessage.Request{Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+	pick := func() string {
+		p, refusal := v.Pick(now, q, "s", nil, false)
+		assert.Assert(t, refusal == nil)
+		v.Finish(now, p, q, thhealth.Answered, 10*time.Millisecond)
+		return p.Target.ID
+	}
+	known := pick()
+	for range 5 {
+		now = now.Add(100 * time.Millisecond)
+		assert.Equal(t, pick(), known)
+	}
+	v.SetTargets(now, append(ts, thtable.Target{ID: "t2", Service: "s", Slots: 2}))
+	assert.Equal(t, pick(), "t2")
+}
+
 func TestPickBackendFollowsWeightsAcrossVMs(t *testing.T) {
 	r := thtable.Route{Name: "r", Backends: []thtable.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	count := map[string]int{}
