thpick: do not prefer unknown targets that a VM does not use

Cause: besides the 16 targets that it uses, a VM considers two others at random, of which it hears nothing. One without evidence counted as failing with a probability of 0.08, so it was preferred to a target of its own that had not answered for a while or had rejected a request. Change: such a target fails with the probability that any target does, 0.25.

--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -83,6 +83,10 @@
 	// newTargetBonus lowers the cost of a target that has had no request yet, so
 	// that it gets its first ones.
 	newTargetBonus = 0.12
+	// unknownExtraFailure is the failure probability of a target that the VM doesn't use
+	// and has not tried: the share of targets that are failing at any time, according to
+	// the platform's specification.
+	unknownExtraFailure = 0.25
 	// warmupFactor is how many times longer requests take while a target warms
 	// up.
 	warmupFactor = 2
@@ -122,6 +126,9 @@
 // connection.
 func Cost(q Query, c Candidate) float64 {
 	failing := c.Health.FailureProbability(q.Now)
+	if c.IsExtra && c.Health == (thhealth.Health{}) {
+		failing = unknownExtraFailure
+	}
 	took := serviceTime(q, c) + ExpectedWait(q, c)
 	late, missed := exceedProbability(took, q.Objective.Sub(q.Now)), exceedProbability(took, q.Deadline.Sub(q.Now))
 	cost := (1 - failing) * (late*lateCost + missed*(1-lateCost))
--- a/core/thpick/pick_test.go
+++ b/core/thpick/pick_test.go
@@ -131,6 +131,20 @@
 	assert.Equal(t, pick(t, query(), candidate("old"), fresh), "old")
 }
 
+// A VM hears nothing of the targets that it doesn't use. One that it has not tried is as likely
+// to be failing as any, so a request that can't be retried goes there only if the others are
+// worse.
+func TestPickUsesUnknownExtraTargetOnlyIfOthersAreWorse(t *testing.T) {
+	extra, known := candidate("extra"), candidate("known")
+	extra.Health, extra.IsExtra = thhealth.Health{}, true
+	known.Health = thhealth.Health{}.WithOutcome(now.Add(-time.Minute), thhealth.Answered)
+	assert.Equal(t, pick(t, query(), known, extra), "known")
+	for range 3 {
+		known.Health = known.Health.WithRemoteOutcome(now, thhealth.Failed)
+	}
+	assert.Equal(t, pick(t, query(), known, extra), "extra")
+}
+
 func TestShouldShedLowPriorityFirst(t *testing.T) {
 	c := candidate("full")
 	c.InFlight = 10
