thview: measure how far evidence against a target spreads, on a calm and on a lossy network

Conclusion: a lost datagram is not made up for until the next failure. To be mended by sending such notices twice.

--- a/core/thview/scale_test.go
+++ b/core/thview/scale_test.go
@@ -45,7 +45,9 @@
 	failsFrom map[string]time.Duration
 	// sentBytes and receivedBytes count by VM.
 	sentBytes, receivedBytes []int
-	rejected, failed, total  int
+	// lossPercent is the share of datagrams that are lost.
+	lossPercent             int
+	rejected, failed, total int
 }
 
 // event is something that happens at a time.
@@ -101,6 +103,9 @@
 	}
 	for _, p := range to {
 		f.sentBytes[from] += len(data) + datagramHeaderBytes
+		if f.rng.IntN(100) < f.lossPercent {
+			continue
+		}
 		f.after(noticeDelay, func() { f.receive(f.indexOf[p.Key], n, len(data)) })
 	}
 }
