thsource: keep removed targets after an outage only if no VM could read the store

Cause: while the store is down targets can't renew their entries, so a reader whose calls fail for 1.5 s keeps targets that are no longer listed for 2.2 s after its next read. The store refused that VM and 16 others for 5.6 s and served the rest, which went on to read. When it was the reader again, it kept two targets whose entries had been removed, for all VMs. Ruled out: late notices (the list reached all VMs within 10 ms of each read); the time until a reader is replaced. Change: what counts is the time in which no VM was heard to read. It is taken at the first read after the outage, by this VM or another one, so that the second VM to read keeps expired targets as well. Conclusion: a target that left stays out though its reader was refused meanwhile.

--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -132,6 +132,8 @@
 	// behindSince is when this VM learned that another VM has newer versions; zero
 	// if it knows of none.
 	behindSince time.Time
+	// fleetReadAt is when this VM last read the store, or heard of a VM that had.
+	fleetReadAt time.Time
 	// storeLostAt is when the store first failed to answer in the last outage.
 	// Until keepUnlistedUntil, targets that are no longer listed are kept.
 	storeLostAt, keepUnlistedUntil time.Time
@@ -200,6 +202,7 @@
 // HandleAnnouncement makes the source act at once on versions that another VM has
 // announced, if this VM lacks them or relays them within its zone.
 func (s *Source) HandleAnnouncement() {
+	s.recordFleetRead()
 	behind := len(s.options.Fleet.FetchOrder(s.versions())) > 0
 	s.recordBehind(behind)
 	if behind {
@@ -321,11 +324,9 @@
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	list, err := s.options.Store.Targets(callCtx)
-	s.mu.Lock()
-	if err == nil && s.storeLost && time.Since(s.storeLostAt) > minOutage {
-		s.keepUnlistedUntil = time.Now().Add(relistTimeout)
+	if err == nil {
+		s.recordFleetRead()
 	}
-	s.mu.Unlock()
 	s.recordStoreResult(ctx, err)
 	if err != nil {
 		return false
@@ -345,6 +346,22 @@
 	relistTimeout = 2200 * time.Millisecond
 )
 
+// recordFleetRead records that this or another VM has read the store. If this VM can't read
+// it and no other VM was heard to read it for minOutage, targets could not renew their
+// entries meanwhile. A store that refuses only some VMs leaves the entries as they are.
+func (s *Source) recordFleetRead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, silentSince := time.Now(), s.storeLostAt
+	if s.fleetReadAt.After(silentSince) {
+		silentSince = s.fleetReadAt
+	}
+	if s.storeLost && now.Sub(silentSince) > minOutage {
+		s.keepUnlistedUntil = now.Add(relistTimeout)
+	}
+	s.fleetReadAt = now
+}
+
 // applyStoreTargets applies a list that was read from the store, unless it holds
 // the same targets as the current one, under whatever version. For relistTimeout
 // after an outage, targets that are not listed are kept.
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -245,6 +245,35 @@
 	g.waitForTargets(t, 1)
 }
 
+// A store that refuses one VM and serves the others is no outage, after which targets that left
+// would be kept in use.
+func TestReaderThatWasRefusedDropsRemovedTargetAtOnce(t *testing.T) {
+	g := newFixture(t)
+	g.store.set(func(s *fakeStore) { s.down = true })
+	for until := time.Now().Add(2500 * time.Millisecond); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+		g.source.HandleAnnouncement() // another VM reads the store
+	}
+	g.store.set(func(s *fakeStore) { s.down, s.list.Targets = false, targets("a") })
+	var reads int
+	g.store.set(func(s *fakeStore) { s.reads = 0 })
+	for reads == 0 || g.targetCount() != 1 {
+		g.store.set(func(s *fakeStore) { reads = s.reads })
+		assert.Assert(t, reads <= 2, "%d targets are applied after %d reads", g.targetCount(), reads)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// After an outage, the first VM that reads the store announces its list. The next one must not
+// drop the targets that expired, although it has heard of a read.
+func TestSecondVMToReadAfterOutageKeepsExpiredTargets(t *testing.T) {
+	g := newFixture(t)
+	g.store.set(func(s *fakeStore) { s.down = true })
+	time.Sleep(2500 * time.Millisecond)
+	g.source.HandleAnnouncement()
+	g.store.set(func(s *fakeStore) { s.down, s.list.Targets = false, targets("b", "c") })
+	g.waitForTargets(t, 3) // c is added, a is kept
+}
+
 // Every call to the store costs money, so a VM must stop reading targets once it
 // is no longer the reader.
 func TestFormerReaderStopsReadingTargets(t *testing.T) {
