thsource, thview: wait for content in one place, and keep a refusal's basis in a file of its own

Cause: a read of the change: AwaitLoaded repeated the loop of awaitNewer and made a timer for each request of a VM that is loaded, and admission.go had grown by what a refusal logs. Ruled out: a channel that is closed once the VM is loaded, which would be one more state to keep. Change: content.await serves both waits and returns before it makes a timer. AdmissionBasis and OwnPart move to basis.go. Conclusion: less work for each request.

--- a/core/thview/admission.go
+++ b/core/thview/admission.go
@@ -64,29 +64,6 @@
 	own OwnPart
 }
 
-// OwnPart describes a part of a customer's limit at the VM that owns it.
-type OwnPart struct {
-	// Share is the fraction of the limit that the VM may give out, 0 if it owns none.
-	Share float64
-	// Tokens is the number of requests that the part has left.
-	Tokens float64
-	// OwnedFor is how long the VM has owned the part.
-	OwnedFor time.Duration
-}
-
-// AdmissionBasis is what the refusal of a request for its customer's limit was based on.
-type AdmissionBasis struct {
-	Limit thquota.Limit
-	// EmptyOwners and SilentOwners are how many other VMs had no token, and how many did
-	// not answer.
-	EmptyOwners, SilentOwners int
-	// LiveVMs and Members are the VMs that this one knows to live, and those that were
-	// live lately, itself included.
-	LiveVMs, Members int
-	// Own is a part that this VM owns and that had no token; zero if there is none.
-	Own OwnPart
-}
-
 // candidateOwner is the VM at a position in the line for a part of a limit.
 type candidateOwner struct {
 	part     thfleet.Part
@@ -260,28 +237,13 @@
 	for _, b := range a.route.Backends {
 		v.countRefusal(now, v.service(b.Service))
 	}
-	basis := AdmissionBasis{EmptyOwners: a.empty, SilentOwners: a.silent, Own: a.own}
-	basis.LiveVMs, basis.Members = v.Fleet.Size(now)
-	if c := v.customers[a.customer]; c != nil {
-		basis.Limit = c.limit
-	}
+	basis := v.basisOf(now, a)
 	if a.retryAfter == math.MaxInt64 {
 		return LimitUnknown{RetryAfter: retryAfterUnknownLimit, Basis: basis}
 	}
 	return OverLimit{RetryAfter: a.retryAfter, Basis: basis}
 }
 
-// ownPart describes the part of a customer's limit of which a token was asked last.
-func (v *View) ownPart(now thclock.Instant, r thfleet.TokenRequest) OwnPart {
-	c := v.customers[r.Key]
-	if c == nil {
-		return OwnPart{}
-	}
-	_, parts, _ := v.Fleet.LimitPart(now, r.Key, r.Part)
-	p := c.owned[r.Part]
-	return OwnPart{Share: v.usablePartShare(now) / float64(max(1, parts)), Tokens: p.bucket.Tokens(), OwnedFor: now.Sub(p.since)}
-}
-
 // GiveTokens answers another VM's request for tokens. If this VM is in line for a part
 // of a customer's limit, but another one before it, that one is returned as well: this
 // VM must ask it for an answer, record with Fleet.Suspect if none comes, and then call
--- a/io/thsource/content.go
+++ b/io/thsource/content.go
@@ -1,6 +1,7 @@
 package thsource
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -55,17 +56,28 @@
 // awaitNewer waits until a version is newer than the given ones, or until the time
 // has passed.
 func (c *content) awaitNewer(than thfleet.StoreVersions, until time.Time) {
+	c.await(context.Background(), until, func() bool { return c.versions().IsNewerThan(than) })
+}
+
+// await waits until isDone returns true, which it asks after each change, but not beyond
+// the time until or the context.
+func (c *content) await(ctx context.Context, until time.Time, isDone func() bool) {
+	if isDone() {
+		return
+	}
 	timeout := time.NewTimer(time.Until(until))
 	defer timeout.Stop()
 	for {
 		changed := c.nextChange()
-		if c.versions().IsNewerThan(than) {
+		if isDone() {
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
 			return
+		case <-ctx.Done():
+			return
 		}
 	}
 }
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -158,21 +158,7 @@
 
 // AwaitLoaded waits until IsLoaded, but not beyond the time until or the context.
 func (s *Source) AwaitLoaded(ctx context.Context, until time.Time) {
-	timeout := time.NewTimer(time.Until(until))
-	defer timeout.Stop()
-	for {
-		changed := s.content.nextChange()
-		if s.IsLoaded() {
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
+	s.content.await(ctx, until, s.IsLoaded)
 }
 
 // Status tells which versions a source holds and how it gets them, for metrics
