thview, thpick, thforward, thnode: log when a service's floor is enforced, and which attempts keep it

Ruled out: nothing yet. Change: events 508 floorEnforced and 509 floorReleased with the counts, the field keepsFloor of 603 and 605, the metric floor_enforced. No decision changes.

--- a/core/thevent/target.go
+++ b/core/thevent/target.go
@@ -7,6 +7,8 @@
 	TargetCleared   ID = 505
 	TargetListed    ID = 506
 	TargetGone      ID = 507
+	FloorEnforced   ID = 508
+	FloorReleased   ID = 509
 )
 
 var targetEvents = []Event{
@@ -15,4 +17,6 @@
 	{TargetCleared, Info, "targetCleared", "a target is no longer suspect"},
 	{TargetListed, Info, "targetListed", "a target is new in the list of targets"},
 	{TargetGone, Info, "targetGone", "a target is no longer in the list of targets"},
+	{FloorEnforced, Warn, "floorEnforced", "many requests to a service fail: idle targets are used, whatever is known of them, to keep its floor"},
+	{FloorReleased, Info, "floorReleased", "a service's floor is no longer enforced"},
 }
--- a/core/thpick/floor.go
+++ b/core/thpick/floor.go
@@ -82,6 +82,11 @@
 	return s
 }
 
+// Counts returns how many requests succeeded and failed in the last two seconds.
+func (f Floor) Counts(now thclock.Instant) (succeeded, failed float64) {
+	return f.counts(now, floorSlots)
+}
+
 // IsEnforced reports whether enough requests failed in the last two seconds, or
 // in the last one, for the floor to apply.
 func (f Floor) IsEnforced(now thclock.Instant) bool {
@@ -91,15 +96,20 @@
 // hasFailures reports whether more than the ignored number of requests, and more than
 // floorFailureShare of all, failed in the newest slots.
 func (f Floor) hasFailures(now thclock.Instant, slots int64, ignored float64) bool {
+	succeeded, failed := f.counts(now, slots)
+	return failed > ignored && failed > floorFailureShare*(succeeded+failed)
+}
+
+// counts returns the counts in the newest slots.
+func (f Floor) counts(now thclock.Instant, slots int64) (succeeded, failed float64) {
 	newest := int64(now.Mono / floorSlotSpan)
-	var succeeded, failed float64
 	for _, s := range f.slots {
 		if newest-s.number < slots {
 			succeeded += s.succeeded
 			failed += s.failed
 		}
 	}
-	return failed > ignored && failed > floorFailureShare*(succeeded+failed)
+	return succeeded, failed
 }
 
 // maxExtraCost is how much more than the best target an unused target may cost
--- a/core/thview/status.go
+++ b/core/thview/status.go
@@ -46,5 +46,30 @@
 	return StateHealthy
 }
 
+// FloorStatus is what this VM knows of the floor of a service.
+type FloorStatus struct {
+	Service string
+	// IsEnforced is whether the VM uses idle targets, whatever it expects of them, to
+	// keep the service's floor.
+	IsEnforced bool
+	// Succeeded and Failed are the requests of the last two seconds that the VM counts.
+	Succeeded, Failed float64
+}
+
+// FloorStatuses returns the status of each service's floor.
+func (v *View) FloorStatuses(now thclock.Instant) []FloorStatus {
+	all := make([]FloorStatus, 0, len(v.services))
+	for _, s := range v.services {
+		all = append(all, v.floorStatus(now, s))
+	}
+	return all
+}
+
+func (v *View) floorStatus(now thclock.Instant, s *service) FloorStatus {
+	f := FloorStatus{Service: s.name, IsEnforced: s.floor.IsEnforced(now)}
+	f.Succeeded, f.Failed = s.floor.Counts(now)
+	return f
+}
+
 // suspectProbability is the failure probability above which a target is suspect.
 const suspectProbability = 0.5
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -45,12 +45,15 @@
 
 // service holds a service's targets, its retry budget and its floor.
 type service struct {
-	key thfleet.Key
+	name string
+	key  thfleet.Key
 	// targets are in the order of their keys.
 	targets     []*target
 	ringsByZone map[string]*rings
 	retryBudget thpick.RetryBudget
 	floor       thpick.Floor
+	// floorEnforced is what was last reported to OnFloorChange.
+	floorEnforced bool
 	// retries and refused are the totals of this VM's retries and refusals.
 	retries, refused uint32
 	// borrowAt is when this VM may ask other VMs again to lend it a part of their
@@ -78,6 +81,9 @@
 	// may be nil. It is called while the View is being changed and must not call
 	// back into it.
 	OnSuspectChange func(s TargetStatus)
+	// OnFloorChange is called when this VM begins or ceases to enforce the floor of a
+	// service, as OnSuspectChange is.
+	OnFloorChange func(s FloorStatus)
 }
 
 // View is one VM's view of targets, peers and limits. Make one with New.
@@ -166,7 +172,7 @@
 func (v *View) service(name string) *service {
 	s := v.services[name]
 	if s == nil {
-		s = &service{key: thfleet.KeyOf(name), retryBudget: thpick.EmptyRetryBudget(v.options.StartedAt)}
+		s = &service{name: name, key: thfleet.KeyOf(name), retryBudget: thpick.EmptyRetryBudget(v.options.StartedAt)}
 		v.services[name] = s
 		v.servicesByKey[s.key] = s
 	}
@@ -215,8 +221,11 @@
 	InFlight           int
 	// ExpectedLatency is the expected median latency of the answer.
 	ExpectedLatency time.Duration
-	key             thfleet.Key
-	pickedAt        thclock.Instant
+	// KeepsFloor is set if the target was picked because too few targets were in use, not
+	// because its expected cost was the lowest.
+	KeepsFloor bool
+	key        thfleet.Key
+	pickedAt   thclock.Instant
 }
 
 // Refusal says why no target was picked.
@@ -252,14 +261,17 @@
 	if !ok {
 		return Picked{}, &Refusal{RetryAfter: retryAfterNoTarget}
 	}
-	if unused, ok := thpick.PickUnused(query, v.candidates, v.options.FloorShare, s.floor.IsEnforced(now), i); ok {
+	unused, keepsFloor := thpick.PickUnused(query, v.candidates, v.options.FloorShare, v.enforcesFloor(now, s), i)
+	if keepsFloor {
 		i = unused
 	}
 	if retryAfter, shed := thpick.ShouldShed(query, v.candidates[i]); shed && len(tried) == 0 {
 		v.countRefusal(now, s)
 		return Picked{}, &Refusal{Overloaded: true, RetryAfter: retryAfter}
 	}
-	return v.startAttempt(now, s, query, i), nil
+	p := v.startAttempt(now, s, query, i)
+	p.KeepsFloor = keepsFloor
+	return p, nil
 }
 
 // PickHedge picks a target for a hedged attempt, as Pick does, but only one
@@ -379,6 +391,20 @@
 	}
 }
 
+// enforcesFloor reports whether this VM enforces the floor of the service, and calls
+// OnFloorChange if that has changed.
+func (v *View) enforcesFloor(now thclock.Instant, s *service) bool {
+	enforced := s.floor.IsEnforced(now)
+	if enforced == s.floorEnforced {
+		return enforced
+	}
+	s.floorEnforced = enforced
+	if v.options.OnFloorChange != nil {
+		v.options.OnFloorChange(v.floorStatus(now, s))
+	}
+	return enforced
+}
+
 // countRefusal counts a request to the service that this VM refused.
 func (v *View) countRefusal(now thclock.Instant, s *service) {
 	s.floor = s.floor.WithFailures(now, 1)
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -259,6 +259,32 @@
 	assert.DeepEqual(t, reported, []string{"suspect", "well"})
 }
 
+func TestFloorChangeIsReportedOnceEachWay(t *testing.T) {
+	var reported []thview.FloorStatus
+	v := thview.New(thview.Options{
+		Self: thfleet.Identity{ID: "vm"}, FloorShare: 0.7, Rand: rand.New(rand.NewPCG(1, 1)),
+		OnFloorChange: func(s thview.FloorStatus) { reported = append(reported, s) },
+	})
+	now := thclock.At(time.Hour)
+	v.SetTargets(now, []thtable.Target{{ID: "t", Service: "s", Slots: 2}})
+	send := func(at thclock.Instant, o thhealth.Outcome) {
+		q := &thmessage.Request{Objective: at.Add(time.Minute), Deadline: at.Add(time.Minute)}
+		p, refusal := v.Pick(at, q, "s", nil, false)
+		assert.Assert(t, refusal == nil)
+		v.Finish(at, p, q, o, time.Second)
+	}
+	for range 5 {
+		send(now, thhealth.Failed)
+	}
+	for i := range 5 {
+		send(now.Add(time.Duration(i+5)*time.Second), thhealth.Answered)
+	}
+	assert.Equal(t, len(reported), 2, "%v", reported)
+	assert.Equal(t, reported[0].Service, "s")
+	assert.Assert(t, reported[0].IsEnforced && reported[0].Failed >= 3 && reported[0].Succeeded == 0, "%v", reported)
+	assert.Assert(t, !reported[1].IsEnforced && reported[1].Failed == 0, "%v", reported)
+}
+
 // TestRateLimitRefusalsEnforceFloor has a customer far over its rate limit while
 // some targets are suspect. Refused requests are not served, so they must count as
 // failed for the floor, also on VMs that refused none themselves.
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -331,10 +331,14 @@
 
 // targetLogFields returns the log fields of a picked target.
 func targetLogFields(p thview.Picked) []thevent.Field {
-	return []thevent.Field{
+	fields := []thevent.Field{
 		thevent.F("target", p.Target.ID), thevent.F("address", p.Target.Address),
 		thevent.F("bad", roundToThousandths(p.FailureProbability)), thevent.F("inFlight", p.InFlight),
 	}
+	if p.KeepsFloor {
+		fields = append(fields, thevent.F("keepsFloor", true))
+	}
+	return fields
 }
 
 // roundToThousandths drops the digits after the third decimal, to keep log lines
--- a/io/thnode/monitor.go
+++ b/io/thnode/monitor.go
@@ -156,11 +156,16 @@
 	}
 	type group struct{ service, state string }
 	counts := make(map[group]int)
+	var floors []thview.FloorStatus
 	m.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
 		for _, s := range v.TargetStatuses(now) {
 			counts[group{s.Service, s.State()}]++
 		}
+		floors = v.FloorStatuses(now)
 	})
+	for _, f := range floors {
+		writeLine(w, "floor_enforced{service=%q} %g\n", f.Service, boolToFloat(f.IsEnforced))
+	}
 	for g, count := range counts {
 		writeLine(w, "targets{service=%q,state=%q} %d\n", g.service, g.state, count)
 	}
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -146,6 +146,7 @@
 	view := thview.New(thview.Options{
 		Self: self, StartMillis: uint64(time.Now().UnixMilli()), StartedAt: n.clock.Now(), HasIdleConnection: n.sender.HasIdleConnection,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), OnSuspectChange: n.logSuspectChange,
+		OnFloorChange: n.logFloorChange,
 	})
 	n.forwarder = thforward.New(thforward.Options{
 		View: view, Table: n.table, Sender: n.sender, Clock: n.clock, Log: n.options.Log,
--- a/io/thnode/operators.go
+++ b/io/thnode/operators.go
@@ -127,3 +127,12 @@
 	n.options.Log.Log(id, thevent.F("target", s.ID), thevent.F("service", s.Service), thevent.F("address", s.Address),
 		thevent.F("badPerMille", int(s.FailureProbability*1000)), thevent.F("inFlight", s.InFlight))
 }
+
+// logFloorChange logs that this VM begins or ceases to enforce a service's floor.
+func (n *Node) logFloorChange(s thview.FloorStatus) {
+	id := thevent.FloorReleased
+	if s.IsEnforced {
+		id = thevent.FloorEnforced
+	}
+	n.options.Log.Log(id, thevent.F("service", s.Service), thevent.F("succeeded", s.Succeeded), thevent.F("failed", s.Failed))
+}
