thsend: do not send a request on the connection whose last request had its ID

Operators report that a faulty target wrote an earlier rejection once more on a kept connection, and callers were told 'not run' for requests that a target was running; and that a target stopped in the middle of an answer's head, and callers got a 200 with an empty body framed as whole. Cause: answers are told apart by the request's ID. A caller that uses its ID again on the same connection can get the second copy of the earlier rejection. Ruled out: copies with another ID are skipped, copies without one are not believed on a connection in use again. An answer cut at any byte of head, length, chunks or body is never whole: TestAnswerCutAtAnyByteIsNotWhole passed before. Change: such a connection is closed and another one opened. Figures: the case 'to a caller that uses the ID again' of TestEarlierRejectionIsNotTheNextRequests failed before. Conclusion: both reports can't happen here.

--- a/io/thsend/client.go
+++ b/io/thsend/client.go
@@ -175,7 +175,7 @@
 func (c *Client) attempt(ctx context.Context, t thtable.Target, request *thmessage.Request, o ConnectionOptions) Result {
 	p := c.pool(t.ID)
 	if !o.RequireNew {
-		if n := p.takeIdle(c.options.Clock.Now(), closeMargin(request.Route.IsIdempotent())); n != nil {
+		if n := p.takeIdle(c.options.Clock.Now(), closeMargin(request.Route.IsIdempotent()), request.ID); n != nil {
 			if r, retry := c.exchange(ctx, p, n, t, request); !retry {
 				return r
 			}
--- a/io/thsend/connection.go
+++ b/io/thsend/connection.go
@@ -45,6 +45,8 @@
 	// completed counts the exchanges that ended with a whole answer. It is
 	// greater than 0 when the connection is reused.
 	completed int
+	// requestID is that of the latest request.
+	requestID string
 	// bytesSent and bytesReceived count the bytes of the current exchange.
 	bytesSent, bytesReceived int
 	deadline                 time.Time
--- /dev/null
+++ b/io/thsend/damaged_test.go
@@ -0,0 +1,86 @@
+package thsend_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"tamarackhollow/core/thpick"
+	"tamarackhollow/core/thtable"
+	"tamarackhollow/io/thsend"
+
+	"gotest.tools/v3/assert"
+)
+
+// A target stopped in the middle of its answer and closed, and the caller got an answer with an
+// empty or short body that was framed as whole.
+func TestAnswerCutAtAnyByteIsNotWhole(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: s\r\n"
+	for _, c := range []struct {
+		name, text string
+		// wholeFrom is the length from which the answer is whole.
+		wholeFrom int
+	}{
+		{"with a length", head + "Content-Length: 12\r\n\r\nhello, world", len(head) + len("Content-Length: 12\r\n\r\nhello, world")},
+		{"without a body", head + "Content-Length: 0\r\n\r\n", len(head) + len("Content-Length: 0\r\n\r\n")},
+		{"length first", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-Id: id-1\r\nX-Stamp: s\r\n\r\nhello, world", len(head) + len("Content-Length: 12\r\n\r\nhello, world")},
+		{"chunked", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", len(head) + len("Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")},
+		{"to the end of the connection", head + "\r\nhello", len(head) + len("\r\n")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var length int
+			s := newScriptedTarget(t, func(_ *scriptedTarget, k net.Conn, _ *bufio.Reader, _ int, _ string) bool {
+				write(k, c.text[:length])
+				return false
+			})
+			client := newClient()
+			for length = 0; length <= len(c.text); length++ {
+				q := newRequest("id-1", thtable.AtMostOnce, testTimeout)
+				r := client.Send(t.Context(), thtable.Target{ID: "t1", Address: s.address}, q, thsend.ConnectionOptions{})
+				assert.Equal(t, r.End == thpick.Answered, length >= c.wholeFrom, "%d bytes, %q: %v", length, c.text[:length], r.Err)
+				assert.Equal(t, r.Answer != nil, length >= c.wholeFrom)
+			}
+		})
+	}
+}
+
+// A target wrote an earlier rejection once more on a kept connection, and the caller of the next
+// request was told that it had not run while the target ran it.
+func TestEarlierRejectionIsNotTheNextRequests(t *testing.T) {
+	const withoutID = "HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n"
+	rejection := strings.Replace(answerText("id-1", "", "X-Not-Run: 1"), "200 OK", "503 Full", 1)
+	for _, c := range []struct {
+		name, first, again string
+		nextID             string
+	}{
+		{"with its ID", rejection, rejection, "id-2"},
+		{"without an ID", fmt.Sprintf(withoutID, "503 Full", "X-Not-Run: 1\r\n"), fmt.Sprintf(withoutID, "503 Full", "X-Not-Run: 1\r\n"), "id-2"},
+		{"as another target", fmt.Sprintf(withoutID, "421 Misdirected", ""), fmt.Sprintf(withoutID, "421 Misdirected", ""), "id-2"},
+		{"to a caller that uses the ID again", rejection, rejection, "id-1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ran := make(chan struct{}, 1)
+			var first net.Conn
+			rs, _ := sendAll(t, func(_ *scriptedTarget, k net.Conn, _ *bufio.Reader, number int, id string) bool {
+				if number == 1 {
+					first = k
+					return write(k, c.first)
+				}
+				if number == 2 {
+					if k == first {
+						write(k, c.again)
+					}
+					time.Sleep(20 * time.Millisecond) // the request runs meanwhile
+					ran <- struct{}{}
+				}
+				return write(k, answerText(id, "ran"))
+			}, newRequest("id-1", thtable.AtMostOnce, testTimeout), newRequest(c.nextID, thtable.AtMostOnce, testTimeout))
+			assert.Equal(t, rs[0].End, thpick.NotRun, "%v", rs[0].Err)
+			assert.Assert(t, rs[1].End != thpick.NotRun && rs[1].End != thpick.NotSent, "%v: %v", rs[1].End, rs[1].Err)
+			<-ran
+		})
+	}
+}
--- a/io/thsend/exchange.go
+++ b/io/thsend/exchange.go
@@ -49,6 +49,7 @@
 func (c *Client) exchange(ctx context.Context, p *pool, n *connection, t thtable.Target, request *thmessage.Request) (Result, bool) {
 	now := c.options.Clock.Now()
 	timeLeft := request.TimeLeft(now)
+	n.requestID = request.ID
 	if err := n.startExchange(time.Now().Add(timeLeft)); err != nil {
 		p.discard(n)
 		return Result{End: thpick.NotSent, Outcome: thhealth.Inconclusive, Err: err}, n.completed > 0
--- a/io/thsend/pool.go
+++ b/io/thsend/pool.go
@@ -32,8 +32,9 @@
 
 // takeIdle removes and returns the most recently used idle connection that does
 // not expire within the margin, or nil. It closes those it finds closed by the
-// target or with unexpected data.
-func (p *pool) takeIdle(now thclock.Instant, margin time.Duration) *connection {
+// target or with unexpected data, and those whose latest request had the same ID: a
+// second copy of its answer could not be told from the answer to this one.
+func (p *pool) takeIdle(now thclock.Instant, margin time.Duration, requestID string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
@@ -44,7 +45,7 @@
 			return nil
 		}
 		p.idle = p.idle[:len(p.idle)-1]
-		if n.isQuiet() {
+		if n.isQuiet() && n.requestID != requestID {
 			return n
 		}
 		p.closeLocked(n)
