thsend: pass on a status that promises 'not run' only with the target's assurance

Cause: an answer 408, 429 or 503 with the target's signature, but without the field that says the request did not run, was passed on unchanged. Callers take these statuses for a promise that the request has not run, and send it again. Ruled out: the platform's targets; they give the field with each rejection. Change: such an answer is lost: a retryable request is retried, another one gets a 502, which promises nothing. Conclusion: a refusal that says 'not run' rests on the target's word or ours.

--- a/io/thsend/damaged_test.go
+++ b/io/thsend/damaged_test.go
@@ -84,3 +84,17 @@
 		})
 	}
 }
+
+// An answer with a status that promises callers that the request has not run is passed on only if
+// the target assures that.
+func TestStatusThatPromisesNotRunNeedsTheTargetsAssurance(t *testing.T) {
+	for _, status := range []string{"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"} {
+		t.Run(status, func(t *testing.T) {
+			rs, _ := sendAll(t, func(_ *scriptedTarget, k net.Conn, _ *bufio.Reader, _ int, id string) bool {
+				return write(k, strings.Replace(answerText(id, "ran"), "200 OK", status, 1))
+			}, newRequest("id-1", thtable.AtMostOnce, testTimeout))
+			assert.Equal(t, rs[0].End, thpick.Lost, "%v", rs[0].Err)
+			assert.Assert(t, rs[0].Answer == nil)
+		})
+	}
+}
--- a/io/thsend/exchange.go
+++ b/io/thsend/exchange.go
@@ -34,6 +34,7 @@
 	errWrongRequestID     = errors.New("the answer does not have the request's ID")
 	errMissingSignature   = errors.New("the answer does not have the target's signature")
 	errUnexpectedEncoding = errors.New("the answer's body has a content encoding that was not requested")
+	errUnassuredRefusal   = errors.New("the answer's status promises that the request has not run, but the target does not assure it")
 	errAnswerTooLarge     = errors.New("the answer's body is larger than the limit")
 )
 
@@ -255,6 +256,9 @@
 	if err := c.verifyAnswer(r, request); err != nil {
 		return Result{End: thpick.Lost, Outcome: thhealth.Failed, Err: err}
 	}
+	if promisesNotRun(status) {
+		return Result{End: thpick.Lost, Outcome: thhealth.Failed, Err: errUnassuredRefusal}
+	}
 	answer := c.convertAnswer(r)
 	if status >= fasthttp.StatusInternalServerError {
 		o := thhealth.Failed
@@ -266,6 +270,16 @@
 	return Result{End: thpick.Answered, Outcome: thhealth.Answered, Answer: answer}
 }
 
+// promisesNotRun reports whether callers take the status for a promise that the request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // verifyAnswer returns an error unless the answer comes from the target, is to
 // this request and has no content encoding.
 func (c *Client) verifyAnswer(r *fasthttp.Response, request *thmessage.Request) error {
