thhealth: take an unknown outcome in a notice for no evidence

Cause: the number of an outcome in another VM's notice was an index into a table. A VM of a newer version, or a damaged datagram, ends every VM that receives it. Ruled out: the other numbers of a notice; FuzzReceive has run over them, but its seeds have small outcomes, and 25 s of fuzzing did not draw a larger one. Change: unknown outcomes leave the health as it is; a seed of the fuzz target.

--- a/core/thhealth/health.go
+++ b/core/thhealth/health.go
@@ -42,8 +42,12 @@
 	Overdue
 )
 
+// IsKnown reports whether the outcome is one of those above. A VM of a newer version may
+// send others, which give no evidence.
+func (o Outcome) IsKnown() bool { return int(o) < len(likelihoods) }
+
 // IsNegative reports whether the outcome is evidence that the target is failing.
-func (o Outcome) IsNegative() bool { return o != Answered && o != Inconclusive }
+func (o Outcome) IsNegative() bool { return o.IsKnown() && o != Answered && o != Inconclusive }
 
 // Parameters of the model. The probabilities and durations come from the
 // platform's specification: at any time some targets fail most of their requests
@@ -134,6 +138,9 @@
 	if o == TimedOut || o == Overdue {
 		return h.update(now, remoteTimeout)
 	}
+	if !o.IsKnown() {
+		return h
+	}
 	return h.update(now, likelihoods[o])
 }
 
--- a/core/thview/fuzz_test.go
+++ b/core/thview/fuzz_test.go
@@ -24,6 +24,7 @@
 		{From: thfleet.VMKeyOf("other"), StartMillis: 1, Sequence: 1, Identity: &id, LiveHash: 7},
 		{From: thfleet.VMKeyOf("other"), StartMillis: 1, Sequence: 2, Loads: []thfleet.Load{{Target: target, InFlight: 3}}, Results: []thfleet.AttemptResult{{Target: target, Outcome: 1}}, Refused: []thfleet.KeyCount{{Key: thfleet.KeyOf("s"), Count: 2}}},
 		{From: thfleet.VMKeyOf("other"), StartMillis: 1, Sequence: 3, TokenRequest: &thfleet.TokenRequest{Key: customer, Thousandths: 1000, Number: 1}},
+		{From: thfleet.VMKeyOf("other"), StartMillis: 1, Sequence: 4, Results: []thfleet.AttemptResult{{Target: target, Outcome: 200}}},
 		{From: thfleet.VMKeyOf("other"), StartMillis: 2, Sequence: 1, Leaving: true, Lost: []thfleet.Loss{{VM: thfleet.VMKeyOf("vm"), StartMillis: 1}}, StoreVersions: &thfleet.StoreVersions{Table: 2, Targets: 2}},
 	}
 	for i, n := range notices {
@@ -64,3 +65,21 @@
 		v.TakeNotices(now)
 	})
 }
+
+// A VM of a newer version, or a damaged datagram, sends an outcome that this one does not know.
+func TestUnknownOutcomeOfPeerIsIgnored(t *testing.T) {
+	f := newFleet(2, 2)
+	n := f.views[1].Introduction(false)
+	n.Results = []thfleet.AttemptResult{{Target: thfleet.KeyOf("t0"), Outcome: 200, LatencyRatio: thfleet.UnknownLatencyRatio}}
+	before := f.views[0].TargetStatuses(f.instant())
+	f.views[0].Receive(f.instant(), n)
+	assert.DeepEqual(t, byID(f.views[0].TargetStatuses(f.instant())), byID(before))
+}
+
+func byID(statuses []thview.TargetStatus) map[string]thview.TargetStatus {
+	m := make(map[string]thview.TargetStatus)
+	for _, s := range statuses {
+		m[s.ID] = s
+	}
+	return m
+}
