--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -90,6 +90,8 @@
 	BodyBytes int
 	// Drop resets the connection in place of the answer.
 	Drop bool
+	// Hang leaves the request without an answer until the connection is closed.
+	Hang bool
 }
 
 // TargetOptions configure a Target.
@@ -201,6 +203,12 @@
 	time.Sleep(reply.Work)
 	t.count(0, -1)
 	<-t.slots
+	if reply.Hang {
+		_ = c.SetReadDeadline(time.Now().Add(time.Minute))
+		_, _ = c.Read(make([]byte, 1)) // returns when the VM closes the connection
+		t.Runs.end(run, false)
+		return false
+	}
 	if reply.Drop {
 		t.Runs.end(run, false)
 		if tcp, ok := c.(*net.TCPConn); ok {
