thingress: shut down writing and discard input after an answer that ends the connection

Cause: the writer closed the socket right after the last answer. Input that the system has not handed over by then, or that arrives later, is answered with a reset, and the caller's system drops what it has not read of the answer. Any caller that sends its next request before it has read the answer is affected, not only at a stop: also if it asked for the close itself, and after a refusal of a body that is not read.

Ruled out: the target's answer being incomplete (the stand-in wrote all of it), and a timeout of the writer (answers were cut within 0.5 s).

Change: the connection's reader, not its writer, closes it. After a reply that announces the end, the writer shuts down writing, and the reader discards input until the caller closes, has sent nothing for 2 s, or 10 s have passed. Idle connections are closed as before: no answer is on its way on them, and a request that crosses the close has to count as not read.

Evidence: TestLastAnswerArrivesWhole failed on the code before in its three cases with a long answer (unexpected EOF) and passes now; with the waiting left out, all its cases fail.

A caller that leaves its side open holds its connection 2 s longer than before.

--- /dev/null
+++ b/io/thingress/closing_test.go
@@ -0,0 +1,95 @@
+package thingress_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"tamarackhollow/io/thingress"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// longBodyBytes is more than a slow caller's system receives before the caller reads, and
+	// less than the server's system holds for it.
+	longBodyBytes = 2 << 20
+	// blockingBodyBytes is more than both hold.
+	blockingBodyBytes = 16 << 20
+)
+
+// dialSlowly connects with a small receive buffer, as over a slow link.
+func (s *testServer) dialSlowly() *caller {
+	s.t.Helper()
+	c := s.dial()
+	assert.NilError(s.t, c.Conn.(*net.TCPConn).SetReadBuffer(64<<10))
+	return c
+}
+
+// TestLastAnswerArrivesWhole guards against a reset that truncates the answer with which
+// the server ends a connection, if bytes of the caller arrive after it was written.
+func TestLastAnswerArrivesWhole(t *testing.T) {
+	const request = "GET /safe/long HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n"
+	for _, c := range []struct {
+		name, text string
+		prepare    func(s *thingress.Server)
+		bodyBytes  int
+		// pause is how long the caller does not read.
+		pause  time.Duration
+		status int
+	}{
+		{"stop", request + "\r\n", (*thingress.Server).Drain, longBodyBytes, 0, 200},
+		{"stop that closes idle connections", request + "\r\n", (*thingress.Server).CloseIdle, longBodyBytes, 0, 200},
+		{"the caller's own close", request + "Connection: close\r\n\r\n", nil, longBodyBytes, 0, 200},
+		{"caller that reads late", request + "Connection: close\r\n\r\n", nil, blockingBodyBytes, 3 * time.Second, 200},
+		{"refused body", "POST /once/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 100000\r\n\r\n", nil, longBodyBytes, 0, 413},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newTestServer(t)
+			s.forwarder.padding = strings.Repeat("x", c.bodyBytes)
+			k := s.dialSlowly()
+			answered := s.forwarder.hold("/safe/long")
+			k.send(c.text)
+			if c.status == 200 {
+				expect(t, s.forwarder.started, "/safe/long")
+			}
+			if c.prepare != nil {
+				c.prepare(s.server)
+			}
+			close(answered)
+			first, err := k.br.Peek(1)
+			assert.NilError(t, err, "%q", first)
+			time.Sleep(50 * time.Millisecond) // lets the server write all of the answer and end the connection
+			for range 5 {
+				k.sendIfOpen(request + "\r\n")
+				time.Sleep(5 * time.Millisecond) // a reset takes effect
+			}
+			time.Sleep(c.pause)
+			r := k.readAnswer()
+			assert.Equal(t, r.StatusCode(), c.status)
+			assert.Assert(t, r.ConnectionClose())
+			k.expectClosed()
+		})
+	}
+}
+
+// sendIfOpen sends text unless the server has reset the connection.
+func (c *caller) sendIfOpen(text string) { _, _ = io.WriteString(c.Conn, text) }
+
+// TestConnectionEndsWithoutCaller guards against a connection that stays open after its
+// last answer because the caller does not close it.
+func TestConnectionEndsWithoutCaller(t *testing.T) {
+	t.Parallel()
+	s := newTestServer(t)
+	c := s.dial()
+	c.get("/open/1", "Connection: close")
+	assert.Equal(t, c.readAnswer().StatusCode(), 200)
+	const bound = 11 * time.Second
+	for until := time.Now().Add(bound); s.server.Connections() > 0; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the connection is open after %s", bound)
+		c.sendIfOpen("x")
+	}
+}
--- a/io/thingress/connection.go
+++ b/io/thingress/connection.go
@@ -45,7 +45,8 @@
 
 // connection is one caller's connection. One goroutine, the reader, reads the
 // requests and starts them; another, the writer, writes the replies in the order
-// of the requests.
+// of the requests. The reader closes the connection, unless the writer fails; see
+// closing.go.
 type connection struct {
 	net.Conn
 	server *Server
@@ -67,6 +68,12 @@
 	fullyRead bool
 	// closing is set once no further request is accepted.
 	closing bool
+	// endAnnounced is set once the writer has begun a reply that announces the end of the
+	// connection.
+	endAnnounced bool
+	// discardUntil is when the connection is closed at the latest after that reply. It is
+	// zero until the reply has been written.
+	discardUntil time.Time
 }
 
 func newConnection(s *Server, nc net.Conn) *connection {
@@ -75,35 +82,32 @@
 	return c
 }
 
+// serve serves the connection's requests and returns once the connection is closed
+// and none of its requests is in flight.
+func (c *connection) serve() {
+	defer c.server.removeConnection(c)
+	var writer sync.WaitGroup
+	writer.Go(c.writeReplies)
+	c.readRequests()
+	close(c.calls)
+	c.awaitClose()
+	c.abort()
+	writer.Wait()
+}
+
 // readRequests reads and starts requests until the caller closes the connection
-// or the server is to close it. Then it closes c.calls, which ends the writer.
+// or no further request is to be accepted.
 func (c *connection) readRequests() {
-	defer close(c.calls)
 	l := c.limits()
 	c.input = bufio.NewReaderSize(c, l.headerBytes)
 	var previous *call
 	for c.awaitRequest(l) {
 		l = c.limits()
 		next, more := c.acceptRequest(l, previous)
-		if next != nil {
-			previous = next
-		}
 		if !more {
-			c.awaitClose()
-			return
-		}
-	}
-}
-
-// awaitClose discards input until the caller or the writer closes the
-// connection, and then cancels the context of its requests.
-func (c *connection) awaitClose() {
-	c.setReadDeadline(time.Time{})
-	for {
-		if _, err := c.input.Discard(max(1, c.input.Buffered())); err != nil {
-			c.cancel()
 			return
 		}
+		previous = next
 	}
 }
 
@@ -253,14 +257,9 @@
 	}
 }
 
-// writeReplies writes the replies in the order of the requests, then closes the
-// connection. After the last reply or an error it drops those that remain.
+// writeReplies writes the replies in the order of the requests. After the last reply
+// or an error it drops those that remain.
 func (c *connection) writeReplies() {
-	defer c.server.removeConnection(c)
-	defer func() {
-		_ = c.Close() // an error does not matter: the caller has its replies or has left
-	}()
-	defer c.cancel()
 	bw := bufio.NewWriterSize(c, writeBufferBytes)
 	open := true
 	for next := range c.calls {
@@ -269,48 +268,37 @@
 			open = c.writeReply(bw, next)
 		}
 		close(next.written)
-		if !open {
-			// The reader fails on the closed connection and closes c.calls.
-			c.cancel()
-			_ = c.Close()
-		}
 	}
 }
 
-// writeReply writes one reply and reports whether the connection stays open.
+// writeReply writes one reply and reports whether further ones may be written.
 func (c *connection) writeReply(bw *bufio.Writer, next *call) bool {
 	c.mu.Lock()
 	c.pending--
-	last := c.server.IsDraining() && c.pending == 0 && c.fullyRead
-	if last || next.reply.close {
-		c.closing = true
+	closing := next.reply.close || c.server.IsDraining() && c.pending == 0 && c.fullyRead
+	if closing {
+		c.closing, c.endAnnounced = true, true
 	}
 	if c.awaitingRequest && !c.closing {
 		c.setIdleDeadline(c.limits())
 	}
-	closing := last || next.reply.close
 	c.mu.Unlock()
-	if c.ctx.Err() != nil {
-		return false
-	}
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if c.ctx.Err() != nil || !c.write(bw, next, closing) {
+		c.abort()
 		return false
 	}
-	if err := next.reply.write(bw, c.server.options.HeaderNames, closing); err != nil {
-		return false
+	if closing {
+		c.closeAfterReply()
 	}
-	return bw.Flush() == nil && !closing
+	return !closing
 }
 
-// closeIfIdle makes the reader close the connection if no request is pending or
-// being read.
-func (c *connection) closeIfIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.awaitingRequest && c.pending == 0 {
-		c.closing = true
-		c.setReadDeadline(time.Now())
+// write writes the reply by writeTimeout and reports whether it succeeded.
+func (c *connection) write(bw *bufio.Writer, next *call, closing bool) bool {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return false
 	}
+	return next.reply.write(bw, c.server.options.HeaderNames, closing) == nil && bw.Flush() == nil
 }
 
 // limits bound the size of a request and the time to wait for it.
--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -116,14 +116,13 @@
 	}
 }
 
-// startConnection starts the reader and writer of an accepted connection.
+// startConnection starts to serve an accepted connection.
 func (s *Server) startConnection(nc net.Conn) {
 	c := newConnection(s, nc)
 	s.mu.Lock()
 	s.connections[c] = struct{}{}
 	s.mu.Unlock()
-	go c.writeReplies()
-	go c.readRequests()
+	go c.serve()
 }
 
 func (s *Server) removeConnection(c *connection) {
--- a/io/thingress/server_test.go
+++ b/io/thingress/server_test.go
@@ -38,6 +38,8 @@
 	held map[string]chan struct{}
 	// refusal, if not nil, is returned for every request.
 	refusal *thingress.Refusal
+	// padding is appended to the body of each answer.
+	padding string
 }
 
 func newFakeForwarder() *fakeForwarder {
@@ -77,7 +79,7 @@
 	if f.refusal != nil {
 		return nil, f.refusal
 	}
-	return &thmessage.Answer{Status: 200, Header: []thmessage.HeaderField{{Name: "X-Stamp", Value: "s"}}, Body: []byte("answer to " + q.URI)}, nil
+	return &thmessage.Answer{Status: 200, Header: []thmessage.HeaderField{{Name: "X-Stamp", Value: "s"}}, Body: []byte("answer to " + q.URI + f.padding)}, nil
 }
 
 func table() thtable.Table {
