thingress: stop reading at a planned stop although requests are pending

What callers saw: a VM that got SIGTERM went on reading requests from a connection on which one was always pending.

Cause: the reader of a draining connection stopped only when no request was pending, and an answer announced the end only if it was the last pending one. A caller that sends without waiting never lets either happen.

Ruled out, by the record of the case: connections accepted too late (all lost requests came on connections older than the signal, in one sequence), and requests passed on late (all were sent 4.3 s or more after the signal).

Change: when idle connections are closed, 2.8 s after the signal, the reader of every other connection accepts no further request either, unless it has begun to read one. The last answer announces the end. Event 103 has the number of connections that are cut off.

It was weighed to stop reading right at the signal. The load balancer sends new connections for two more seconds, so that callers would return to the same VM and be sent away again.

--- a/io/thingress/closing.go
+++ b/io/thingress/closing.go
@@ -11,12 +11,12 @@
 	quietTimeout = 2 * time.Second
 )
 
-// closeIfIdle makes the reader close the connection if no request is pending or
-// being read.
-func (c *connection) closeIfIdle() {
+// stopReading makes the reader accept no further request unless it has begun to read one.
+// Callers send again what they sent behind an answer that announces the end.
+func (c *connection) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.awaitingRequest && c.pending == 0 {
+	if c.awaitingRequest {
 		c.closing = true
 		c.setReadDeadline(time.Now())
 	}
--- a/io/thingress/closing_test.go
+++ b/io/thingress/closing_test.go
@@ -93,3 +93,43 @@
 		c.sendIfOpen("x")
 	}
 }
+
+// TestStopEndsConnectionWithPendingRequest guards against a stop in which a caller that
+// always has a request pending keeps sending more, which are cut off when the process ends.
+func TestStopEndsConnectionWithPendingRequest(t *testing.T) {
+	const once = "POST /once/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 5\r\n\r\n"
+	for _, c := range []struct {
+		name, beforeStop, afterStop string
+		// answers holds the bodies of the answers.
+		answers []string
+	}{
+		{"nothing of the next request", "", "", []string{"answer to /safe/1"}},
+		{"part of the next request", once + "he", "llo", []string{"answer to /safe/1", "answer to /once/1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTestServer(t)
+			first := s.forwarder.hold("/safe/1")
+			k := s.dial()
+			k.get("/safe/1")
+			expect(t, s.forwarder.started, "/safe/1")
+			k.send(c.beforeStop)
+			time.Sleep(50 * time.Millisecond) // lets the server begin to read the next request
+			s.server.CloseIdle()
+			k.send(c.afterStop)
+			for range 5 {
+				k.get("/safe/late")
+				time.Sleep(5 * time.Millisecond)
+			}
+			close(first)
+			for i, body := range c.answers {
+				r := k.readAnswer()
+				assert.Equal(t, string(r.Body()), body)
+				assert.Equal(t, r.ConnectionClose(), i == len(c.answers)-1)
+			}
+			k.expectClosed()
+			s.forwarder.mu.Lock()
+			defer s.forwarder.mu.Unlock()
+			assert.Equal(t, len(s.forwarder.requests), len(c.answers), "a request sent after the stop was forwarded")
+		})
+	}
+}
--- a/io/thingress/connection.go
+++ b/io/thingress/connection.go
@@ -116,9 +116,12 @@
 func (c *connection) awaitRequest(l limits) bool {
 	c.mu.Lock()
 	// CloseIdle skips a connection whose reader has not got here yet, and writeReply
-	// leaves it open if it wrote the last answer before the drain began.
-	idle := c.pending == 0 && c.input.Buffered() == 0
-	if c.closing || idle && c.server.stopping.Load() {
+	// leaves it open if it wrote the last answer before the drain began. Then a request
+	// that has arrived is the last one to be read.
+	if c.server.stopping.Load() && (c.pending > 0 || c.input.Buffered() == 0) {
+		c.closing = true
+	}
+	if c.closing {
 		c.mu.Unlock()
 		return false
 	}
@@ -275,7 +278,8 @@
 func (c *connection) writeReply(bw *bufio.Writer, next *call) bool {
 	c.mu.Lock()
 	c.pending--
-	closing := next.reply.close || c.server.IsDraining() && c.pending == 0 && c.fullyRead
+	last := c.pending == 0 && (c.closing || c.server.IsDraining() && c.fullyRead)
+	closing := next.reply.close || last
 	if closing {
 		c.closing, c.endAnnounced = true, true
 	}
--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -74,7 +74,7 @@
 	connections map[*connection]struct{}
 	listener    net.Listener
 	draining    atomic.Bool
-	// stopping is set once connections that have no request are to be closed.
+	// stopping is set once connections accept no further request.
 	stopping atomic.Bool
 	inFlight atomic.Int64
 }
@@ -148,8 +148,9 @@
 // IsDraining reports whether Drain was called.
 func (s *Server) IsDraining() bool { return s.draining.Load() }
 
-// CloseIdle starts draining, stops accepting connections and closes those without
-// a request.
+// CloseIdle starts draining, stops accepting connections, closes those without a
+// request, and accepts no further request on the others, but for those that it has begun
+// to read.
 func (s *Server) CloseIdle() {
 	s.Drain()
 	s.stopping.Store(true)
@@ -160,7 +161,7 @@
 		s.listener = nil
 	}
 	for c := range s.connections {
-		c.closeIfIdle()
+		c.stopReading()
 	}
 }
 
--- a/io/thnode/stop.go
+++ b/io/thnode/stop.go
@@ -67,6 +67,6 @@
 	cancel()
 	n.cancel()
 	n.exchange.Close()
-	n.options.Log.Log(thevent.ProcessStopped, thevent.F("inFlight", n.ingress.InFlight()))
+	n.options.Log.Log(thevent.ProcessStopped, thevent.F("inFlight", n.ingress.InFlight()), thevent.F("connections", n.ingress.Connections()))
 	time.Sleep(flushDelay)
 }
