thingress, thnode: refuse requests that no target has got late in a stop

Cause: reading the next request had a deadline in a stop, passing on what had been read had none. An upload that trickles has 30 s for its body, a pipelined request that may run once waits for the answers before it, and others wait for the configuration or a token. All these could reach a target until the process exits, 5.6 s after the signal.

Ruled out: new connections (the listener is closed at 2.8 s) and calls of peers and operators, which the caller repeats.

One that is being read is refused at that moment. The check stands where requests are passed on.

A cut-off by the time that a target may need was weighed. The platform's specification names three seconds, and a target that hangs is not known beforehand.

Evidence: TestRequestLateInStopIsRefused failed in its five cases without the mechanism (200 in three, 408, and no answer within 10 s), and TestRequestCompleteLateInStopIsNotRun too (the target ran the request). Both pass, and so do the tests of io/thnode and platform.

Conclusion: fixed.

--- a/io/thingress/closing_test.go
+++ b/io/thingress/closing_test.go
@@ -1,6 +1,7 @@
 package thingress_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"strings"
@@ -133,3 +134,55 @@
 		})
 	}
 }
+
+// TestRequestLateInStopIsRefused guards against requests that are passed on so late in a
+// stop that the process ends before they are answered: those that are still being read, and
+// those that wait for an answer, the VM's configuration or a token.
+func TestRequestLateInStopIsRefused(t *testing.T) {
+	const (
+		head = "POST /once/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nContent-Length: 5\r\n"
+		// refuseAfter is the time from the stop on after which requests are refused.
+		refuseAfter = 100 * time.Millisecond
+	)
+	for _, c := range []struct {
+		name, text, beforeBody string
+		wait                   thingress.Options
+		// tokenWait is how long the customer's limit is asked for.
+		tokenWait time.Duration
+	}{
+		{name: "head is being read", text: head},
+		{name: "body is being read", text: head + "\r\nhe"},
+		{name: "waits for the answer before it", beforeBody: "GET /safe/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\n\r\n", text: head + "\r\nhello"},
+		{name: "waits for the configuration", text: head + "\r\nhello", wait: thingress.Options{AwaitConfiguration: func(context.Context, time.Time) { time.Sleep(2 * refuseAfter) }}},
+		{name: "waits for a token", text: head + "\r\nhello", tokenWait: 2 * refuseAfter},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newTestServerWith(t, c.wait)
+			s.forwarder.tokenWait = c.tokenWait
+			first := s.forwarder.hold("/safe/1")
+			k := s.dial()
+			k.send(c.beforeBody + c.text)
+			time.Sleep(20 * time.Millisecond) // lets the server begin to read
+			refuseAt := time.Now().Add(refuseAfter)
+			s.server.RefuseFrom(refuseAt)
+			s.server.CloseIdle()
+			if c.beforeBody != "" {
+				time.Sleep(time.Until(refuseAt) + refuseAfter)
+				close(first)
+				assert.Equal(t, k.readAnswer().StatusCode(), 200)
+			}
+			r := k.readAnswer()
+			assert.Equal(t, r.StatusCode(), 503)
+			assert.Assert(t, r.ConnectionClose())
+			assert.Assert(t, len(r.Header.Peek("Retry-After")) > 0)
+			assert.Assert(t, time.Since(refuseAt) < time.Second, "refused %s late", time.Since(refuseAt))
+			k.expectClosed()
+			s.forwarder.mu.Lock()
+			defer s.forwarder.mu.Unlock()
+			for _, q := range s.forwarder.requests {
+				assert.Assert(t, q.Route.IsIdempotent(), "%s was passed on", q.URI)
+			}
+		})
+	}
+}
--- a/io/thingress/connection.go
+++ b/io/thingress/connection.go
@@ -66,6 +66,9 @@
 	// fullyRead is set while no byte after the last request has been received, so
 	// that closing the connection loses no request.
 	fullyRead bool
+	// readUntil is when the request that is being read has to be complete; zero if none is
+	// being read.
+	readUntil time.Time
 	// closing is set once no further request is accepted.
 	closing bool
 	// endAnnounced is set once the writer has begun a reply that announces the end of the
@@ -151,6 +154,31 @@
 	c.setReadDeadline(deadline)
 }
 
+// setReadUntil sets the time by which the request that is being read has to be complete.
+// The zero time means that none is being read.
+func (c *connection) setReadUntil(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readUntil = t
+	c.setReadDeadline(t)
+	c.boundReadingLocked()
+}
+
+// boundReading ends the reading of a request when the server refuses it anyway.
+func (c *connection) boundReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.boundReadingLocked()
+}
+
+// boundReadingLocked is boundReading for callers that hold c.mu.
+func (c *connection) boundReadingLocked() {
+	refuseAt := c.server.refuseAt.Load()
+	if refuseAt != nil && refuseAt.Before(c.readUntil) {
+		c.setReadDeadline(*refuseAt)
+	}
+}
+
 // setReadDeadline sets the read deadline. It ignores the error, which means that
 // the connection is closed: the next read reports that as well.
 func (c *connection) setReadDeadline(t time.Time) { _ = c.SetReadDeadline(t) }
@@ -168,22 +196,23 @@
 // is invalid. It returns nil if the caller closed the connection before the whole
 // request was read, and false if the connection accepts no further request.
 func (c *connection) acceptRequest(l limits, previous *call) (*call, bool) {
-	c.setReadDeadline(time.Now().Add(l.headerTimeout))
+	c.setReadUntil(time.Now().Add(l.headerTimeout))
 	q := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(q)
 	q.Header.SetNoDefaultContentType(true)
 	if err := c.readRequest(q, l); err != nil {
-		if err = refusalOf(err); err == nil {
+		refusal := c.server.refusalOf(err)
+		if refusal == nil {
 			c.cancel()
 			return nil, false
 		}
 		next := c.newCall()
-		next.reply = reply{refusal: &Refusal{Err: err}, close: true}
+		next.reply = reply{refusal: refusal, close: true}
 		close(next.done)
 		c.calls <- next
 		return next, false
 	}
-	c.setReadDeadline(time.Time{})
+	c.setReadUntil(time.Time{})
 	next := c.newCall()
 	arrived := c.server.options.Clock.Now()
 	c.server.awaitConfiguration(c.ctx)
@@ -208,7 +237,7 @@
 	if err := checkFraming(&q.Header); err != nil {
 		return err
 	}
-	c.setReadDeadline(time.Now().Add(bodyTimeout))
+	c.setReadUntil(time.Now().Add(bodyTimeout))
 	return q.ContinueReadBody(c.input, l.bodyBytes, false)
 }
 
--- a/io/thingress/message.go
+++ b/io/thingress/message.go
@@ -29,21 +29,34 @@
 	defaultTimeout = 60 * time.Second
 )
 
-// refusalOf converts an error from reading a request to the one that the caller
+// refusalOf converts an error from reading a request to the refusal that the caller
 // gets. It returns nil if the caller has closed the connection.
-func refusalOf(err error) error {
+func (s *Server) refusalOf(err error) *Refusal {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &small):
-		return therror.Wrap(therror.HeaderTooLarge, err, "the header is larger than the limit")
+		err = therror.Wrap(therror.HeaderTooLarge, err, "the header is larger than the limit")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return therror.Wrap(therror.RequestTooLarge, err, "the body is larger than the limit")
+		err = therror.Wrap(therror.RequestTooLarge, err, "the body is larger than the limit")
+	case isTimeout(err) && s.isRefusing():
+		return stopRefusal()
 	case isTimeout(err):
-		return therror.Wrap(therror.RequestSlow, err, "the request took too long to arrive")
+		err = therror.Wrap(therror.RequestSlow, err, "the request took too long to arrive")
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET), isClosed(err):
 		return nil
+	default:
+		err = therror.Wrap(therror.RequestMalformed, err, "the request could not be read")
 	}
-	return therror.Wrap(therror.RequestMalformed, err, "the request could not be read")
+	return &Refusal{Err: err}
+}
+
+// retryAfterStop is the time after which a caller may return that came too late in a stop.
+// Other VMs serve it by then.
+const retryAfterStop = 50 * time.Millisecond
+
+// stopRefusal is the reply to a request that came too late in a stop.
+func stopRefusal() *Refusal {
+	return &Refusal{Err: therror.New(therror.NotReady, "the VM is stopping"), RetryAfter: retryAfterStop}
 }
 
 // checkFraming returns an error for a request that is chunked and has a
@@ -183,6 +196,9 @@
 	if refusal == nil && request.Customer.Name != "" {
 		refusal = s.options.Forwarder.Admit(request.Customer, request.Route)
 	}
+	if refusal == nil && s.isRefusing() {
+		refusal = stopRefusal()
+	}
 	if refusal == nil {
 		answer, refusal = s.options.Forwarder.Forward(ctx, request)
 	} else {
--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -76,6 +76,8 @@
 	draining    atomic.Bool
 	// stopping is set once connections accept no further request.
 	stopping atomic.Bool
+	// refuseAt is when requests are no longer passed on; nil if no stop is planned.
+	refuseAt atomic.Pointer[time.Time]
 	inFlight atomic.Int64
 }
 
@@ -165,6 +167,24 @@
 	}
 }
 
+// RefuseFrom makes the server refuse, from the given time on, all requests that it has not
+// passed to the Forwarder, whether they are being read or wait for something. It is for
+// requests that come too late in a stop to be answered.
+func (s *Server) RefuseFrom(t time.Time) {
+	s.refuseAt.Store(&t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		c.boundReading()
+	}
+}
+
+// isRefusing reports whether requests are no longer passed on.
+func (s *Server) isRefusing() bool {
+	t := s.refuseAt.Load()
+	return t != nil && !time.Now().Before(*t)
+}
+
 // WaitClosed waits until no connection is open or the context ends. After
 // CloseIdle, connections stay open only while a request on them is being read or
 // served.
--- a/io/thingress/server_test.go
+++ b/io/thingress/server_test.go
@@ -40,6 +40,8 @@
 	refusal *thingress.Refusal
 	// padding is appended to the body of each answer.
 	padding string
+	// tokenWait is how long Admit takes.
+	tokenWait time.Duration
 }
 
 func newFakeForwarder() *fakeForwarder {
@@ -47,6 +49,7 @@
 }
 
 func (f *fakeForwarder) Admit(c thtable.Customer, _ thtable.Route) *thingress.Refusal {
+	time.Sleep(f.tokenWait)
 	if c.Name == "over" {
 		return &thingress.Refusal{Err: therror.New(therror.OverLimit, "over"), RetryAfter: 1500 * time.Millisecond}
 	}
--- a/io/thnode/node_test.go
+++ b/io/thnode/node_test.go
@@ -290,7 +290,9 @@
 	for _, grace := range []time.Duration{time.Second, 6 * time.Second, 10 * time.Second, time.Minute, time.Hour} {
 		s := thnode.NewStopSchedule(start, grace)
 		assert.Check(t, s.CloseIdleAt.Sub(start) < 3*time.Second, "grace period %s: idle connections stay open for %s", grace, s.CloseIdleAt.Sub(start))
-		assert.Check(t, s.CloseIdleAt.Before(s.AbandonAt), "grace period %s", grace)
+		assert.Check(t, s.RefuseAt.Sub(start) < 3*time.Second, "grace period %s: requests are passed on for %s", grace, s.RefuseAt.Sub(start))
+		assert.Check(t, s.CloseIdleAt.Before(s.RefuseAt), "grace period %s", grace)
+		assert.Check(t, s.RefuseAt.Before(s.AbandonAt), "grace period %s", grace)
 		assert.Check(t, s.AbandonAt.Before(start.Add(grace)), "grace period %s", grace)
 	}
 }
@@ -315,3 +317,27 @@
 	_, err = c.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// A request that is complete late in a stop could be cut off at its target by the end of
+// the process, so no target may get it, and its caller must be told that it has not run.
+func TestRequestCompleteLateInStopIsNotRun(t *testing.T) {
+	const grace = time.Second
+	g := newFixture(t, 1, 1)
+	c, err := net.Dial("tcp", g.callers[0])
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = fmt.Fprintf(c, "POST /once/order HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer key\r\n%s: id-1\r\nContent-Length: 5\r\n\r\nor", host, thmessage.DefaultHeaderNames().RequestID)
+	assert.NilError(t, err)
+	time.Sleep(50 * time.Millisecond) // lets the VM begin to read
+	start := time.Now()
+	go g.nodes[0].Stop()
+	time.Sleep(grace * 8 / 10)
+	_, err = io.WriteString(c, "der")
+	assert.NilError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+	assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(start) < grace)
+	assert.Equal(t, len(g.targets[0].Runs()), 0)
+}
