thingress: count the time to send a request against its deadline

Cause: a request counted as arrived once its body had been read, so that the caller's deadline and the route's timeout began anew. Targets were handed more time than the caller had left, too. A body that trickled had 30 s, whatever its caller's deadline.

Ruled out: the attempt's own timeout (it ends at the request's deadline) and the wait for the answer before it on the connection (one upload a connection).

Change: a request arrives when its first byte does.

--- a/io/thingress/connection.go
+++ b/io/thingress/connection.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thmessage"
 
@@ -196,11 +197,12 @@
 // is invalid. It returns nil if the caller closed the connection before the whole
 // request was read, and false if the connection accepts no further request.
 func (c *connection) acceptRequest(l limits, previous *call) (*call, bool) {
+	arrived := c.server.options.Clock.Now()
 	c.setReadUntil(time.Now().Add(l.headerTimeout))
 	q := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(q)
 	q.Header.SetNoDefaultContentType(true)
-	if err := c.readRequest(q, l); err != nil {
+	if err := c.readRequest(q, l, arrived); err != nil {
 		refusal := c.server.refusalOf(err)
 		if refusal == nil {
 			c.cancel()
@@ -214,7 +216,6 @@
 	}
 	c.setReadUntil(time.Time{})
 	next := c.newCall()
-	arrived := c.server.options.Clock.Now()
 	c.server.awaitConfiguration(c.ctx)
 	request, refusal := c.server.convertRequest(q, arrived)
 	next.reply.close = q.ConnectionClose() || !q.Header.IsHTTP11()
@@ -224,8 +225,8 @@
 	return next, !next.reply.close
 }
 
-// readRequest reads one request whole into q.
-func (c *connection) readRequest(q *fasthttp.Request, l limits) error {
+// readRequest reads one request, which has begun to arrive at the given time, whole into q.
+func (c *connection) readRequest(q *fasthttp.Request, l limits, arrived thclock.Instant) error {
 	if err := q.Header.Read(c.input); err != nil {
 		return err
 	}
@@ -237,7 +238,7 @@
 	if err := checkFraming(&q.Header); err != nil {
 		return err
 	}
-	c.setReadUntil(time.Now().Add(bodyTimeout))
+	c.setReadUntil(time.Now().Add(min(bodyTimeout, c.server.timeLeft(q, arrived))))
 	return q.ContinueReadBody(c.input, l.bodyBytes, false)
 }
 
--- a/io/thingress/message.go
+++ b/io/thingress/message.go
@@ -18,6 +18,7 @@
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thmessage"
+	"tamarackhollow/core/thtable"
 
 	"github.com/valyala/fasthttp"
 )
@@ -98,8 +99,7 @@
 	if request.Method == fasthttp.MethodConnect {
 		return request, &Refusal{Err: therror.New(therror.RequestMalformed, "method CONNECT")}
 	}
-	path, _, _ := strings.Cut(request.URI, "?")
-	route, ok := table.Route(request.Host, path)
+	route, ok := routeOf(table, q)
 	if !ok {
 		return request, &Refusal{Err: therror.New(therror.RouteUnknown, "no route for this host and path")}
 	}
@@ -112,15 +112,12 @@
 			return request, &Refusal{Err: therror.New(therror.RouteForbidden, "route %s is not open to customer %s", route.Name, request.Customer.Name)}
 		}
 	}
-	timeout, err := s.callerTimeout(q)
+	timeout, err := s.timeout(q, route)
 	if err != nil {
 		return request, &Refusal{Err: err}
 	}
 	request.Objective = arrived.Add(time.Duration(route.LatencyObjectiveMillis) * time.Millisecond)
 	request.Deadline = arrived.Add(timeout)
-	if limit := time.Duration(route.TimeoutMillis) * time.Millisecond; limit > 0 && limit < timeout {
-		request.Deadline = arrived.Add(limit)
-	}
 	request.Header = s.forwardedFields(q, table.RequiresKey())
 	request.Body = append([]byte(nil), q.Body()...)
 	return request, nil
@@ -148,6 +145,33 @@
 	return nil
 }
 
+// routeOf returns the route of the request whose head has been read.
+func routeOf(table thtable.Table, q *fasthttp.Request) (thtable.Route, bool) {
+	path, _, _ := strings.Cut(string(q.Header.RequestURI()), "?")
+	return table.Route(string(q.Header.Host()), path)
+}
+
+// timeLeft returns how long the request whose head has been read may still take, or
+// defaultTimeout if that is not known.
+func (s *Server) timeLeft(q *fasthttp.Request, arrived thclock.Instant) time.Duration {
+	if route, ok := routeOf(s.options.Table(), q); ok {
+		if timeout, err := s.timeout(q, route); err == nil {
+			return arrived.Add(timeout).Sub(s.options.Clock.Now())
+		}
+	}
+	return defaultTimeout
+}
+
+// timeout returns how long the request may take from its arrival on: as long as the caller
+// waits, or the route's timeout if that is shorter.
+func (s *Server) timeout(q *fasthttp.Request, route thtable.Route) (time.Duration, error) {
+	timeout, err := s.callerTimeout(q)
+	if limit := time.Duration(route.TimeoutMillis) * time.Millisecond; limit > 0 {
+		timeout = min(timeout, limit)
+	}
+	return timeout, err
+}
+
 // callerTimeout returns how long the caller will wait for the answer, or
 // defaultTimeout if the request does not say.
 func (s *Server) callerTimeout(q *fasthttp.Request) (time.Duration, error) {
