thmemory, thingress: bound the memory of all callers' bodies

Cause: each body was read whole, whatever the VM held already, and copied.

Ruled out: the copy and fasthttp's buffers alone. 16 uploads at once for each VM are 400 MB without either.

Change: core/thmemory counts bytes by holder within a limit; a holder may have three times what it leaves for all others, so three quarters of the limit if it is alone. The bodies of requests get 35 % of the VM's memory by it. A body counts from its announcement, or as it is received in chunks, until its request ends; one that has no room is refused at once with 503 queueFull and Retry-After. A body is read into a buffer of exactly its length and not copied. Metric: request_body_bytes.

TestBodiesFitInMemory fails with a ledger that refuses nothing, TestBodyIsHeldUntilRequestEnds with a body that is not released.

--- a/io/thingress/connection.go
+++ b/io/thingress/connection.go
@@ -42,6 +42,8 @@
 	done  chan struct{}
 	// written is closed once the reply has been written or dropped.
 	written chan struct{}
+	// held is what the request's body holds until the call is complete.
+	held heldBody
 }
 
 // connection is one caller's connection. One goroutine, the reader, reads the
@@ -53,6 +55,9 @@
 	server *Server
 	input  *bufio.Reader
 	calls  chan *call
+	// reading is the chunked body that is being read, nil if none is. Only the reader
+	// uses it.
+	reading *heldBody
 	// ctx is cancelled when the caller closes the connection or no further reply
 	// is to be written.
 	ctx    context.Context
@@ -198,26 +203,19 @@
 // request was read, and false if the connection accepts no further request.
 func (c *connection) acceptRequest(l limits, previous *call) (*call, bool) {
 	arrived := c.server.options.Clock.Now()
-	c.setReadUntil(time.Now().Add(l.headerTimeout))
 	q := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(q)
 	q.Header.SetNoDefaultContentType(true)
-	if err := c.readRequest(q, l, arrived); err != nil {
-		refusal := c.server.refusalOf(err)
-		if refusal == nil {
-			c.cancel()
-			return nil, false
-		}
-		next := c.newCall()
-		next.reply = reply{refusal: refusal, close: true}
-		close(next.done)
-		c.calls <- next
-		return next, false
+	body, held, err := c.readRequest(q, l, arrived)
+	if err != nil {
+		held.release()
+		return c.refuseUnread(q, err), false
 	}
 	c.setReadUntil(time.Time{})
 	next := c.newCall()
+	next.held = held
 	c.server.awaitConfiguration(c.ctx)
-	request, refusal := c.server.convertRequest(q, arrived)
+	request, refusal := c.server.convertRequest(q, body, arrived)
 	next.reply.close = q.ConnectionClose() || !q.Header.IsHTTP11()
 	next.reply.omitBody = q.Header.IsHead()
 	c.calls <- next
@@ -225,21 +223,38 @@
 	return next, !next.reply.close
 }
 
-// readRequest reads one request, which has begun to arrive at the given time, whole into q.
-func (c *connection) readRequest(q *fasthttp.Request, l limits, arrived thclock.Instant) error {
+// refuseUnread replies to a request that could not be read because of the error. It returns
+// nil if the caller closed the connection.
+func (c *connection) refuseUnread(q *fasthttp.Request, err error) *call {
+	refusal := c.server.refusalOf(err)
+	if refusal == nil {
+		c.cancel()
+		return nil
+	}
+	next := c.newCall()
+	next.reply = reply{refusal: refusal, close: true}
+	close(next.done)
+	c.calls <- next
+	return next
+}
+
+// readRequest reads one request, which has begun to arrive at the given time, into q, but
+// its body into a buffer of its own. It returns what the body holds, also with an error.
+func (c *connection) readRequest(q *fasthttp.Request, l limits, arrived thclock.Instant) (body []byte, held heldBody, err error) {
+	c.setReadUntil(time.Now().Add(l.headerTimeout))
 	if err := q.Header.Read(c.input); err != nil {
-		return err
+		return nil, held, err
 	}
 	if q.MayContinue() {
 		if err := c.writeContinue(); err != nil {
-			return err
+			return nil, held, err
 		}
 	}
 	if err := checkFraming(&q.Header); err != nil {
-		return err
+		return nil, held, err
 	}
 	c.setReadUntil(time.Now().Add(min(bodyTimeout, c.server.timeLeft(q, arrived))))
-	return q.ContinueReadBody(c.input, l.bodyBytes, false)
+	return c.readBody(q, l)
 }
 
 // writeContinue sends "100 Continue" to a caller that waits for it before it
@@ -274,6 +289,7 @@
 	task := func() {
 		defer s.inFlight.Add(-1)
 		defer close(next.done)
+		defer next.held.release()
 		if refusal == nil && previous != nil && !request.Route.IsIdempotent() {
 			select {
 			case <-previous.written:
@@ -285,6 +301,7 @@
 	}
 	if err := s.options.Submit(task); err != nil {
 		s.inFlight.Add(-1)
+		next.held.release()
 		next.reply.refusal = &Refusal{Err: therror.Wrap(therror.QueueFull, err, "no worker is free")}
 		close(next.done)
 	}
--- a/io/thingress/message.go
+++ b/io/thingress/message.go
@@ -39,6 +39,8 @@
 		err = therror.Wrap(therror.HeaderTooLarge, err, "the header is larger than the limit")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		err = therror.Wrap(therror.RequestTooLarge, err, "the body is larger than the limit")
+	case errors.Is(err, errBodyMemory):
+		return &Refusal{Err: therror.Wrap(therror.QueueFull, err, "no memory is left for the body"), RetryAfter: retryAfterBody}
 	case isTimeout(err) && s.isRefusing():
 		return stopRefusal()
 	case isTimeout(err):
@@ -84,10 +86,10 @@
 // retryAfterStart is the time after which a VM that has just started is mostly ready.
 const retryAfterStart = 400 * time.Millisecond
 
-// convertRequest copies the request, whose buffers will be reused, and finds its
-// route and customer. If it returns a refusal, the copy is incomplete. The objective and
+// convertRequest copies the head of the request, whose buffers will be reused, and finds
+// its route and customer. If it returns a refusal, the copy is incomplete. The objective and
 // the deadline count from when the request arrived.
-func (s *Server) convertRequest(q *fasthttp.Request, arrived thclock.Instant) (*thmessage.Request, *Refusal) {
+func (s *Server) convertRequest(q *fasthttp.Request, body []byte, arrived thclock.Instant) (*thmessage.Request, *Refusal) {
 	request := &thmessage.Request{
 		ID: string(q.Header.Peek(s.options.HeaderNames.RequestID)), Method: string(q.Header.Method()),
 		Host: string(q.Header.Host()), URI: string(q.Header.RequestURI()), Arrived: arrived,
@@ -119,7 +121,7 @@
 	request.Objective = arrived.Add(time.Duration(route.LatencyObjectiveMillis) * time.Millisecond)
 	request.Deadline = arrived.Add(timeout)
 	request.Header = s.forwardedFields(q, table.RequiresKey())
-	request.Body = append([]byte(nil), q.Body()...)
+	request.Body = body
 	return request, nil
 }
 
--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -79,6 +79,7 @@
 	// refuseAt is when requests are no longer passed on; nil if no stop is planned.
 	refuseAt atomic.Pointer[time.Time]
 	inFlight atomic.Int64
+	bodies   bodyMemory
 }
 
 // New returns a server that accepts no connections before Serve is called.
--- a/io/thnode/monitor.go
+++ b/io/thnode/monitor.go
@@ -115,6 +115,7 @@
 	gauge("ready", func() float64 { return boolToFloat(m.node.IsReady()) })
 	gauge("in_flight", func() float64 { return float64(m.node.ingress.InFlight()) })
 	gauge("caller_connections", func() float64 { return float64(m.node.ingress.Connections()) })
+	gauge("request_body_bytes", func() float64 { return float64(m.node.ingress.BodyBytes()) })
 	gauge("table_version", func() float64 { return float64(m.node.source.Status().TableVersion) })
 	gauge("targets_version", func() float64 { return float64(m.node.source.Status().TargetsVersion) })
 	gauge("targets_known", func() float64 { return float64(m.node.source.Status().TargetCount) })
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -101,6 +101,8 @@
 	// unfinishedShare is the share of the allowed memory that answers may take which are
 	// not complete yet. Their buffers take up to twice as much.
 	unfinishedShare = 0.15
+	// bodyShare is the share of the allowed memory that the bodies of requests may take.
+	bodyShare = 0.35
 	megabyte        = 1 << 20
 )
 
@@ -130,6 +132,7 @@
 	if s.MemoryMegabytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMegabytes) * megabyte))
 		n.sender.LimitUnfinishedBytes(int64(unfinishedShare * float64(s.MemoryMegabytes) * megabyte))
+		n.ingress.LimitBodies(int64(bodyShare * float64(s.MemoryMegabytes) * megabyte))
 	}
 }
 
