thingress: log refusals of requests that could not be read

A request that was too large, too slow, damaged, late in a stop or without room for its body was refused without a log line, so that its caller's complaint could not be traced.

TestRefusalOfUnreadRequestIsLogged failed before (no line) and passes.

--- a/io/thingress/closing_test.go
+++ b/io/thingress/closing_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"tamarackhollow/core/thevent"
 	"tamarackhollow/io/thingress"
 
 	"gotest.tools/v3/assert"
@@ -186,3 +189,30 @@
 		})
 	}
 }
+
+// eventLog records the lines that are logged, as text.
+type eventLog struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *eventLog) Log(id thevent.ID, fields ...thevent.Field) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, fmt.Sprint(id, fields))
+}
+
+// TestRefusalOfUnreadRequestIsLogged guards against refusals that cannot be explained
+// afterwards, because the request was not read whole.
+func TestRefusalOfUnreadRequestIsLogged(t *testing.T) {
+	log := &eventLog{}
+	s := newTestServerWith(t, thingress.Options{Log: log})
+	k := s.dial()
+	k.send("POST /once/1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer key\r\nX-Id: id-1\r\nContent-Length: 5000\r\n\r\n")
+	assert.Equal(t, k.readAnswer().StatusCode(), 413)
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	assert.Equal(t, len(log.lines), 1)
+	assert.Assert(t, strings.HasPrefix(log.lines[0], fmt.Sprint(thevent.RequestRefused)))
+	assert.Assert(t, strings.Contains(log.lines[0], "id-1"), log.lines[0])
+}
--- a/io/thingress/connection.go
+++ b/io/thingress/connection.go
@@ -231,6 +231,7 @@
 		c.cancel()
 		return nil
 	}
+	c.server.logRefusal(&thmessage.Request{ID: string(q.Header.Peek(c.server.options.HeaderNames.RequestID))}, refusal)
 	next := c.newCall()
 	next.reply = reply{refusal: refusal, close: true}
 	close(next.done)
