--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -103,7 +103,7 @@
 	unfinishedShare = 0.15
 	// bodyShare is the share of the allowed memory that the bodies of requests may take.
 	bodyShare = 0.35
-	megabyte        = 1 << 20
+	megabyte  = 1 << 20
 )
 
 // Start starts a VM's process and begins to serve callers.
--- a/io/thsend/endless_test.go
+++ b/io/thsend/endless_test.go
@@ -118,7 +118,7 @@
 // and runs out of memory, and against answers of other targets that are lost meanwhile.
 func TestEndlessAnswersFitInMemory(t *testing.T) {
 	const (
-		head  = "HTTP/1.1 200 OK\r\nX-Id: id\r\nX-Stamp: s\r\n"
+		head = "HTTP/1.1 200 OK\r\nX-Id: id\r\nX-Stamp: s\r\n"
 		// memory is that of a VM. The other limits are the shares of it that a VM uses.
 		memory          = 128 << 20
 		runtimeLimit    = memory * 7 / 10
