thingress: say in WaitClosed how long a connection outlives its last answer

The comment was not true since: after the last answer a connection stays open until the caller closes it, for at most closeTimeout. Comment only; formatter, linter, vet (also for amd64) and the package's tests were run.

--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -188,7 +188,7 @@
 
 // WaitClosed waits until no connection is open or the context ends. After
 // CloseIdle, connections stay open only while a request on them is being read or
-// served.
+// served, and for at most closeTimeout after the last answer, until the caller closes.
 func (s *Server) WaitClosed(ctx context.Context) {
 	const pollInterval = 20 * time.Millisecond
 	for s.Connections() > 0 && ctx.Err() == nil {
