thsource, thevent: log why a VM begins to read, failed reads of the targets, and announcements

Change: 709 targetsUnread, 710 versionsAnnounced (once for each newer version), and the rank and the silence in 702. Nothing is decided differently. Ruled out: a line for each announcement, four a second from each leader. Tests of thevent, thfleet and thsource pass.

--- a/core/thevent/platform.go
+++ b/core/thevent/platform.go
@@ -12,6 +12,9 @@
 	TableRefused  ID = 706
 	PeerAsked     ID = 707
 	TableUnread   ID = 708
+	// TargetsUnread is TableUnread for the list of targets.
+	TargetsUnread     ID = 709
+	VersionsAnnounced ID = 710
 )
 
 var platformEvents = []Event{
@@ -24,4 +27,6 @@
 	{TableRefused, Warn, "tableRefused", "a routing table from the store could not be decoded; the VM keeps using the previous one"},
 	{PeerAsked, Info, "peerAsked", "another VM was asked for its routing table and targets, or did not give its status or report"},
 	{TableUnread, Warn, "tableUnread", "the platform's store did not answer the request for a newer routing table"},
+	{TargetsUnread, Warn, "targetsUnread", "the platform's store did not answer the request for the list of targets"},
+	{VersionsAnnounced, Info, "versionsAnnounced", "this VM announced a newer routing table or list of targets to others"},
 }
--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -140,6 +140,29 @@
 	return last
 }
 
+// RoleBasis is what the role of a VM follows from.
+type RoleBasis struct {
+	// ZoneRank is the VM's rank in its zone.
+	ZoneRank int
+	// SilentInZone and SilentElsewhere are how long ago a read was last reported by a VM of
+	// a better rank, in this VM's zone and in the others; negative if none was.
+	SilentInZone, SilentElsewhere time.Duration
+}
+
+// RoleBasis returns what the role of this VM follows from.
+func (f *Fleet) RoleBasis(now thclock.Instant) RoleBasis {
+	silence := func(lastRead thclock.Instant) time.Duration {
+		if lastRead == (thclock.Instant{}) {
+			return -1
+		}
+		return now.Sub(lastRead)
+	}
+	return RoleBasis{
+		ZoneRank: f.ZoneRank(), SilentInZone: silence(f.LastReadInZone()),
+		SilentElsewhere: silence(f.lastReadInOtherZones(rankHash(f.self.ID))),
+	}
+}
+
 // HasRecentReadInOtherZone reports whether store versions arrived from a VM of another
 // zone, whatever its rank, within baseTakeoverDelay.
 func (f *Fleet) HasRecentReadInOtherZone(now thclock.Instant) bool {
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -251,6 +251,11 @@
 	return role
 }
 
+func (f fleetAdapter) RoleBasis() (b thfleet.RoleBasis) {
+	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { b = v.Fleet.RoleBasis(now) })
+	return b
+}
+
 func (f fleetAdapter) HasRecentReadInOtherZone() (read bool) {
 	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { read = v.Fleet.HasRecentReadInOtherZone(now) })
 	return read
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -41,6 +41,8 @@
 	// Role returns whether this VM reads the store, relays within its zone or
 	// follows.
 	Role() thfleet.Role
+	// RoleBasis returns what the role follows from.
+	RoleBasis() thfleet.RoleBasis
 	// HasRecentReadInOtherZone reports whether a VM of another zone has recently
 	// announced that it read the store.
 	HasRecentReadInOtherZone() bool
@@ -134,6 +136,8 @@
 	behindSince time.Time
 	// fleetReadAt is when this VM last read the store, or heard of a VM that had.
 	fleetReadAt time.Time
+	// announced are the versions that this VM last announced.
+	announced thfleet.StoreVersions
 	// storeLostAt is when the store first failed to answer in the last outage.
 	// Until keepUnlistedUntil, targets that are no longer listed are kept.
 	storeLostAt, keepUnlistedUntil time.Time
@@ -253,10 +257,10 @@
 			delay = roleCheckInterval
 		case role == thfleet.Relayer:
 			delay = roleCheckInterval
-			s.options.Fleet.AnnounceVersions(s.versions(), false)
+			s.announce(false)
 		case s.readTargets(ctx):
 			delay = thfleet.ReadInterval
-			s.options.Fleet.AnnounceVersions(s.versions(), true)
+			s.announce(true)
 		default:
 			delay = min(maxRetryDelay, max(minRetryDelay, 2*delay))
 			s.handleReadFailure(ctx)
@@ -264,13 +268,27 @@
 	}
 }
 
+// announce announces this VM's versions, to the leaders of the other zones too if it has
+// read them from the store itself. It logs versions that are newer than those before.
+func (s *Source) announce(fromStore bool) {
+	versions := s.versions()
+	s.options.Fleet.AnnounceVersions(versions, fromStore)
+	s.mu.Lock()
+	isNewer := versions.IsNewerThan(s.announced)
+	s.announced = versions
+	s.mu.Unlock()
+	if isNewer {
+		s.options.Log.Log(thevent.VersionsAnnounced, thevent.F("version", versions.Table), thevent.F("targets", versions.Targets), thevent.F("fromStore", fromStore))
+	}
+}
+
 // handleReadFailure announces this VM's versions to its zone if a VM of another
 // zone has recently read the store: they are then as current as after a read by
 // this VM, and no other VM of the zone needs to try. Otherwise it fetches from the
 // seeds.
 func (s *Source) handleReadFailure(ctx context.Context) {
 	if s.IsLoaded() && s.options.Fleet.HasRecentReadInOtherZone() {
-		s.options.Fleet.AnnounceVersions(s.versions(), false)
+		s.announce(false)
 		return
 	}
 	s.fetchFromSeeds(ctx)
@@ -298,7 +316,9 @@
 	s.mu.Unlock()
 	switch {
 	case reader && !wasReader:
-		s.options.Log.Log(thevent.ReadingBegun)
+		b := s.options.Fleet.RoleBasis()
+		s.options.Log.Log(thevent.ReadingBegun, thevent.F("zoneRank", b.ZoneRank),
+			thevent.F("silentInZoneMillis", b.SilentInZone.Milliseconds()), thevent.F("silentElsewhereMillis", b.SilentElsewhere.Milliseconds()))
 	case wasReader && !reader:
 		s.options.Log.Log(thevent.ReadingEnded)
 	}
@@ -309,12 +329,14 @@
 func (s *Source) readTargets(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	list, err := s.options.Store.Targets(callCtx)
 	if err == nil {
 		s.recordFleetRead()
 	}
 	s.recordStoreResult(ctx, err)
 	if err != nil {
+		s.options.Log.Log(thevent.TargetsUnread, thevent.F("error", err.Error()), thevent.F("tookMillis", time.Since(startedAt).Milliseconds()))
 		return false
 	}
 	s.applyStoreTargets(list)
@@ -409,7 +431,7 @@
 			continue
 		}
 		if s.isReader() {
-			s.options.Fleet.AnnounceVersions(s.versions(), true)
+			s.announce(true)
 		}
 	}
 }
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -107,6 +107,7 @@
 	return thfleet.Follower
 }
 
+func (f *fakeFleet) RoleBasis() thfleet.RoleBasis   { return thfleet.RoleBasis{} }
 func (f *fakeFleet) HasRecentReadInOtherZone() bool { return false }
 
 // announce says that the VMs hold the versions.
