--- a/io/thnode/node_test.go
+++ b/io/thnode/node_test.go
@@ -34,8 +34,10 @@
 
 // fixture is a fleet of VMs that forward to the targets of one service.
 type fixture struct {
-	t       *testing.T
-	store   *thfake.Store
+	t     *testing.T
+	store *thfake.Store
+	// stores holds the store as each VM reaches it.
+	stores  []*vmStore
 	targets []*thfake.Target
 	// links are the network links to the targets, in the same order.
 	links []*thfake.Link
@@ -104,19 +106,23 @@
 	return g
 }
 
-// start starts a VM.
-func (g *fixture) start(id string) {
+// start starts a VM in the zone of the targets.
+func (g *fixture) start(id string) { g.startIn("a", id) }
+
+// startIn starts a VM in a zone.
+func (g *fixture) startIn(zone, id string) {
 	g.t.Helper()
 	addresses, err := thfake.FreeAddresses(4)
 	assert.NilError(g.t, err)
 	s := thsettings.Settings{
-		VM:        thsettings.VM{ID: id, Zone: "a"},
+		VM:        thsettings.VM{ID: id, Zone: zone},
 		Listen:    thsettings.Listen{Callers: addresses[0], Peers: addresses[1], Operators: addresses[2], Metrics: addresses[3]},
 		Peers:     thsettings.Peers{Credential: credential},
 		Operators: thsettings.Operators{Credential: credential},
 	}
+	g.stores = append(g.stores, &vmStore{Store: g.store})
 	n, err := thnode.Start(thnode.Options{
-		Settings: s, Store: g.store, HeaderNames: thmessage.DefaultHeaderNames(), Log: thevent.Discard{},
+		Settings: s, Store: g.stores[len(g.stores)-1], HeaderNames: thmessage.DefaultHeaderNames(), Log: thevent.Discard{},
 		LiveSettings: thnode.LiveSettings{RetryBudget: thpick.RetryBudgetRule{Window: 10 * time.Second, Ratio: 0.2, Slack: 60}, FloorShare: 0.5, GracePeriod: time.Second},
 	})
 	assert.NilError(g.t, err)
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -29,8 +29,9 @@
 	reads, polls int
 	// readTime is how long Targets takes.
 	readTime time.Duration
-	// silent lets the current and later calls of Table wait for their deadline.
-	silent bool
+	// silent lets the current and later calls of Table wait for their deadline, and dark
+	// those of Targets too.
+	silent, dark bool
 }
 
 // set changes the store's answers and raises the version of the list of targets.
@@ -43,7 +44,7 @@
 
 func (s *fakeStore) Table(ctx context.Context, after uint64, wait time.Duration) (thtable.Document, error) {
 	s.mu.Lock()
-	d, down, silent := s.table, s.down, s.silent
+	d, down, silent := s.table, s.down, s.silent || s.dark
 	s.polls++
 	s.mu.Unlock()
 	if silent {
@@ -64,8 +65,14 @@
 
 func (s *fakeStore) Targets(ctx context.Context) (thtable.TargetList, error) {
 	s.mu.Lock()
-	readTime := s.readTime
+	readTime, dark := s.readTime, s.dark
 	s.mu.Unlock()
+	if dark {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Second) // as the platform's client does
+		defer cancel()
+		readTime = testTimeout
+	}
 	select {
 	case <-ctx.Done():
 		return thtable.TargetList{}, therror.New(therror.StoreUnavailable, "no answer")
@@ -303,3 +310,21 @@
 		assert.Assert(t, time.Now().Before(until), "the table has version %d", g.source.Table().Version())
 	}
 }
+
+// returnBound is the time within which the reader must have the newest table after an outage:
+// all VMs must have it after 3 s.
+const returnBound = 2 * time.Second
+
+// A call that was made in an outage of the store, and the delay after it, must not hold back
+// the table once the store is known to answer.
+func TestTableIsReadSoonAfterOutage(t *testing.T) {
+	g := newFixture(t)
+	g.store.set(func(s *fakeStore) { s.dark, s.polls = true, 0 })
+	for polls := 0; polls < 3; time.Sleep(5 * time.Millisecond) {
+		g.store.set(func(s *fakeStore) { polls = s.polls })
+	}
+	g.store.set(func(s *fakeStore) { s.dark, s.table.Version = false, 2 })
+	for until := time.Now().Add(returnBound); g.source.Table().Version() != 2; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the table has version %d", g.source.Table().Version())
+	}
+}
