thfleet, thsource: say in an announcement when table and targets were read

What callers saw: requests handled by a configuration replaced 2.9 s before. Cause: the reader reads the table and the targets by independent calls and announced both versions after either. Whoever heard it took both for read, so that no VM took over from a reader one of whose calls failed or hung; a leader that relayed announced four times a second, whatever the age of what it relayed. Change: an announcement carries the ages of both reads (a table that is followed by a poll which is not overdue is as of now). A VM takes over by the older of the two, counted from the read and not from the announcement, and a relayed read keeps its age. Announcements whose ages are unknown still spread versions. Ruled out: no announcement unless both succeeded, which holds back what was read. The tests of thfleet count from the read now, which is stricter than from the arrival of its relay. In TestTableIsReadThoughReaderOnlyReadsTargets the fault begins with the first call that gets no answer. Older VMs ignore the field, and their announcements count as before.

--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -50,10 +50,10 @@
 	receivedBits uint64
 	// refused holds the totals of the newest notices.
 	refused map[Key]uint32
-	// storeVersions are the last that the VM sent, and versionsReceivedAt is when they
-	// arrived; zero if none did.
-	storeVersions      StoreVersions
-	versionsReceivedAt thclock.Instant
+	// storeVersions are the last that the VM sent, and reads when the store was read for
+	// them.
+	storeVersions StoreVersions
+	reads         StoreReads
 }
 
 // load is the number of requests that one VM has in flight at one target.
@@ -76,8 +76,8 @@
 	heardAt thclock.Instant
 	// unanswered is how many questions of this VM were not answered since then.
 	unanswered int
-	// announcedAt is when this VM last announced versions; zero if it did not.
-	announcedAt thclock.Instant
+	// announcedReads is when the store was read for the versions that this VM last announced.
+	announcedReads StoreReads
 	// probes records since when this VM probes others.
 	probes probes
 	size   sizeCache
@@ -195,13 +195,22 @@
 	f.recordLoads(now, n)
 	u.Refused = updateTotals(p.refused, n.Refused)
 	if n.StoreVersions != nil {
-		p.storeVersions, p.versionsReceivedAt = *n.StoreVersions, now
+		p.recordVersions(now, *n.StoreVersions, n.ReadAges)
 	}
 	f.receiveLosses(now, n.Lost, &u)
 	u.RosterDiffers = p.IsLive() && f.compareHash(p, n.LiveHash)
 	return u
 }
 
+// recordVersions records versions that the VM has announced.
+func (p *Peer) recordVersions(now thclock.Instant, versions StoreVersions, ages *ReadAges) {
+	reads := StoreReads{Table: now, Targets: now}
+	if ages != nil {
+		reads = ages.Reads(now)
+	}
+	p.storeVersions, p.reads = versions, p.reads.Max(reads)
+}
+
 // receiveStale returns what a notice adds that arrives after a newer one. Totals of the
 // newer one go first.
 func (f *Fleet) receiveStale(now thclock.Instant, n Notice, p *Peer, u Update) Update {
--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -139,6 +139,8 @@
 	Identity *Identity `cbor:"8,keyasint,omitempty"`
 	// StoreVersions is set by a VM that reads the store or relays what was read.
 	StoreVersions *StoreVersions `cbor:"9,keyasint,omitempty"`
+	// ReadAges says how old StoreVersions are; nil if both have just been read.
+	ReadAges *ReadAges `cbor:"19,keyasint,omitempty"`
 	// Leaving is set if the sender leaves the fleet.
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 	// WantsIdentity is set if the receiver should answer with its identity.
--- /dev/null
+++ b/core/thfleet/reads.go
@@ -0,0 +1,85 @@
+package thfleet
+
+import (
+	"math"
+	"time"
+
+	"tamarackhollow/core/thclock"
+)
+
+// StoreReads holds when the routing table and the list of targets were last read from the
+// store, by whatever VM; the zero Instant if they were not.
+type StoreReads struct{ Table, Targets thclock.Instant }
+
+// Complete returns since when neither has been read again: the earlier of both times. What
+// the store holds of both is known only as of then.
+func (r StoreReads) Complete() thclock.Instant {
+	if r.Table.Before(r.Targets) {
+		return r.Table
+	}
+	return r.Targets
+}
+
+// Max returns the later read of each.
+func (r StoreReads) Max(o StoreReads) StoreReads {
+	return StoreReads{Table: r.Table.Max(o.Table), Targets: r.Targets.Max(o.Targets)}
+}
+
+// Ages returns how long ago the reads were.
+func (r StoreReads) Ages(now thclock.Instant) ReadAges {
+	age := func(at thclock.Instant) time.Duration {
+		if at == (thclock.Instant{}) {
+			return math.MaxInt64
+		}
+		return now.Sub(at)
+	}
+	return NewReadAges(age(r.Table), age(r.Targets))
+}
+
+// ReadAges holds how long ago the routing table and the list of targets were read from the
+// store, in milliseconds. UnknownReadAge stands for that time, a longer one, or never.
+type ReadAges struct {
+	_       struct{} `cbor:",toarray"`
+	Table   uint16
+	Targets uint16
+}
+
+// UnknownReadAge is the greatest age in ReadAges.
+const UnknownReadAge = math.MaxUint16
+
+// NewReadAges returns the ages in milliseconds.
+func NewReadAges(table, targets time.Duration) ReadAges {
+	millis := func(d time.Duration) uint16 { return uint16(max(0, min(d.Milliseconds(), UnknownReadAge))) }
+	return ReadAges{Table: millis(table), Targets: millis(targets)}
+}
+
+// Reads returns when the reads were.
+func (a ReadAges) Reads(now thclock.Instant) StoreReads {
+	at := func(millis uint16) thclock.Instant {
+		if millis == UnknownReadAge {
+			return thclock.Instant{}
+		}
+		return now.Add(-time.Duration(millis) * time.Millisecond)
+	}
+	return StoreReads{Table: at(a.Table), Targets: at(a.Targets)}
+}
+
+// LastReads returns when the store was last read, as far as other VMs have reported, for
+// content that is no newer than the given versions. A VM that has those versions holds what
+// was read then.
+func (f *Fleet) LastReads(have StoreVersions) StoreReads {
+	var last StoreReads
+	for _, p := range f.peers {
+		if p.storeVersions.Table <= have.Table {
+			last.Table = last.Table.Max(p.reads.Table)
+		}
+		if p.storeVersions.Targets <= have.Targets {
+			last.Targets = last.Targets.Max(p.reads.Targets)
+		}
+	}
+	return last
+}
+
+// RecordAnnouncement records that this VM announces versions, and when the store was read
+// for them by it or by the VM that it follows.
+func (f *Fleet) RecordAnnouncement(reads StoreReads) { f.announcedReads = reads }
--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -51,14 +50,14 @@
 // rankHash returns the hash that VMs are ranked by. The lowest has the best rank.
 func rankHash(id string) uint64 { return xxhash.Sum64String("reader " + id) }
 
-// LastReadInZone returns when store versions last arrived from a VM of this zone with
-// a better rank; the zero Instant if none did.
+// LastReadInZone returns when the store was last read for versions that a VM of this zone
+// with a better rank has announced; the zero Instant if none did.
 func (f *Fleet) LastReadInZone() thclock.Instant {
 	var last thclock.Instant
 	ownHash := rankHash(f.self.ID)
 	for _, p := range f.peers {
-		if p.Identity.Zone == f.self.Zone && rankHash(p.Identity.ID) < ownHash && last.Before(p.versionsReceivedAt) {
-			last = p.versionsReceivedAt
+		if p.Identity.Zone == f.self.Zone && rankHash(p.Identity.ID) < ownHash {
+			last = last.Max(p.reads.Complete())
 		}
 	}
 	return last
@@ -77,7 +76,7 @@
 		return false
 	}
 	zoneSize, _ := f.ZoneSize(now)
-	return now.Sub(f.announcedAt) < turnDuration || isInTurn(rank, zoneSize, silence)
+	return now.Sub(f.announcedReads.Complete()) < turnDuration || isInTurn(rank, zoneSize, silence)
 }
 
 // takeoverDelay returns how long a VM of the given rank waits for a better-ranked VM
@@ -93,10 +92,6 @@
 	return (silence-takeoverDelay(rank))%round < turnDuration
 }
 
-// RecordAnnouncement records that this VM announces versions that it, or the VM that it
-// follows, has just read.
-func (f *Fleet) RecordAnnouncement(now thclock.Instant) { f.announcedAt = now }
-
 // Role is the part that a VM takes in keeping its zone up to date with the store.
 type Role uint8
 
@@ -128,13 +123,13 @@
 	return Reader
 }
 
-// lastReadInOtherZones returns when store versions last arrived from a VM of another
-// zone whose rank hash is below hashLimit; the zero Instant if none did.
+// lastReadInOtherZones returns when the store was last read for versions that a VM of another
+// zone whose rank hash is below hashLimit has announced; the zero Instant if none did.
 func (f *Fleet) lastReadInOtherZones(hashLimit uint64) thclock.Instant {
 	var last thclock.Instant
 	for _, p := range f.peers {
 		if p.Identity.Zone != f.self.Zone && rankHash(p.Identity.ID) < hashLimit {
-			last = last.Max(p.versionsReceivedAt)
+			last = last.Max(p.reads.Complete())
 		}
 	}
 	return last
@@ -163,12 +158,6 @@
 	}
 }
 
-// HasRecentReadInOtherZone reports whether store versions arrived from a VM of another
-// zone, whatever its rank, within baseTakeoverDelay.
-func (f *Fleet) HasRecentReadInOtherZone(now thclock.Instant) bool {
-	return now.Sub(f.lastReadInOtherZones(math.MaxUint64)) < baseTakeoverDelay
-}
-
 // OtherZoneLeaders returns, for each other zone, the live VM with the best rank. The
 // order is random.
 func (f *Fleet) OtherZoneLeaders() []Peer {
--- a/core/thfleet/role_test.go
+++ b/core/thfleet/role_test.go
@@ -48,25 +48,38 @@
 	return i != j && !s.crashed[j] && (from == to || from != s.isolatedZone && to != s.isolatedZone)
 }
 
-// send delivers a notice of VM i, with or without store versions, to the VMs that to
-// selects.
-func (s *simulation) send(i int, withVersions bool, to func(j int) bool) {
+// send delivers a notice of VM i to the VMs that to selects.
+func (s *simulation) send(i int, to func(j int) bool) {
 	s.sequence++
-	n := thfleet.Notice{From: thfleet.VMKeyOf(s.ids[i].ID), StartMillis: 1, Sequence: s.sequence, Identity: &s.ids[i]}
-	if withVersions {
-		n.StoreVersions = &thfleet.StoreVersions{Table: 1, Targets: 1}
-	}
+	s.deliver(i, thfleet.Notice{From: thfleet.VMKeyOf(s.ids[i].ID), StartMillis: 1, Sequence: s.sequence, Identity: &s.ids[i]}, to)
+}
+
+func (s *simulation) deliver(i int, n thfleet.Notice, to func(j int) bool) {
 	for j := range s.fleets {
-		if !s.reaches(i, j) || !to(j) {
-			continue
-		}
-		s.fleets[j].Receive(at(s.now), n)
-		if withVersions {
-			s.updatedAt[j] = s.now
+		if s.reaches(i, j) && to(j) {
+			s.fleets[j].Receive(at(s.now), n)
 		}
 	}
 }
 
+// announce lets VM i announce what was read from the store at the given time.
+func (s *simulation) announce(i int, readAt time.Duration, to func(j int) bool) {
+	s.sequence++
+	versions, reads := thfleet.StoreVersions{Table: 1, Targets: 1}, thfleet.StoreReads{Table: at(readAt), Targets: at(readAt)}
+	s.fleets[i].RecordAnnouncement(reads)
+	ages := reads.Ages(at(s.now))
+	n := thfleet.Notice{From: thfleet.VMKeyOf(s.ids[i].ID), StartMillis: 1, Sequence: s.sequence, Identity: &s.ids[i], StoreVersions: &versions, ReadAges: &ages}
+	s.deliver(i, n, func(j int) bool {
+		if !to(j) {
+			return false
+		}
+		if s.reaches(i, j) {
+			s.updatedAt[j] = max(s.updatedAt[j], readAt)
+		}
+		return true
+	})
+}
+
 // probe lets VM i probe others and report those that are lost. The notices that all VMs
 // send each second answer the probes.
 func (s *simulation) probe(i int) {
@@ -93,7 +106,7 @@
 			continue
 		}
 		if s.now%time.Second == 0 {
-			s.send(i, false, func(int) bool { return true })
+			s.send(i, func(int) bool { return true })
 			s.probe(i)
 		}
 		inZone := func(j int) bool { return s.ids[j].Zone == s.ids[i].Zone }
@@ -107,11 +120,9 @@
 				break
 			}
 			s.recentReaders[i], s.updatedAt[i] = true, s.now
-			f.RecordAnnouncement(at(s.now))
-			s.send(i, true, func(j int) bool { return inZone(j) || s.isLeader(f, j) })
-		case role == thfleet.Relayer, role == thfleet.Reader && f.HasRecentReadInOtherZone(at(s.now)):
-			f.RecordAnnouncement(at(s.now))
-			s.send(i, true, inZone)
+			s.announce(i, s.now, func(j int) bool { return inZone(j) || s.isLeader(f, j) })
+		case role != thfleet.Follower:
+			s.announce(i, s.updatedAt[i], inZone)
 		}
 	}
 	s.now += 100 * time.Millisecond
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -171,11 +171,16 @@
 }
 
 // Announcement returns a notice with the versions of the store's data that this VM
-// holds, after it has read them or has heard of another VM's read.
-func (v *View) Announcement(now thclock.Instant, versions thfleet.StoreVersions) thfleet.Notice {
-	v.Fleet.RecordAnnouncement(now)
+// holds, and when the store was last read for them: by this VM, whose own reads are as old
+// as given, or by another one.
+func (v *View) Announcement(now thclock.Instant, versions thfleet.StoreVersions, own thfleet.ReadAges) thfleet.Notice {
+	reads := own.Reads(now).Max(v.Fleet.LastReads(versions))
+	v.Fleet.RecordAnnouncement(reads)
 	n := v.newNotice()
 	n.StoreVersions = &versions
+	if ages := reads.Ages(now); ages != (thfleet.ReadAges{}) {
+		n.ReadAges = &ages
+	}
 	return n
 }
 
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -44,8 +44,8 @@
 	LockedView LockedView
 	Log        thevent.Logger
 	// OnAnnouncement is called, without a lock, after each received notice that
-	// announces versions of the store's data; nil is allowed.
-	OnAnnouncement func()
+	// announces versions of the store's data, with their age; nil is allowed.
+	OnAnnouncement func(ages thfleet.ReadAges)
 	// OnRosterDiffers is called, without a lock, if a VM has known other live VMs than
 	// this one for a while; nil is allowed.
 	OnRosterDiffers func(p thfleet.Peer)
@@ -235,14 +235,14 @@
 	x.charge(sentAt, x.sendTo(n, to), len(to))
 }
 
-// AnnounceVersions sends the versions that this VM holds to the live VMs of its
-// zone and, if it has read them from the store itself, to the leaders of the
-// other zones.
-func (x *Exchange) AnnounceVersions(versions thfleet.StoreVersions, fromStore bool) {
+// AnnounceVersions sends the versions that this VM holds, and how long ago it has read them
+// from the store itself, to the live VMs of its zone and, if it reads the store, to the
+// leaders of the other zones.
+func (x *Exchange) AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, toLeaders bool) {
 	x.send(func(now thclock.Instant, v *thview.View) (thfleet.Notice, []thfleet.Peer) {
-		n := v.Announcement(now, versions)
+		n := v.Announcement(now, versions, own)
 		to := v.Fleet.LivePeersInZone(n.From)
-		if fromStore {
+		if toLeaders {
 			to = append(to, v.Fleet.OtherZoneLeaders()...)
 		}
 		return n, to
@@ -385,7 +385,11 @@
 	}
 	x.handleMembership(n, update)
 	if n.StoreVersions != nil && x.options.OnAnnouncement != nil {
-		x.options.OnAnnouncement()
+		var ages thfleet.ReadAges
+		if n.ReadAges != nil {
+			ages = *n.ReadAges
+		}
+		x.options.OnAnnouncement(ages)
 	}
 }
 
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -188,7 +188,7 @@
 		return therror.Wrap(therror.Internal, err, "socket for notices")
 	}
 	n.exchange, err = thgossip.New(thgossip.Options{
-		LockedView: n.forwarder, Log: n.options.Log, OnAnnouncement: func() { n.source.HandleAnnouncement() },
+		LockedView: n.forwarder, Log: n.options.Log, OnAnnouncement: func(ages thfleet.ReadAges) { n.source.HandleAnnouncement(ages) },
 		OnRosterDiffers: func(p thfleet.Peer) {
 			n.goroutines.Go(func() { n.source.CompareRoster(n.context, p.Identity.Address) })
 		},
@@ -256,11 +256,6 @@
 	return b
 }
 
-func (f fleetAdapter) HasRecentReadInOtherZone() (read bool) {
-	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { read = v.Fleet.HasRecentReadInOtherZone(now) })
-	return read
-}
-
 func (f fleetAdapter) FetchOrder(have thfleet.StoreVersions) (order []thfleet.Identity) {
 	f.node.forwarder.WithView(func(_ thclock.Instant, v *thview.View) {
 		for _, p := range v.Fleet.FetchOrder(have) {
@@ -312,6 +307,6 @@
 
 func (f fleetAdapter) MarkJoined() { f.node.forwarder.MarkJoined() }
 
-func (f fleetAdapter) AnnounceVersions(versions thfleet.StoreVersions, fromStore bool) {
-	f.node.exchange.AnnounceVersions(versions, fromStore)
+func (f fleetAdapter) AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, toLeaders bool) {
+	f.node.exchange.AnnounceVersions(versions, own, toLeaders)
 }
--- a/io/thnode/reading_test.go
+++ b/io/thnode/reading_test.go
@@ -23,6 +23,8 @@
 	*thfake.Store
 	// silentTables and silentTargets let calls of Table and Targets pass without an answer.
 	silentTables, silentTargets atomic.Bool
+	// unanswered counts the calls that got no answer.
+	unanswered atomic.Int32
 	// refuses is set while the store refuses the VM, and refused counts the calls of
 	// Targets that it has refused.
 	refuses atomic.Bool
@@ -37,6 +39,7 @@
 	case s.refuses.Load():
 		return thtable.Document{}, therror.New(therror.StoreUnavailable, "refused")
 	case s.silentTables.Load():
+		s.unanswered.Add(1)
 		<-ctx.Done()
 		return thtable.Document{}, therror.New(therror.StoreUnavailable, "no answer")
 	}
@@ -49,6 +52,7 @@
 		s.refused.Add(1)
 		return thtable.TargetList{}, therror.New(therror.StoreUnavailable, "refused")
 	case s.silentTargets.Load():
+		s.unanswered.Add(1)
 		select {
 		case <-ctx.Done():
 		case <-time.After(silenceTimeout):
@@ -126,6 +130,7 @@
 func TestTableIsReadThoughReaderOnlyReadsTargets(t *testing.T) {
 	g := newZonedFleet(t, 3, 2)
 	g.stores[0].silentTables.Store(true)
+	g.waitUntil("a call gets no answer", func() bool { return g.stores[0].unanswered.Load() > 0 })
 	time.Sleep(contactTime)
 	g.store.PutTable(newTable(2, "key"))
 	g.waitUntilAllHave("table_version", 2, time.Now().Add(changeBound))
@@ -135,6 +140,7 @@
 func TestTargetsAreReadThoughReaderOnlyReadsTable(t *testing.T) {
 	g := newZonedFleet(t, 3, 2)
 	g.stores[0].silentTargets.Store(true)
+	g.waitUntil("a call gets no answer", func() bool { return g.stores[0].unanswered.Load() > 0 })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/io/thsource/membership_test.go
+++ b/io/thsource/membership_test.go
@@ -103,7 +103,7 @@
 	fleet.waitUntilJoined(t)
 	time.Sleep(300 * time.Millisecond) // the reader reads the store
 	fleet.announce(thfleet.StoreVersions{Table: 2, Targets: 2}, seed)
-	s.HandleAnnouncement()
+	s.HandleAnnouncement(thfleet.ReadAges{})
 	for until := time.Now().Add(testTimeout); !s.IsLoaded(); time.Sleep(5 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(until), "the VM has no table or no targets")
 	}
--- a/io/thsource/peers_test.go
+++ b/io/thsource/peers_test.go
@@ -51,7 +51,7 @@
 func (g *fixture) announce(vms ...thfleet.Identity) {
 	g.fleet.setReader(false)
 	g.fleet.announce(thfleet.StoreVersions{Table: 2}, vms...)
-	g.source.HandleAnnouncement()
+	g.source.HandleAnnouncement(thfleet.ReadAges{})
 }
 
 func (g *fixture) waitForTable(t *testing.T, version uint64) {
@@ -137,6 +137,6 @@
 	follower.fleet.mu.Lock()
 	follower.fleet.reader, follower.fleet.newer, follower.fleet.announced = false, []thfleet.Identity{peer}, thfleet.StoreVersions{Targets: 21}
 	follower.fleet.mu.Unlock()
-	follower.source.HandleAnnouncement()
+	follower.source.HandleAnnouncement(thfleet.ReadAges{})
 	follower.waitForTargets(t, 3)
 }
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -43,9 +43,6 @@
 	Role() thfleet.Role
 	// RoleBasis returns what the role follows from.
 	RoleBasis() thfleet.RoleBasis
-	// HasRecentReadInOtherZone reports whether a VM of another zone has recently
-	// announced that it read the store.
-	HasRecentReadInOtherZone() bool
 	// FetchOrder returns the VMs from which to fetch what is newer than the given
 	// versions, in the order in which to ask them; none if there is nothing newer.
 	FetchOrder(have thfleet.StoreVersions) []thfleet.Identity
@@ -64,9 +61,10 @@
 	RandomPeers(n int) []thfleet.Identity
 	// ZoneRank returns this VM's rank in its zone; the first ones lead it.
 	ZoneRank() int
-	// AnnounceVersions sends the versions that this VM holds to its zone and, if
-	// it has read them from the store itself, to the leaders of the other zones.
-	AnnounceVersions(versions thfleet.StoreVersions, fromStore bool)
+	// AnnounceVersions sends the versions that this VM holds, and how long ago it has read
+	// them from the store itself, to its zone and, if toLeaders is set, to the leaders of the
+	// other zones.
+	AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, toLeaders bool)
 }
 
 // Options configure a Source.
@@ -125,6 +123,7 @@
 	wantsWhole bool
 	// reader tells whether this VM is the one that reads the store.
 	reader bool
+	reads  ownReads
 	// registered is set once this VM is in the store's list of VMs.
 	registered bool
 	// answeredAt is when the store last answered a call of Targets or Join.
@@ -146,7 +145,8 @@
 // New returns a source without table and targets; Run gets them.
 func New(options Options) *Source {
 	return &Source{
-		options: options, roleChanged: make(chan struct{}, 1), behind: make(chan struct{}, 1), joined: make(chan struct{}, 1),
+		options: options, joined: make(chan struct{}, 1),
+		roleChanged: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 		fetches: fetches{underWay: make(map[string]bool)}, content: content{changed: make(chan struct{})},
 	}
 }
@@ -190,9 +190,12 @@
 func (s *Source) versions() thfleet.StoreVersions { return s.content.versions() }
 
 // HandleAnnouncement makes the source act at once on versions that another VM has
-// announced, if this VM lacks them or relays them within its zone.
-func (s *Source) HandleAnnouncement() {
-	s.recordFleetRead()
+// announced, which were read as long ago as given, if this VM lacks them or relays them
+// within its zone.
+func (s *Source) HandleAnnouncement(ages thfleet.ReadAges) {
+	if ages.Targets != thfleet.UnknownReadAge {
+		s.recordFleetRead(time.Now().Add(-time.Duration(ages.Targets) * time.Millisecond))
+	}
 	behind := len(s.options.Fleet.FetchOrder(s.versions())) > 0
 	s.recordBehind(behind)
 	if behind {
@@ -245,8 +248,7 @@
 	s.fetches.done.Wait()
 }
 
-// syncTargets reads the list of targets from the store while this VM is the
-// reader, and announces this VM's versions if it leads its zone.
+// syncTargets reads the list of targets from the store while this VM is the reader.
 func (s *Source) syncTargets(ctx context.Context) {
 	delay := time.Duration(0)
 	for sleep(ctx, delay, s.roleChanged) {
@@ -263,37 +265,27 @@
 			s.announce(true)
 		default:
 			delay = min(maxRetryDelay, max(minRetryDelay, 2*delay))
-			s.handleReadFailure(ctx)
+			s.announce(false)
+			s.fetchFromSeeds(ctx)
 		}
 	}
 }
 
-// announce announces this VM's versions, to the leaders of the other zones too if it has
-// read them from the store itself. It logs versions that are newer than those before.
-func (s *Source) announce(fromStore bool) {
+// announce announces this VM's versions, to the leaders of the other zones too if toLeaders
+// is set. It logs versions that are newer than those before.
+func (s *Source) announce(toLeaders bool) {
 	versions := s.versions()
-	s.options.Fleet.AnnounceVersions(versions, fromStore)
 	s.mu.Lock()
-	isNewer := versions.IsNewerThan(s.announced)
+	isNewer, ages := versions.IsNewerThan(s.announced), s.reads.ages(time.Now())
 	s.announced = versions
 	s.mu.Unlock()
+	s.options.Fleet.AnnounceVersions(versions, ages, toLeaders)
 	if isNewer {
-		s.options.Log.Log(thevent.VersionsAnnounced, thevent.F("version", versions.Table), thevent.F("targets", versions.Targets), thevent.F("fromStore", fromStore))
+		s.options.Log.Log(thevent.VersionsAnnounced, thevent.F("version", versions.Table), thevent.F("targets", versions.Targets),
+			thevent.F("tableAgeMillis", ages.Table), thevent.F("targetsAgeMillis", ages.Targets))
 	}
 }
 
-// handleReadFailure announces this VM's versions to its zone if a VM of another
-// zone has recently read the store: they are then as current as after a read by
-// this VM, and no other VM of the zone needs to try. Otherwise it fetches from the
-// seeds.
-func (s *Source) handleReadFailure(ctx context.Context) {
-	if s.IsLoaded() && s.options.Fleet.HasRecentReadInOtherZone() {
-		s.announce(false)
-		return
-	}
-	s.fetchFromSeeds(ctx)
-}
-
 // sleep waits for the delay or a wake-up, and returns false if the context
 // ended.
 func sleep(ctx context.Context, delay time.Duration, wake <-chan struct{}) bool {
@@ -313,6 +305,7 @@
 	s.mu.Lock()
 	wasReader := s.reader
 	s.reader = reader
+	s.reads.followsTable = s.reads.followsTable && reader
 	s.mu.Unlock()
 	switch {
 	case reader && !wasReader:
@@ -332,7 +325,7 @@
 	startedAt := time.Now()
 	list, err := s.options.Store.Targets(callCtx)
 	if err == nil {
-		s.recordFleetRead()
+		s.recordFleetRead(time.Now())
 	}
 	s.recordStoreResult(ctx, err)
 	if err != nil {
@@ -340,6 +333,9 @@
 		return false
 	}
 	s.applyStoreTargets(list)
+	s.mu.Lock()
+	s.reads.targetsAt = startedAt
+	s.mu.Unlock()
 	return true
 }
 
@@ -354,20 +350,24 @@
 	relistTimeout = 2200 * time.Millisecond
 )
 
-// recordFleetRead records that this or another VM has read the store. If this VM can't read
-// it and no other VM was heard to read it for minOutage, targets could not renew their
-// entries meanwhile. A store that refuses only some VMs leaves the entries as they are.
-func (s *Source) recordFleetRead() {
+// recordFleetRead records that this or another VM has read the list of targets from the store
+// at the given time. If this VM can't read it and no other VM has read it for minOutage,
+// targets could not renew their entries meanwhile. A store that refuses only some VMs leaves
+// the entries as they are.
+func (s *Source) recordFleetRead(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, silentSince := time.Now(), s.storeLostAt
+	if !at.After(s.fleetReadAt) {
+		return
+	}
+	silentSince := s.storeLostAt
 	if s.fleetReadAt.After(silentSince) {
 		silentSince = s.fleetReadAt
 	}
-	if s.storeLost && now.Sub(silentSince) > minOutage {
-		s.keepUnlistedUntil = now.Add(relistTimeout)
+	if s.storeLost && at.Sub(silentSince) > minOutage {
+		s.keepUnlistedUntil = at.Add(relistTimeout)
 	}
-	s.fleetReadAt = now
+	s.fleetReadAt = at
 }
 
 // applyStoreTargets applies a list that was read from the store, unless it holds
@@ -419,23 +419,30 @@
 			delay = roleCheckInterval
 			continue
 		}
-		startedAt := time.Now()
+		startedAt, followed := time.Now(), s.followsTable()
 		applied, err := s.readTable(ctx, tableLongPoll)
-		if err != nil {
+		switch {
+		case err != nil:
 			delay = min(maxRetryDelay, max(minRetryDelay, 2*delay))
 			continue
-		}
-		delay = 0
-		if !applied && time.Since(startedAt) < minRetryDelay {
+		case !applied && time.Since(startedAt) < minRetryDelay:
 			delay = minRetryDelay // a store that has dropped its history or has no table answers at once
 			continue
+		default:
+			delay = 0
 		}
-		if s.isReader() {
+		if s.isReader() && (applied || !followed) {
 			s.announce(true)
 		}
 	}
 }
 
+func (s *Source) followsTable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads.followsTable
+}
+
 // readTable reads a newer table from the store and applies it. If there is none, the
 // store waits for the given time. readTable reports whether it applied one; it logs
 // errors.
@@ -443,7 +450,9 @@
 	startedAt := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
+	s.recordTableCall(startedAt.Add(wait + pollGrace))
 	d, err := s.options.Store.Table(callCtx, s.versions().Table, wait)
+	s.recordTableResult(err)
 	if err != nil {
 		id := thevent.TableUnread
 		if therror.Is(err, therror.MessageMalformed) {
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -114,8 +114,7 @@
 	return thfleet.Follower
 }
 
-func (f *fakeFleet) RoleBasis() thfleet.RoleBasis   { return thfleet.RoleBasis{} }
-func (f *fakeFleet) HasRecentReadInOtherZone() bool { return false }
+func (f *fakeFleet) RoleBasis() thfleet.RoleBasis { return thfleet.RoleBasis{} }
 
 // announce says that the VMs hold the versions.
 func (f *fakeFleet) announce(versions thfleet.StoreVersions, vms ...thfleet.Identity) {
@@ -151,10 +150,10 @@
 	defer f.mu.Unlock()
 	return f.joined
 }
-func (f *fakeFleet) Roster() ([]thfleet.Identity, bool)           { return nil, true }
-func (f *fakeFleet) ZoneRank() int                                { return 0 }
-func (f *fakeFleet) RandomPeers(int) []thfleet.Identity           { return f.random }
-func (f *fakeFleet) AnnounceVersions(thfleet.StoreVersions, bool) {}
+func (f *fakeFleet) Roster() ([]thfleet.Identity, bool)                             { return nil, true }
+func (f *fakeFleet) ZoneRank() int                                                  { return 0 }
+func (f *fakeFleet) RandomPeers(int) []thfleet.Identity                             { return f.random }
+func (f *fakeFleet) AnnounceVersions(thfleet.StoreVersions, thfleet.ReadAges, bool) {}
 
 func targets(ids ...string) []thtable.Target {
 	ts := make([]thtable.Target, 0, len(ids))
@@ -259,7 +258,7 @@
 	g := newFixture(t)
 	g.store.set(func(s *fakeStore) { s.down = true })
 	for until := time.Now().Add(2500 * time.Millisecond); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
-		g.source.HandleAnnouncement() // another VM reads the store
+		g.source.HandleAnnouncement(thfleet.ReadAges{}) // another VM reads the store
 	}
 	g.store.set(func(s *fakeStore) { s.down, s.list.Targets = false, targets("a") })
 	var reads int
@@ -277,7 +276,7 @@
 	g := newFixture(t)
 	g.store.set(func(s *fakeStore) { s.down = true })
 	time.Sleep(2500 * time.Millisecond)
-	g.source.HandleAnnouncement()
+	g.source.HandleAnnouncement(thfleet.ReadAges{})
 	g.store.set(func(s *fakeStore) { s.down, s.list.Targets = false, targets("b", "c") })
 	g.waitForTargets(t, 3) // c is added, a is kept
 }
