thsource, thfleet: relay what another zone has read whatever becomes of the leader's own reads

Cause: a zone's leader that takes itself for the reader announced what it had fetched from another zone only after its own next read had failed, up to 3 s later, since both were done by one loop. Change: a goroutine of its own relays versions and reads of other VMs as soon as they are heard or fetched, and only what is new (Fleet.IsRelayDue), instead of four times a second. Reads that are less than 200 ms later than the last one announced are not relayed, so that two VMs do not relay to each other forever. Ruled out: to make such a leader a relayer; it then would not find out that the store answers it again.

--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -76,7 +76,9 @@
 	heardAt thclock.Instant
 	// unanswered is how many questions of this VM were not answered since then.
 	unanswered int
-	// announcedReads is when the store was read for the versions that this VM last announced.
+	// announced are the versions that this VM last announced, and announcedReads when the
+	// store was read for them.
+	announced      StoreVersions
 	announcedReads StoreReads
 	// probes records since when this VM probes others.
 	probes probes
--- a/core/thfleet/reads.go
+++ b/core/thfleet/reads.go
@@ -82,4 +82,17 @@
 
 // RecordAnnouncement records that this VM announces versions, and when the store was read
 // for them by it or by the VM that it follows.
-func (f *Fleet) RecordAnnouncement(reads StoreReads) { f.announcedReads = reads }
+func (f *Fleet) RecordAnnouncement(versions StoreVersions, reads StoreReads) {
+	f.announced, f.announcedReads = versions, reads
+}
+
+// relayStep is how much later a read must be than the one that was last announced to be
+// announced as well. It keeps two VMs from relaying the same read to each other forever,
+// which grows later on its way.
+const relayStep = 200 * time.Millisecond
+
+// IsRelayDue reports whether a VM that leads its zone and has the given versions knows more
+// than it has announced: newer versions, or a later read of the store by another VM.
+func (f *Fleet) IsRelayDue(have StoreVersions) bool {
+	return have.IsNewerThan(f.announced) || f.LastReads(have).Complete().Sub(f.announcedReads.Complete()) >= relayStep
+}
--- a/core/thfleet/role_test.go
+++ b/core/thfleet/role_test.go
@@ -66,7 +66,7 @@
 func (s *simulation) announce(i int, readAt time.Duration, to func(j int) bool) {
 	s.sequence++
 	versions, reads := thfleet.StoreVersions{Table: 1, Targets: 1}, thfleet.StoreReads{Table: at(readAt), Targets: at(readAt)}
-	s.fleets[i].RecordAnnouncement(reads)
+	s.fleets[i].RecordAnnouncement(versions, reads)
 	ages := reads.Ages(at(s.now))
 	n := thfleet.Notice{From: thfleet.VMKeyOf(s.ids[i].ID), StartMillis: 1, Sequence: s.sequence, Identity: &s.ids[i], StoreVersions: &versions, ReadAges: &ages}
 	s.deliver(i, n, func(j int) bool {
@@ -121,7 +121,7 @@
 			}
 			s.recentReaders[i], s.updatedAt[i] = true, s.now
 			s.announce(i, s.now, func(j int) bool { return inZone(j) || s.isLeader(f, j) })
-		case role != thfleet.Follower:
+		case role != thfleet.Follower && f.IsRelayDue(thfleet.StoreVersions{Table: 1, Targets: 1}):
 			s.announce(i, s.updatedAt[i], inZone)
 		}
 	}
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -175,7 +175,7 @@
 // as given, or by another one.
 func (v *View) Announcement(now thclock.Instant, versions thfleet.StoreVersions, own thfleet.ReadAges) thfleet.Notice {
 	reads := own.Reads(now).Max(v.Fleet.LastReads(versions))
-	v.Fleet.RecordAnnouncement(reads)
+	v.Fleet.RecordAnnouncement(versions, reads)
 	n := v.newNotice()
 	n.StoreVersions = &versions
 	if ages := reads.Ages(now); ages != (thfleet.ReadAges{}) {
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -256,6 +256,11 @@
 	return b
 }
 
+func (f fleetAdapter) IsRelayDue(have thfleet.StoreVersions) (due bool) {
+	f.node.forwarder.WithView(func(_ thclock.Instant, v *thview.View) { due = v.Fleet.IsRelayDue(have) })
+	return due
+}
+
 func (f fleetAdapter) FetchOrder(have thfleet.StoreVersions) (order []thfleet.Identity) {
 	f.node.forwarder.WithView(func(_ thclock.Instant, v *thview.View) {
 		for _, p := range v.Fleet.FetchOrder(have) {
--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -261,8 +261,6 @@
 	s.mu.Lock()
 	s.wantsWhole = tableErr != nil || targetsErr != nil
 	s.mu.Unlock()
-	if s.options.Fleet.Role() == thfleet.Relayer {
-		wake(s.roleChanged) // to announce what was fetched
-	}
+	wake(s.news) // to announce what was fetched
 	return errors.CombineErrors(tableErr, targetsErr)
 }
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -43,6 +43,10 @@
 	Role() thfleet.Role
 	// RoleBasis returns what the role follows from.
 	RoleBasis() thfleet.RoleBasis
+	// IsRelayDue reports whether this VM, if it leads its zone, has to announce the versions
+	// that it holds because they are newer than those that it last announced, or because
+	// another VM has read the store since.
+	IsRelayDue(have thfleet.StoreVersions) bool
 	// FetchOrder returns the VMs from which to fetch what is newer than the given
 	// versions, in the order in which to ask them; none if there is nothing newer.
 	FetchOrder(have thfleet.StoreVersions) []thfleet.Identity
@@ -89,6 +93,9 @@
 	// roleCheckInterval is how often a VM that is not the reader checks whether
 	// it has become so.
 	roleCheckInterval = 250 * time.Millisecond
+	// relayCheckInterval is how often a VM checks whether it has to relay without having been
+	// told.
+	relayCheckInterval = time.Second
 	// storeTimeout bounds a call to the store, which usually takes 4 ms but may
 	// be sixty times slower.
 	storeTimeout = time.Second
@@ -107,9 +114,9 @@
 // New.
 type Source struct {
 	options Options
-	// roleChanged and behind wake the goroutines that act on this VM's role, and on
-	// newer versions of other VMs.
-	roleChanged, behind chan struct{}
+	// targetsDue wakes the goroutine that reads the list of targets, behind and news those
+	// that fetch from other VMs and relay what they announce.
+	targetsDue, behind, news chan struct{}
 	// joined wakes the goroutine that loads table and targets once this VM has joined a
 	// fleet that was running before.
 	joined  chan struct{}
@@ -146,7 +153,7 @@
 func New(options Options) *Source {
 	return &Source{
 		options: options, joined: make(chan struct{}, 1),
-		roleChanged: make(chan struct{}, 1), behind: make(chan struct{}, 1),
+		targetsDue: make(chan struct{}, 1), behind: make(chan struct{}, 1), news: make(chan struct{}, 1),
 		fetches: fetches{underWay: make(map[string]bool)}, content: content{changed: make(chan struct{})},
 	}
 }
@@ -201,9 +208,7 @@
 	if behind {
 		wake(s.behind)
 	}
-	if s.options.Fleet.Role() == thfleet.Relayer {
-		wake(s.roleChanged)
-	}
+	wake(s.news)
 }
 
 // wake makes the goroutine that waits for the channel continue, now or when it next
@@ -241,7 +246,7 @@
 // ends.
 func (s *Source) Run(ctx context.Context) {
 	var goroutines sync.WaitGroup
-	for _, task := range []func(context.Context){s.join, s.loadAtStart, s.syncTable, s.syncTargets, s.syncFromPeers} {
+	for _, task := range []func(context.Context){s.join, s.loadAtStart, s.syncTable, s.syncTargets, s.syncFromPeers, s.relay} {
 		goroutines.Go(func() { task(ctx) })
 	}
 	goroutines.Wait()
@@ -251,26 +256,33 @@
 // syncTargets reads the list of targets from the store while this VM is the reader.
 func (s *Source) syncTargets(ctx context.Context) {
 	delay := time.Duration(0)
-	for sleep(ctx, delay, s.roleChanged) {
+	for sleep(ctx, delay, s.targetsDue) {
 		role := s.options.Fleet.Role()
 		s.setReader(role == thfleet.Reader)
 		switch {
-		case role == thfleet.Follower:
-			delay = roleCheckInterval
-		case role == thfleet.Relayer:
+		case role != thfleet.Reader:
 			delay = roleCheckInterval
-			s.announce(false)
 		case s.readTargets(ctx):
 			delay = thfleet.ReadInterval
 			s.announce(true)
 		default:
 			delay = min(maxRetryDelay, max(minRetryDelay, 2*delay))
-			s.announce(false)
 			s.fetchFromSeeds(ctx)
 		}
 	}
 }
 
+// relay announces what other VMs have announced, and this VM has fetched, to its zone while
+// this VM leads it. A leader that reads the store itself relays too, since its own reads may
+// fail.
+func (s *Source) relay(ctx context.Context) {
+	for sleep(ctx, relayCheckInterval, s.news) {
+		if s.options.Fleet.Role() != thfleet.Follower && s.options.Fleet.IsRelayDue(s.versions()) {
+			s.announce(false)
+		}
+	}
+}
+
 // announce announces this VM's versions, to the leaders of the other zones too if toLeaders
 // is set. It logs versions that are newer than those before.
 func (s *Source) announce(toLeaders bool) {
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -114,7 +114,8 @@
 	return thfleet.Follower
 }
 
-func (f *fakeFleet) RoleBasis() thfleet.RoleBasis { return thfleet.RoleBasis{} }
+func (f *fakeFleet) RoleBasis() thfleet.RoleBasis          { return thfleet.RoleBasis{} }
+func (f *fakeFleet) IsRelayDue(thfleet.StoreVersions) bool { return false }
 
 // announce says that the VMs hold the versions.
 func (f *fakeFleet) announce(versions thfleet.StoreVersions, vms ...thfleet.Identity) {
