--- a/io/thfake/target.go
+++ b/io/thfake/target.go
@@ -34,6 +34,9 @@
 	// DownMillis is how long the target refuses connections after a crash, in
 	// milliseconds.
 	DownMillis int
+	// Leaving makes the target say in each answer, also in those to requests that it does
+	// not run, that it leaves.
+	Leaving bool
 }
 
 // Run describes one request that a target started to run.
@@ -112,6 +115,9 @@
 
 var headerNames = thmessage.DefaultHeaderNames()
 
+// leavingField is the header field by which a target says that it leaves.
+const leavingField = "Tamarack-Leaving"
+
 func (t *Target) handle(c *fasthttp.RequestCtx) {
 	h := &c.Request.Header
 	c.Response.Header.SetBytesV(headerNames.RequestID, h.Peek(headerNames.RequestID))
@@ -120,6 +126,9 @@
 		return
 	}
 	b, shed, fail, drop := t.beginRun(c)
+	if b.Leaving {
+		c.Response.Header.Set(leavingField, "1")
+	}
 	if shed {
 		c.Response.Header.Set(headerNames.NotRun, "busy")
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
