thsend, thview, thforward: send nothing new to a target that says in an answer that it leaves

What callers saw: a request reached a target after one of its answers had told the VM that it leaves (DRAIN). Cause: no code looked at the header field; a target was draining only by the store's list, which a VM that is cut off does not get. Change: an answer with the request's ID marks this start of the target at the VM, whatever its status, until it is no longer listed. Every pick takes targets through View.newCandidate, where the mark counts as the list's state does; idle connections are closed; the VMs that use the target are told by an urgent notice, once for each VM that hears it from the target itself. Ruled out: a mark by address, which the next target there would inherit; a mark that a newer list clears.

--- a/core/thevent/target.go
+++ b/core/thevent/target.go
@@ -9,6 +9,8 @@
 	TargetGone      ID = 507
 	FloorEnforced   ID = 508
 	FloorReleased   ID = 509
+	// TargetSaidLeaving follows from an answer of the target, TargetLeaving from the list.
+	TargetSaidLeaving ID = 510
 )
 
 var targetEvents = []Event{
@@ -19,4 +21,5 @@
 	{TargetGone, Info, "targetGone", "a target is no longer in the list of targets"},
 	{FloorEnforced, Warn, "floorEnforced", "many requests to a service fail: idle targets are used, whatever is known of them, to keep its floor"},
 	{FloorReleased, Info, "floorReleased", "a service's floor is no longer enforced"},
+	{TargetSaidLeaving, Info, "targetSaidLeaving", "a target has said in an answer that it leaves, and gets no new requests"},
 }
--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -108,6 +108,9 @@
 	Crashes          []Crash
 	// Refused holds the increases since the newest notice before.
 	Refused []KeyCount
+	// TargetsLeave is set if the notice reports targets that leave, of which this VM did not
+	// know it.
+	TargetsLeave bool
 	// Lost holds the live VMs that the notice reports as lost.
 	Lost []Identity
 	// ReportedLost is set if the notice reports this VM as lost.
--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -48,6 +48,15 @@
 	Target   Key
 }
 
+// LeavingTarget reports that a target has said that it leaves.
+type LeavingTarget struct {
+	_      struct{} `cbor:",toarray"`
+	Target Key
+	// StartMillis is the start time of the target's process. A later process with the same
+	// ID does not leave.
+	StartMillis int64
+}
+
 // UnknownLatencyRatio is the LatencyRatio of an attempt whose time says nothing about
 // the target.
 const UnknownLatencyRatio = -128
@@ -143,6 +152,8 @@
 	ReadAges *ReadAges `cbor:"19,keyasint,omitempty"`
 	// Leaving is set if the sender leaves the fleet.
 	Leaving bool `cbor:"10,keyasint,omitempty"`
+	// LeavingTargets holds the targets that have said that they leave.
+	LeavingTargets []LeavingTarget `cbor:"20,keyasint,omitempty"`
 	// WantsIdentity is set if the receiver should answer with its identity.
 	WantsIdentity bool    `cbor:"11,keyasint,omitempty"`
 	Crashes       []Crash `cbor:"13,keyasint,omitempty"`
--- a/core/thmessage/message.go
+++ b/core/thmessage/message.go
@@ -61,6 +61,9 @@
 	Signature string
 	// NotRun is present in answers to requests that the target did not run.
 	NotRun string
+	// Leaving are the names of the field whose value is 1 in the answers of a target that
+	// leaves, whatever their status.
+	Leaving []string
 	// ReservedPrefix is the prefix of the fields that callers may not set, except
 	// RequestID and Deadline.
 	ReservedPrefix string
@@ -71,7 +74,7 @@
 func DefaultHeaderNames() HeaderNames {
 	return HeaderNames{
 		RequestID: "Tamarack-Request-Id", Deadline: "Tamarack-Deadline-Millis", Target: "Tamarack-Target",
-		Customer: "Tamarack-Customer", Signature: "Tamarack-Signature", NotRun: "Tamarack-Not-Run", ReservedPrefix: "Tamarack-",
+		Customer: "Tamarack-Customer", Signature: "Tamarack-Signature", NotRun: "Tamarack-Not-Run", Leaving: []string{"Tamarack-Leaving"}, ReservedPrefix: "Tamarack-",
 	}
 }
 
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -1,6 +1,7 @@
 package thview
 
 import (
+	"maps"
 	"slices"
 
 	"tamarackhollow/core/thclock"
@@ -21,6 +22,8 @@
 	// refused holds the totals that have risen. They are sent with the next notices,
 	// but don't cause one by themselves.
 	refused map[thfleet.Key]uint32
+	// leaving holds the targets that have said that they leave, with their start times.
+	leaving map[thfleet.Key]int64
 	crashes []thfleet.Crash
 	lost    []thfleet.Loss
 }
@@ -30,6 +33,7 @@
 		vmKey: thfleet.VMKeyOf(o.Self.ID), startMillis: o.StartMillis, identity: o.Self,
 		loads:   make(map[thfleet.Key]uint16),
 		results: make(map[thfleet.Key][]thfleet.AttemptResult),
+		leaving: make(map[thfleet.Key]int64),
 		refused: make(map[thfleet.Key]uint32),
 	}
 }
@@ -43,7 +47,7 @@
 // it includes evidence against a target or a VM, which must not wait.
 func (v *View) Pending() (pending, urgent bool) {
 	o := &v.outbox
-	if len(o.lost)+len(o.crashes) > 0 {
+	if len(o.lost)+len(o.crashes)+len(o.leaving) > 0 {
 		return true, true
 	}
 	for _, results := range o.results {
@@ -84,7 +88,7 @@
 		outgoing = append(outgoing, n)
 	}
 	n := forAll.Notice
-	if len(n.Loads)+len(n.Results)+len(n.Crashes)+len(n.Lost) > 0 || len(outgoing) == 0 && len(o.refused) > 0 {
+	if len(n.Loads)+len(n.Results)+len(n.LeavingTargets)+len(n.Crashes)+len(n.Lost) > 0 || len(outgoing) == 0 && len(o.refused) > 0 {
 		outgoing = append(outgoing, forAll)
 	}
 	if len(outgoing) > 0 {
@@ -94,21 +98,23 @@
 	o.crashes, o.lost = nil, nil
 	clear(o.loads)
 	clear(o.results)
+	clear(o.leaving)
 	return outgoing
 }
 
-// pendingTargets returns the targets with a load or result to send.
+// pendingTargets returns the targets of which there is something to send.
 func (o *outbox) pendingTargets() []thfleet.Key {
-	keys := make([]thfleet.Key, 0, len(o.loads)+len(o.results))
+	pending := make(map[thfleet.Key]struct{}, len(o.loads)+len(o.results))
 	for k := range o.loads {
-		keys = append(keys, k)
+		pending[k] = struct{}{}
 	}
 	for k := range o.results {
-		if _, ok := o.loads[k]; !ok {
-			keys = append(keys, k)
-		}
+		pending[k] = struct{}{}
+	}
+	for k := range o.leaving {
+		pending[k] = struct{}{}
 	}
-	return keys
+	return slices.Collect(maps.Keys(pending))
 }
 
 // moveTo adds what is to be sent of a target to a notice.
@@ -116,6 +122,10 @@
 	if inFlight, ok := o.loads[key]; ok {
 		n.Notice.Loads = append(n.Notice.Loads, thfleet.Load{Target: key, InFlight: inFlight})
 	}
+	if startMillis, ok := o.leaving[key]; ok {
+		n.Notice.LeavingTargets = append(n.Notice.LeavingTargets, thfleet.LeavingTarget{Target: key, StartMillis: startMillis})
+		n.Urgent = true
+	}
 	for _, r := range o.results[key] {
 		n.Notice.Results = append(n.Notice.Results, r)
 		n.Urgent = n.Urgent || r.Outcome.IsNegative()
@@ -209,6 +219,9 @@
 	for _, r := range n.Results {
 		add(r.Target)
 	}
+	for _, l := range n.LeavingTargets {
+		add(l.Target)
+	}
 	return members
 }
 
--- a/core/thview/status.go
+++ b/core/thview/status.go
@@ -22,7 +22,7 @@
 
 func (v *View) targetStatus(now thclock.Instant, t *target) TargetStatus {
 	return TargetStatus{
-		ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Draining: t.Draining,
+		ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Draining: t.current().Draining,
 		FailureProbability: t.health.FailureProbability(now), LatencyRatio: t.health.LatencyRatio(), InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key),
 	}
 }
--- a/core/thview/subset.go
+++ b/core/thview/subset.go
@@ -158,7 +158,7 @@
 // newCandidate returns the target as a candidate for a pick.
 func (v *View) newCandidate(now thclock.Instant, t *target, idempotent bool) thpick.Candidate {
 	c := thpick.Candidate{
-		Target: t.Target, Health: t.health, WarmupUntil: t.warmupUntil,
+		Target: t.current(), Health: t.health, WarmupUntil: t.warmupUntil,
 		InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key), UsedAt: t.usedAt, FailedAt: t.failedAt,
 	}
 	// Other targets that this VM knows nothing of were used before it started, or by other
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -38,6 +38,8 @@
 	usedAt thclock.Instant
 	// failedAt is when a request last failed at the target.
 	failedAt thclock.Instant
+	// leaving is set if the target has said that it leaves.
+	leaving bool
 	// suspect is whether the target was last reported to OnSuspectChange as
 	// suspect.
 	suspect bool
@@ -81,6 +83,9 @@
 	// may be nil. It is called while the View is being changed and must not call
 	// back into it.
 	OnSuspectChange func(s TargetStatus)
+	// OnLeaving is called when this VM learns from a target, or from another VM if reported
+	// is set, that the target leaves, as OnSuspectChange is.
+	OnLeaving func(t thtable.Target, reported bool)
 	// OnFloorChange is called when this VM begins or ceases to enforce the floor of a
 	// service, as OnSuspectChange is.
 	OnFloorChange func(s FloorStatus)
@@ -309,7 +314,7 @@
 		s.retryBudget = s.retryBudget.WithRetry(now, v.retryRule(now))
 		s.retries++
 	}
-	return Picked{Target: t.Target, FailureProbability: v.candidates[i].Health.FailureProbability(now), InFlight: v.candidates[i].InFlight, ExpectedLatency: query.ExpectedLatency, key: t.key, pickedAt: now}
+	return Picked{Target: t.current(), FailureProbability: v.candidates[i].Health.FailureProbability(now), InFlight: v.candidates[i].InFlight, ExpectedLatency: query.ExpectedLatency, key: t.key, pickedAt: now}
 }
 
 const (
@@ -459,6 +464,7 @@
 	}
 	update := v.Fleet.Receive(now, n)
 	v.receiveCrashEvidence(now, update)
+	update.TargetsLeave = v.receiveLeaving(n.LeavingTargets)
 	for _, result := range update.Results {
 		if t := v.targetsByKey[result.Target]; t != nil {
 			v.setHealth(now, t, withLatencyRatio(t.health.WithRemoteOutcome(now, result.Outcome), result))
--- a/io/thfake/target.go
+++ b/io/thfake/target.go
@@ -115,9 +115,6 @@
 
 var headerNames = thmessage.DefaultHeaderNames()
 
-// leavingField is the header field by which a target says that it leaves.
-const leavingField = "Tamarack-Leaving"
-
 func (t *Target) handle(c *fasthttp.RequestCtx) {
 	h := &c.Request.Header
 	c.Response.Header.SetBytesV(headerNames.RequestID, h.Peek(headerNames.RequestID))
@@ -127,7 +124,7 @@
 	}
 	b, shed, fail, drop := t.beginRun(c)
 	if b.Leaving {
-		c.Response.Header.Set(leavingField, "1")
+		c.Response.Header.Set(headerNames.Leaving[0], "1")
 	}
 	if shed {
 		c.Response.Header.Set(headerNames.NotRun, "busy")
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -87,6 +87,14 @@
 // are gone or draining.
 func (f *Forwarder) SetTargets(ts []thtable.Target) {
 	f.WithView(func(now thclock.Instant, v *thview.View) { v.SetTargets(now, ts) })
+	f.RetainConnections()
+}
+
+// RetainConnections closes the connections to targets that are gone or draining, by the list
+// or by their own word.
+func (f *Forwarder) RetainConnections() {
+	var ts []thtable.Target
+	f.WithView(func(_ thclock.Instant, v *thview.View) { ts = v.Targets() })
 	f.options.Sender.Retain(ts)
 }
 
--- a/io/thforward/hedge.go
+++ b/io/thforward/hedge.go
@@ -103,7 +103,14 @@
 	if r.End == thpick.TimedOut && overdue.Load() {
 		r.Outcome = thhealth.Inconclusive // the view has recorded the attempt as overdue already
 	}
-	f.WithView(func(now thclock.Instant, v *thview.View) { v.Finish(now, p, s.request, outcomeOf(p, r), r.Took) })
+	leaves := false
+	f.WithView(func(now thclock.Instant, v *thview.View) {
+		v.Finish(now, p, s.request, outcomeOf(p, r), r.Took)
+		leaves = r.TargetLeaves && v.MarkLeaving(p)
+	})
+	if leaves {
+		f.RetainConnections()
+	}
 	f.options.NotifyPeers()
 	f.reportAttempt(s, p, r, number)
 	return attemptResult{p, r}
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -46,6 +46,9 @@
 	// OnAnnouncement is called, without a lock, after each received notice that
 	// announces versions of the store's data, with their age; nil is allowed.
 	OnAnnouncement func(ages thfleet.ReadAges)
+	// OnTargetsLeave is called, without a lock, after a notice that reports leaving targets of
+	// which this VM did not know it; nil is allowed.
+	OnTargetsLeave func()
 	// OnRosterDiffers is called, without a lock, if a VM has known other live VMs than
 	// this one for a while; nil is allowed.
 	OnRosterDiffers func(p thfleet.Peer)
@@ -384,6 +387,9 @@
 		x.relay(n)
 	}
 	x.handleMembership(n, update)
+	if update.TargetsLeave && x.options.OnTargetsLeave != nil {
+		x.options.OnTargetsLeave()
+	}
 	if n.StoreVersions != nil && x.options.OnAnnouncement != nil {
 		var ages thfleet.ReadAges
 		if n.ReadAges != nil {
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -149,7 +149,7 @@
 	view := thview.New(thview.Options{
 		Self: self, StartMillis: uint64(time.Now().UnixMilli()), StartedAt: n.clock.Now(), HasIdleConnection: n.sender.HasIdleConnection,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), OnSuspectChange: n.logSuspectChange,
-		OnFloorChange: n.logFloorChange,
+		OnFloorChange: n.logFloorChange, OnLeaving: n.logLeaving,
 	})
 	n.forwarder = thforward.New(thforward.Options{
 		View: view, Table: n.table, Sender: n.sender, Clock: n.clock, Log: n.options.Log,
@@ -189,6 +189,7 @@
 	}
 	n.exchange, err = thgossip.New(thgossip.Options{
 		LockedView: n.forwarder, Log: n.options.Log, OnAnnouncement: func(ages thfleet.ReadAges) { n.source.HandleAnnouncement(ages) },
+		OnTargetsLeave: n.forwarder.RetainConnections,
 		OnRosterDiffers: func(p thfleet.Peer) {
 			n.goroutines.Go(func() { n.source.CompareRoster(n.context, p.Identity.Address) })
 		},
--- a/io/thnode/operators.go
+++ b/io/thnode/operators.go
@@ -128,6 +128,12 @@
 		thevent.F("badPerMille", int(s.FailureProbability*1000)), thevent.F("inFlight", s.InFlight))
 }
 
+// logLeaving logs that a target has said that it leaves.
+func (n *Node) logLeaving(t thtable.Target, reported bool) {
+	n.options.Log.Log(thevent.TargetSaidLeaving, thevent.F("target", t.ID), thevent.F("service", t.Service),
+		thevent.F("address", t.Address), thevent.F("reported", reported))
+}
+
 // logFloorChange logs that this VM begins or ceases to enforce a service's floor.
 func (n *Node) logFloorChange(s thview.FloorStatus) {
 	id := thevent.FloorReleased
--- a/io/thsend/client.go
+++ b/io/thsend/client.go
@@ -48,6 +48,8 @@
 	Answer *thmessage.Answer
 	// NewConnection is set if a connection was opened for the attempt.
 	NewConnection bool
+	// TargetLeaves is set if the target said in its answer that it leaves.
+	TargetLeaves bool
 	// Err is the cause of an attempt without an answer, for the log.
 	Err  error
 	Took time.Duration
--- a/io/thsend/client_test.go
+++ b/io/thsend/client_test.go
@@ -96,7 +96,7 @@
 
 func newClient() *thsend.Client {
 	return thsend.New(thsend.Options{Clock: thclock.System{}, HeaderNames: thmessage.HeaderNames{
-		RequestID: "X-Id", Deadline: "X-Left", Target: "X-Target", Customer: "X-Customer", Signature: "X-Stamp", NotRun: "X-Not-Run",
+		RequestID: "X-Id", Deadline: "X-Left", Target: "X-Target", Customer: "X-Customer", Signature: "X-Stamp", NotRun: "X-Not-Run", Leaving: []string{"X-Leaving", "Leaving"},
 	}})
 }
 
@@ -188,6 +188,36 @@
 	}
 }
 
+// TestLeavingIsTakenFromOwnAnswersOnly guards against a target's word that it leaves that is
+// not heard, whatever the answer, and against that of another target or to another request.
+func TestLeavingIsTakenFromOwnAnswersOnly(t *testing.T) {
+	for _, c := range []struct {
+		name, status, fields, id string
+		leaves                   bool
+	}{
+		{"answer", "200 OK", "X-Leaving: 1\r\n", "id-1", true},
+		{"the other name", "200 OK", "Leaving: 1\r\n", "id-1", true},
+		{"failure", "500 Oh", "X-Leaving: 1\r\n", "id-1", true},
+		{"rejection", "503 Full", "X-Not-Run: 1\r\nX-Leaving: 1\r\n", "id-1", true},
+		{"without the field", "200 OK", "", "id-1", false},
+		{"another value", "200 OK", "X-Leaving: 0\r\n", "id-1", false},
+		{"another target at the address", "421 Misdirected", "X-Leaving: 1\r\n", "id-1", false},
+		{"answer without an ID", "200 OK", "X-Leaving: 1\r\n", "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rs, _ := sendAll(t, func(_ *scriptedTarget, n net.Conn, _ *bufio.Reader, _ int, _ string) bool {
+				return write(n, "HTTP/1.1 "+c.status+"\r\nX-Id: "+c.id+"\r\nX-Stamp: s\r\n"+c.fields+"Content-Length: 0\r\n\r\n")
+			}, newRequest("id-1", thtable.AtMostOnce, testTimeout))
+			assert.Equal(t, rs[0].TargetLeaves, c.leaves)
+		})
+	}
+	rs, _ := sendAll(t, func(_ *scriptedTarget, n net.Conn, _ *bufio.Reader, _ int, id string) bool {
+		return write(n, answerText("other", "late", "X-Leaving: 1")+answerText(id, "own"))
+	}, newRequest("id-1", thtable.AtMostOnce, testTimeout))
+	assert.Equal(t, string(rs[0].Answer.Body), "own")
+	assert.Assert(t, !rs[0].TargetLeaves)
+}
+
 // TestTargetReceivesRequestHeader guards against a changed URI or host and
 // against missing header fields that this system adds.
 func TestTargetReceivesRequestHeader(t *testing.T) {
--- a/io/thsend/exchange.go
+++ b/io/thsend/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -71,6 +72,7 @@
 		return c.classifyError(ctx, p, n, err), false
 	}
 	result := c.classifyAnswer(n, r, request)
+	result.TargetLeaves = c.saysLeaving(r, request)
 	if !keep {
 		p.discard(n)
 		return result, false
@@ -270,6 +272,16 @@
 	return Result{End: thpick.Answered, Outcome: thhealth.Answered, Answer: answer}
 }
 
+// saysLeaving reports whether the answer says that the target leaves. Only an answer that has
+// the request's ID and is not that of another target at the same address can say so.
+func (c *Client) saysLeaving(r *fasthttp.Response, request *thmessage.Request) bool {
+	names := c.options.HeaderNames
+	if r.StatusCode() == fasthttp.StatusMisdirectedRequest || names.RequestID != "" && string(r.Header.Peek(names.RequestID)) != request.ID {
+		return false
+	}
+	return slices.ContainsFunc(names.Leaving, func(name string) bool { return string(r.Header.Peek(name)) == "1" })
+}
+
 // promisesNotRun reports whether callers take the status for a promise that the request has
 // not run and never will.
 func promisesNotRun(status int) bool {
