thfleet, thsource, thgossip: let a change pass VMs that were cut off

Cause, by a simulation of the roles (change_test.go) and of what delays add up: the wait until a read is missed, the wait of the next in rank in each zone whose leader is cut off too, and 0.4 s for each VM that is asked and does not answer. Change: a reader announces to two deputies in each zone besides its leader; they fetch and relay versions that no VM before them has announced within 0.1 s times their rank. The tree by which a zone fetches begins at the VM that announced, so that a leader that did not announce has nobody wait for it. A read is missed after 0.7 s instead of 0.9 s (reads are 0.5 s apart).

--- a/core/thfleet/distribution.go
+++ b/core/thfleet/distribution.go
@@ -3,6 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"time"
+
+	"tamarackhollow/core/thclock"
 )
 
 const (
@@ -20,9 +23,9 @@
 // The VMs of a zone form a tree below the one that announced the newest versions. A
 // VM asks the VM above it, which may still be waiting for the versions itself, and
 // then the ones above that. All VMs of a zone that know the same live VMs compute the
-// same tree; a VM above always has a better rank, so that no two wait for each other.
-func (f *Fleet) FetchOrder(have StoreVersions) []Peer {
-	announcers := f.newerPeers(have)
+// same tree.
+func (f *Fleet) FetchOrder(now thclock.Instant, have StoreVersions) []Peer {
+	announcers := f.newerPeers(now, have)
 	if len(announcers) == 0 {
 		return nil
 	}
@@ -37,11 +40,14 @@
 }
 
 // newerPeers returns the live VMs that have announced a newer table or newer targets,
-// those with the newest versions first, and among equal ones those of this zone.
-func (f *Fleet) newerPeers(have StoreVersions) []Peer {
+// those with the newest versions first, and among equal ones those of this zone. A deputy
+// leaves what other zones have just announced to its leader.
+func (f *Fleet) newerPeers(now thclock.Instant, have StoreVersions) []Peer {
 	var newer []Peer
+	patience := time.Duration(min(f.ZoneRank(), deputies)) * deputyDelay
 	for _, p := range f.peers {
-		if p.Identity.ID != "" && p.IsLive() && p.storeVersions.IsNewerThan(have) {
+		isLeft := p.Identity.Zone != f.self.Zone && now.Sub(p.versionsAt) < patience
+		if p.Identity.ID != "" && p.IsLive() && !isLeft && p.storeVersions.IsNewerThan(have) {
 			newer = append(newer, *p)
 		}
 	}
@@ -67,22 +73,26 @@
 }
 
 // ancestors returns the VMs between this one and the root of its zone's tree, the
-// nearest first. There are none if the root is in another zone.
+// nearest first. There are none if the root is in another zone. The order of VMs in the
+// tree is that of their ranks, but begins at the root: VMs with a better rank have not
+// announced the versions themselves, so they may have crashed, and come last.
 func (f *Fleet) ancestors(root Peer) []Peer {
 	if root.Identity.Zone != f.self.Zone {
 		return nil
 	}
-	ownHash := rankHash(f.self.ID)
-	var above []Peer // the VMs with a better rank, which is where all ancestors are
+	rootHash := rankHash(root.Identity.ID)
+	place := func(id string) uint64 { return rankHash(id) - rootHash } // wraps around
+	ownPlace := place(f.self.ID)
+	var above []Peer // the VMs before this one, which is where all ancestors are
 	for _, p := range f.peers {
-		if p.Identity.Zone == f.self.Zone && p.Key != root.Key && p.IsLive() && rankHash(p.Identity.ID) < ownHash {
+		if p.Identity.Zone == f.self.Zone && p.Key != root.Key && p.IsLive() && place(p.Identity.ID) < ownPlace {
 			above = append(above, *p)
 		}
 	}
-	slices.SortFunc(above, func(a, b Peer) int { return cmp.Compare(rankHash(a.Identity.ID), rankHash(b.Identity.ID)) })
+	slices.SortFunc(above, func(a, b Peer) int { return cmp.Compare(place(a.Identity.ID), place(b.Identity.ID)) })
 	var ancestors []Peer
-	// The root is node 0 and the VMs follow in the order of their rank; the node above
-	// node n is (n-1)/fanout.
+	// The root is node 0 and the VMs follow in their order; the node above node n is
+	// (n-1)/fanout.
 	for node := len(above) / fanout; node > 0; node = (node - 1) / fanout {
 		ancestors = append(ancestors, above[node-1])
 	}
--- a/core/thfleet/distribution_test.go
+++ b/core/thfleet/distribution_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"tamarackhollow/core/thfleet"
 
@@ -28,7 +29,7 @@
 
 var older = thfleet.StoreVersions{Table: 2, Targets: 9}
 
-func firstSource(f *thfleet.Fleet) string { return f.FetchOrder(older)[0].Identity.ID }
+func firstSource(f *thfleet.Fleet) string { return f.FetchOrder(at(time.Hour), older)[0].Identity.ID }
 
 // One VM must not have to send to a whole zone, and a change must not pass many VMs
 // one after the other. No two VMs may wait for each other.
@@ -57,7 +58,7 @@
 func TestFetchOrderEndsWithAnnouncer(t *testing.T) {
 	fleets := zoneFleets(77)
 	for i := 1; i < len(fleets); i++ {
-		order := fleets[i].FetchOrder(older)
+		order := fleets[i].FetchOrder(at(time.Hour), older)
 		assert.Equal(t, order[len(order)-1].Identity.ID, "vm-0")
 		seen := map[string]bool{identity(i).ID: true}
 		for _, p := range order {
@@ -70,12 +71,12 @@
 // A VM must fetch only what it lacks itself, and only from VMs that are live.
 func TestFetchOrderIsEmptyWithoutNewerVersions(t *testing.T) {
 	f := zoneFleets(5)[1]
-	assert.Equal(t, len(f.FetchOrder(thfleet.StoreVersions{Table: 3, Targets: 9})), 0)
-	assert.Equal(t, len(f.FetchOrder(thfleet.StoreVersions{Table: 4, Targets: 8})), 1)
+	assert.Equal(t, len(f.FetchOrder(at(time.Hour), thfleet.StoreVersions{Table: 3, Targets: 9})), 0)
+	assert.Equal(t, len(f.FetchOrder(at(time.Hour), thfleet.StoreVersions{Table: 4, Targets: 8})), 1)
 	n := notice(2, 2)
 	n.Lost = []thfleet.Loss{{VM: thfleet.VMKeyOf("vm-0"), StartMillis: 1}}
 	assert.Equal(t, len(f.Receive(at(thfleet.LiveTimeout), n).Lost), 1)
-	assert.Equal(t, len(f.FetchOrder(older)), 0)
+	assert.Equal(t, len(f.FetchOrder(at(time.Hour), older)), 0)
 }
 
 // A leader of another zone must fetch from the reader, however many VMs its own zone
@@ -90,7 +91,7 @@
 		}
 		f.Receive(at(0), n)
 	}
-	order := f.FetchOrder(older)
+	order := f.FetchOrder(at(time.Hour), older)
 	assert.Equal(t, len(order), 2)
 	assert.Equal(t, order[0].Identity.ID, "vm-4")
 	assert.Equal(t, order[1].Identity.ID, "vm-3")
--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -52,7 +52,9 @@
 	refused map[Key]uint32
 	// storeVersions are the last that the VM sent, and reads when the store was read for
 	// them.
+	// versionsAt is when they last rose.
 	storeVersions StoreVersions
+	versionsAt    thclock.Instant
 	reads         StoreReads
 }
 
@@ -213,6 +215,9 @@
 	if ages != nil {
 		reads = ages.Reads(now)
 	}
+	if versions.IsNewerThan(p.storeVersions) {
+		p.versionsAt = now
+	}
 	p.storeVersions, p.reads = versions, p.reads.Max(reads)
 }
 
--- a/core/thfleet/reads.go
+++ b/core/thfleet/reads.go
@@ -91,8 +91,27 @@
 // which grows later on its way.
 const relayStep = 200 * time.Millisecond
 
-// IsRelayDue reports whether a VM that leads its zone and has the given versions knows more
-// than it has announced: newer versions, or a later read of the store by another VM.
-func (f *Fleet) IsRelayDue(have StoreVersions) bool {
-	return have.IsNewerThan(f.announced) || f.LastReads(have).Complete().Sub(f.announcedReads.Complete()) >= relayStep
+// IsRelayDue reports whether this VM, in its role and with the given versions, has to tell
+// its zone more than it has announced: newer versions or, if it leads the zone, a later read
+// of the store by another VM. A deputy announces versions that no VM with a better rank has
+// announced in the zone.
+func (f *Fleet) IsRelayDue(now thclock.Instant, role Role, have StoreVersions) bool {
+	if role != Follower {
+		return have.IsNewerThan(f.announced) || f.LastReads(have).Complete().Sub(f.announcedReads.Complete()) >= relayStep
+	}
+	rank := f.ZoneRank()
+	if rank > deputies || !have.IsNewerThan(f.announced) {
+		return false
+	}
+	heardElsewhere := false
+	ownHash := rankHash(f.self.ID)
+	for _, p := range f.peers {
+		switch {
+		case p.Identity.Zone != f.self.Zone:
+			heardElsewhere = heardElsewhere || p.storeVersions.IsNewerThan(f.announced) && now.Sub(p.versionsAt) >= time.Duration(rank)*deputyDelay
+		case rankHash(p.Identity.ID) < ownHash && !have.IsNewerThan(p.storeVersions):
+			return false
+		}
+	}
+	return heardElsewhere
 }
--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -1,6 +1,7 @@
 package thfleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -25,7 +26,7 @@
 	// baseTakeoverDelay and takeoverDelayPerRank set how long a VM waits for a report
 	// of a read by a VM with a better rank before it takes over: the base plus the
 	// delay per rank times its rank, where the best rank is 0.
-	baseTakeoverDelay    = 900 * time.Millisecond
+	baseTakeoverDelay    = 700 * time.Millisecond
 	takeoverDelayPerRank = 150 * time.Millisecond
 	// fastRanks is how many VMs follow each other after takeoverDelayPerRank. Only if all
 	// of them fail do the others follow, one after each turnInterval.
@@ -158,17 +159,33 @@
 	}
 }
 
+const (
+	// deputies is how many VMs of each zone hear of reads in other zones besides its leader.
+	// They relay what the leader does not, since it may have crashed.
+	deputies = 2
+	// deputyDelay is how long, times its rank, a deputy leaves newer versions to the VMs
+	// with a better rank.
+	deputyDelay = 100 * time.Millisecond
+)
+
 // OtherZoneLeaders returns, for each other zone, the live VM with the best rank. The
-// order is random.
-func (f *Fleet) OtherZoneLeaders() []Peer {
-	leaders := make(map[string]Peer)
-	for _, p := range f.Peers() {
+// order of zones is random.
+func (f *Fleet) OtherZoneLeaders() []Peer { return f.firstOfOtherZones(1) }
+
+// Representatives returns, for each other zone, its leader and its deputies. The order of
+// zones is random.
+func (f *Fleet) Representatives() []Peer { return f.firstOfOtherZones(1 + deputies) }
+
+// firstOfOtherZones returns the first n live VMs of each other zone, in the order of ranks.
+func (f *Fleet) firstOfOtherZones(n int) []Peer {
+	zones := make(map[string][]Peer)
+	for _, p := range f.peers {
 		if p.Identity.Zone == f.self.Zone || !p.IsLive() {
 			continue
 		}
-		if best, ok := leaders[p.Identity.Zone]; !ok || rankHash(p.Identity.ID) < rankHash(best.Identity.ID) {
-			leaders[p.Identity.Zone] = p
-		}
+		zone := append(zones[p.Identity.Zone], *p)
+		slices.SortFunc(zone, func(a, b Peer) int { return cmp.Compare(rankHash(a.Identity.ID), rankHash(b.Identity.ID)) })
+		zones[p.Identity.Zone] = zone[:min(n, len(zone))]
 	}
-	return slices.Collect(maps.Values(leaders))
+	return slices.Concat(slices.Collect(maps.Values(zones))...)
 }
--- a/core/thfleet/role_test.go
+++ b/core/thfleet/role_test.go
@@ -121,7 +121,7 @@
 			}
 			s.recentReaders[i], s.updatedAt[i] = true, s.now
 			s.announce(i, s.now, func(j int) bool { return inZone(j) || s.isLeader(f, j) })
-		case role != thfleet.Follower && f.IsRelayDue(thfleet.StoreVersions{Table: 1, Targets: 1}):
+		case role != thfleet.Follower && f.IsRelayDue(at(s.now), role, thfleet.StoreVersions{Table: 1, Targets: 1}):
 			s.announce(i, s.updatedAt[i], inZone)
 		}
 	}
@@ -130,7 +130,7 @@
 
 // isLeader reports whether VM j is the leader of another zone, as f knows it.
 func (s *simulation) isLeader(f *thfleet.Fleet, j int) bool {
-	for _, p := range f.OtherZoneLeaders() {
+	for _, p := range f.Representatives() {
 		if p.Identity.ID == s.ids[j].ID {
 			return true
 		}
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -240,13 +240,13 @@
 
 // AnnounceVersions sends the versions that this VM holds, and how long ago it has read them
 // from the store itself, to the live VMs of its zone and, if it reads the store, to the
-// leaders of the other zones.
-func (x *Exchange) AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, toLeaders bool) {
+// leaders and deputies of the other zones.
+func (x *Exchange) AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, elsewhere bool) {
 	x.send(func(now thclock.Instant, v *thview.View) (thfleet.Notice, []thfleet.Peer) {
 		n := v.Announcement(now, versions, own)
 		to := v.Fleet.LivePeersInZone(n.From)
-		if toLeaders {
-			to = append(to, v.Fleet.OtherZoneLeaders()...)
+		if elsewhere {
+			to = append(to, v.Fleet.Representatives()...)
 		}
 		return n, to
 	})
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -258,13 +258,13 @@
 }
 
 func (f fleetAdapter) IsRelayDue(have thfleet.StoreVersions) (due bool) {
-	f.node.forwarder.WithView(func(_ thclock.Instant, v *thview.View) { due = v.Fleet.IsRelayDue(have) })
+	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { due = v.Fleet.IsRelayDue(now, v.Role(now), have) })
 	return due
 }
 
 func (f fleetAdapter) FetchOrder(have thfleet.StoreVersions) (order []thfleet.Identity) {
-	f.node.forwarder.WithView(func(_ thclock.Instant, v *thview.View) {
-		for _, p := range v.Fleet.FetchOrder(have) {
+	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
+		for _, p := range v.Fleet.FetchOrder(now, have) {
 			order = append(order, p.Identity)
 		}
 	})
@@ -313,6 +313,6 @@
 
 func (f fleetAdapter) MarkJoined() { f.node.forwarder.MarkJoined() }
 
-func (f fleetAdapter) AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, toLeaders bool) {
-	f.node.exchange.AnnounceVersions(versions, own, toLeaders)
+func (f fleetAdapter) AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, elsewhere bool) {
+	f.node.exchange.AnnounceVersions(versions, own, elsewhere)
 }
--- a/io/thsource/reads.go
+++ b/io/thsource/reads.go
@@ -32,6 +32,13 @@
 	return thfleet.NewReadAges(table, now.Sub(r.targetsAt))
 }
 
+// ReadAges returns how long ago this VM itself read the table and the targets.
+func (s *Source) ReadAges() thfleet.ReadAges {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads.ages(time.Now())
+}
+
 // recordTableCall records that a call for a newer table begins.
 func (s *Source) recordTableCall(overdueAt time.Time) {
 	s.mu.Lock()
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -43,9 +43,9 @@
 	Role() thfleet.Role
 	// RoleBasis returns what the role follows from.
 	RoleBasis() thfleet.RoleBasis
-	// IsRelayDue reports whether this VM, if it leads its zone, has to announce the versions
-	// that it holds because they are newer than those that it last announced, or because
-	// another VM has read the store since.
+	// IsRelayDue reports whether this VM has to announce the versions that it holds to its
+	// zone because they are newer than what was announced there, or because another VM has
+	// read the store since.
 	IsRelayDue(have thfleet.StoreVersions) bool
 	// FetchOrder returns the VMs from which to fetch what is newer than the given
 	// versions, in the order in which to ask them; none if there is nothing newer.
@@ -66,9 +66,9 @@
 	// ZoneRank returns this VM's rank in its zone; the first ones lead it.
 	ZoneRank() int
 	// AnnounceVersions sends the versions that this VM holds, and how long ago it has read
-	// them from the store itself, to its zone and, if toLeaders is set, to the leaders of the
-	// other zones.
-	AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, toLeaders bool)
+	// them from the store itself, to its zone and, if elsewhere is set, to the leaders and
+	// deputies of the other zones.
+	AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, elsewhere bool)
 }
 
 // Options configure a Source.
@@ -276,25 +276,25 @@
 }
 
 // relay announces what other VMs have announced, and this VM has fetched, to its zone while
-// this VM leads it. A leader that reads the store itself relays too, since its own reads may
+// this VM leads it or is a deputy. A leader that reads the store itself relays too, since its own reads may
 // fail.
 func (s *Source) relay(ctx context.Context) {
 	for sleep(ctx, relayCheckInterval, s.news) {
-		if s.options.Fleet.Role() != thfleet.Follower && s.options.Fleet.IsRelayDue(s.versions()) {
+		if s.options.Fleet.IsRelayDue(s.versions()) {
 			s.announce(false)
 		}
 	}
 }
 
-// announce announces this VM's versions, to the leaders of the other zones too if toLeaders
-// is set. It logs versions that are newer than those before.
-func (s *Source) announce(toLeaders bool) {
+// announce announces this VM's versions, to the leaders and deputies of the other zones too
+// if elsewhere is set. It logs versions that are newer than those before.
+func (s *Source) announce(elsewhere bool) {
 	versions := s.versions()
 	s.mu.Lock()
 	isNewer, ages := versions.IsNewerThan(s.announced), s.reads.ages(time.Now())
 	s.announced = versions
 	s.mu.Unlock()
-	s.options.Fleet.AnnounceVersions(versions, ages, toLeaders)
+	s.options.Fleet.AnnounceVersions(versions, ages, elsewhere)
 	if isNewer {
 		s.options.Log.Log(thevent.VersionsAnnounced, thevent.F("version", versions.Table), thevent.F("targets", versions.Targets),
 			thevent.F("tableAgeMillis", ages.Table), thevent.F("targetsAgeMillis", ages.Targets))
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -151,6 +151,7 @@
 	defer f.mu.Unlock()
 	return f.joined
 }
+
 func (f *fakeFleet) Roster() ([]thfleet.Identity, bool)                             { return nil, true }
 func (f *fakeFleet) ZoneRank() int                                                  { return 0 }
 func (f *fakeFleet) RandomPeers(int) []thfleet.Identity                             { return f.random }
