thnode, thsource: tell how old a VM's table and targets are

Change: metrics table_read_age_seconds and targets_read_age_seconds, from the VM's own reads and those that others announced. store_read_age_seconds tells only of own reads and so nothing of a follower. Figures: TestMetricsTellAgeOfTableAndTargets.

--- a/io/thnode/monitor.go
+++ b/io/thnode/monitor.go
@@ -8,6 +8,7 @@
 
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thfleet"
 	"tamarackhollow/core/thpick"
 	"tamarackhollow/core/thview"
 	"tamarackhollow/io/thingress"
@@ -121,6 +122,8 @@
 	gauge("targets_known", func() float64 { return float64(m.node.source.Status().TargetCount) })
 	gauge("store_answers", func() float64 { return boolToFloat(m.node.source.Status().IsStoreReachable) })
 	gauge("store_read_age_seconds", func() float64 { return float64(m.node.source.Status().ReadAgeMillis) / 1000 })
+	gauge("table_read_age_seconds", func() float64 { return float64(m.readAges().Table) / 1000 })
+	gauge("targets_read_age_seconds", func() float64 { return float64(m.readAges().Targets) / 1000 })
 	gauge("store_reader", func() float64 { return boolToFloat(m.node.source.Status().IsReader) })
 	gauge("notices_sent_total", func() float64 { return float64(m.node.exchange.Stats().Sent) })
 	gauge("notices_sent_bytes_total", func() float64 { return float64(m.node.exchange.Stats().SentBytes) })
@@ -133,6 +136,17 @@
 	gauge("vms_known", func() float64 { _, members := m.fleetSize(); return float64(members) })
 }
 
+// readAges returns how long ago any VM is known to have read the store for the versions that
+// this one holds.
+func (m *monitor) readAges() (ages thfleet.ReadAges) {
+	own, s := m.node.source.ReadAges(), m.node.source.Status()
+	have := thfleet.StoreVersions{Table: s.TableVersion, Targets: s.TargetsVersion}
+	m.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
+		ages = own.Reads(now).Max(v.Fleet.LastReads(have)).Ages(now)
+	})
+	return ages
+}
+
 // fleetSize returns how many VMs are live and how many the fleet has, both
 // including this one.
 func (m *monitor) fleetSize() (live, members int) {
--- a/io/thnode/reading_test.go
+++ b/io/thnode/reading_test.go
@@ -136,6 +136,26 @@
 	g.waitUntilAllHave("table_version", 2, time.Now().Add(changeBound))
 }
 
+// The metrics must tell how old a follower's table and targets are, while the store answers and
+// after it has ceased to.
+func TestMetricsTellAgeOfTableAndTargets(t *testing.T) {
+	g := newZonedFleet(t, 2, 2)
+	ages := []string{"table_read_age_seconds", "targets_read_age_seconds"}
+	for vm := range g.nodes {
+		for _, name := range ages {
+			g.waitUntil(name+" is small", func() bool { return g.metric(vm, name) < 2 })
+		}
+	}
+	for _, s := range g.stores {
+		s.refuses.Store(true)
+	}
+	for vm := range g.nodes {
+		for _, name := range ages {
+			g.waitUntil(name+" grows", func() bool { return g.metric(vm, name) >= 2 })
+		}
+	}
+}
+
 // A reader whose calls for the targets get no answer must not keep others from reading them.
 func TestTargetsAreReadThoughReaderOnlyReadsTable(t *testing.T) {
 	g := newZonedFleet(t, 3, 2)
