thsource, thfleet: count a VM as following the table only while it is the reader

Cause, by reading: a call for the table that ended after the VM had ceased to be the reader marked it as following, so that its next first call, as a reader again, would have waited for changes, and the table counted as read meanwhile. No test: the call must end within the moment between the roles; tests of thsource and thfleet pass.

--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -50,9 +50,8 @@
 	receivedBits uint64
 	// refused holds the totals of the newest notices.
 	refused map[Key]uint32
-	// storeVersions are the last that the VM sent, and reads when the store was read for
-	// them.
-	// versionsAt is when they last rose.
+	// storeVersions are the last that the VM sent, versionsAt is when they last rose, and
+	// reads when the store was read for them.
 	storeVersions StoreVersions
 	versionsAt    thclock.Instant
 	reads         StoreReads
--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -149,7 +149,7 @@
 func (f *Fleet) RoleBasis(now thclock.Instant) RoleBasis {
 	silence := func(lastRead thclock.Instant) time.Duration {
 		if lastRead == (thclock.Instant{}) {
-			return -1
+			return -time.Millisecond
 		}
 		return now.Sub(lastRead)
 	}
--- a/io/thsource/reads.go
+++ b/io/thsource/reads.go
@@ -46,12 +46,13 @@
 	s.reads.pollOverdueAt = overdueAt
 }
 
-// recordTableResult records whether the store answered a call for a newer table.
+// recordTableResult records whether the store answered a call for a newer table. This VM may
+// have ceased to be the reader during the call.
 func (s *Source) recordTableResult(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answered := err == nil || therror.Is(err, therror.MessageMalformed)
-	s.reads.followsTable = answered
+	s.reads.followsTable = answered && s.reader
 	if answered {
 		s.reads.tableAt = time.Now()
 	}
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -276,8 +276,8 @@
 }
 
 // relay announces what other VMs have announced, and this VM has fetched, to its zone while
-// this VM leads it or is a deputy. A leader that reads the store itself relays too, since its own reads may
-// fail.
+// this VM leads it or is a deputy. A leader that reads the store itself relays too, since
+// its own reads may fail.
 func (s *Source) relay(ctx context.Context) {
 	for sleep(ctx, relayCheckInterval, s.news) {
 		if s.options.Fleet.IsRelayDue(s.versions()) {
