--- a/core/thfleet/change_test.go
+++ b/core/thfleet/change_test.go
@@ -1,6 +1,7 @@
 package thfleet_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -74,6 +75,10 @@
 
 func (s *changeSimulation) isCut(i int) bool { return s.now < s.vms[i].cutUntil }
 
+func (s *changeSimulation) role(i int) thfleet.Role {
+	return s.vms[i].fleet.Role(at(s.now), thclock.Instant{})
+}
+
 func (s *changeSimulation) send(i int, n thfleet.Notice, to func(j int) bool) {
 	s.sequence++
 	n.From, n.StartMillis, n.Sequence, n.Identity = thfleet.VMKeyOf(s.ids[i].ID), 1, s.sequence, &s.ids[i]
@@ -121,7 +126,7 @@
 		s.act(i)
 	}
 	s.fetch(i)
-	if vm.fleet.IsRelayDue(at(s.now), vm.fleet.Role(at(s.now), thclock.Instant{}), thfleet.StoreVersions{Table: vm.version, Targets: 1}) {
+	if vm.fleet.IsRelayDue(at(s.now), s.role(i), thfleet.StoreVersions{Table: vm.version, Targets: 1}) {
 		s.announce(i, false)
 	}
 }
@@ -129,7 +134,7 @@
 // act lets a VM check its role and read the store if it is the reader.
 func (s *changeSimulation) act(i int) {
 	vm := s.vms[i]
-	vm.reads = vm.fleet.Role(at(s.now), thclock.Instant{}) == thfleet.Reader
+	vm.reads = s.role(i) == thfleet.Reader
 	vm.checkAt = s.now + roleCheck
 	if !vm.reads {
 		return
@@ -221,8 +226,8 @@
 	}
 }
 
-// victims returns the VMs that a cut hits: the one that reads the store first, then the
-// leaders of all zones as the first VM sees them, then others at random.
+// victims returns VMs for a cut: chosen at random or, if byRole is set, first those that read
+// the store, then the relayers, then the next in rank of each zone.
 func (s *changeSimulation) victims(count int, byRole bool) []int {
 	order := s.rng.Perm(len(s.vms))
 	if byRole {
@@ -237,7 +242,7 @@
 		return 0
 	case s.vms[i].reads:
 		return 3
-	case s.vms[i].fleet.Role(at(s.now), thclock.Instant{}) == thfleet.Relayer:
+	case s.role(i) == thfleet.Relayer:
 		return 2
 	case s.vms[i].fleet.ZoneRank() == 1:
 		return 1
@@ -249,7 +254,8 @@
 // when the VM that reads the store, leaders of zones and up to a third of all VMs are cut off,
 // in pairs of cuts 0.1 to 3 s apart.
 func TestChangeReachesAllVMsThoughReadersAreCutOff(t *testing.T) {
-	seeds, _ := strconv.Atoi(os.Getenv("SEEDS"))
+	seeds, err := strconv.Atoi(cmp.Or(os.Getenv("SEEDS"), "0"))
+	assert.NilError(t, err)
 	for _, c := range []struct {
 		vms, zones, seeds int
 		// bound is the time within which a change has to be in force at this size.
--- a/core/thfleet/reads.go
+++ b/core/thfleet/reads.go
@@ -11,8 +11,8 @@
 // store, by whatever VM; the zero Instant if they were not.
 type StoreReads struct{ Table, Targets thclock.Instant }
 
-// Complete returns since when neither has been read again: the earlier of both times. What
-// the store holds of both is known only as of then.
+// Complete returns the earlier of both times, which is how recent what is known of the store
+// is as a whole.
 func (r StoreReads) Complete() thclock.Instant {
 	if r.Table.Before(r.Targets) {
 		return r.Table
@@ -87,8 +87,8 @@
 }
 
 // relayStep is how much later a read must be than the one that was last announced to be
-// announced as well. It keeps two VMs from relaying the same read to each other forever,
-// which grows later on its way.
+// announced as well. A relayed read seems later by the time of its way, so that without this
+// step two leaders of a zone would relay one read to each other forever.
 const relayStep = 200 * time.Millisecond
 
 // IsRelayDue reports whether this VM, in its role and with the given versions, has to tell
--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -14,8 +14,8 @@
 // Only one VM, the reader, reads the platform's store. VMs are ranked by a hash of
 // their ID. In each availability zone the live VM with the best rank is the leader:
 // it notifies the other VMs of its zone of each read. The best-ranked leader is the
-// reader and notifies the other leaders. If no read is reported for a while, the
-// next in rank takes over, both among the leaders and within a zone. A VM that took over
+// reader and notifies the other leaders and their deputies, the next in rank. If the last
+// read that a VM knows of, by whichever VM, is too old, the next in rank takes over, both among the leaders and within a zone. A VM that took over
 // but can't read either gives way to the next after a turn, so that an outage of the store
 // does not make all VMs try it.
 const (
@@ -23,8 +23,8 @@
 	// target must get no new requests after two seconds, so two reads in a row may
 	// fail.
 	ReadInterval = 500 * time.Millisecond
-	// baseTakeoverDelay and takeoverDelayPerRank set how long a VM waits for a report
-	// of a read by a VM with a better rank before it takes over: the base plus the
+	// baseTakeoverDelay and takeoverDelayPerRank set how old the last read that VMs with
+	// a better rank have reported must be before a VM takes over: the base plus the
 	// delay per rank times its rank, where the best rank is 0.
 	baseTakeoverDelay    = 700 * time.Millisecond
 	takeoverDelayPerRank = 150 * time.Millisecond
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -1,11 +1,12 @@
 // Package thsource keeps a VM's routing table and list of targets current.
 //
 // One VM, the reader, reads the platform's store and announces the versions it
-// holds to its zone and to the leaders of the other zones. A leader fetches
-// newer versions from the reader and announces them in its zone, whose VMs fetch
-// them from the leader. A VM that gets no announcement reads the store itself,
-// and one that cannot reach the store fetches from any VM that has newer
-// versions. Versions only rise.
+// holds, and how old its reads are, to its zone and to the leaders of the other
+// zones. A leader fetches newer versions from the reader and announces them in its
+// zone, whose VMs fetch them from the leader; a deputy does so for a leader that
+// does not. A VM that hears of no recent read of both table and targets reads the
+// store itself, and one that cannot reach the store fetches from any VM that has
+// newer versions. Versions only rise.
 package thsource
 
 import (
