thsource, thfleet: look up once whether the table is followed; wrap a comment

Found by reading the change again: syncTable read the mark twice, once for the wait and once for what follows the call, and a paragraph had one long line. Behaviour is the same.

--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -15,9 +15,9 @@
 // their ID. In each availability zone the live VM with the best rank is the leader:
 // it notifies the other VMs of its zone of each read. The best-ranked leader is the
 // reader and notifies the other leaders and their deputies, the next in rank. If the last
-// read that a VM knows of, by whichever VM, is too old, the next in rank takes over, both among the leaders and within a zone. A VM that took over
-// but can't read either gives way to the next after a turn, so that an outage of the store
-// does not make all VMs try it.
+// read that a VM knows of, by whichever VM, is too old, the next in rank takes over, both
+// among the leaders and within a zone. A VM that took over but can't read either gives way
+// to the next after a turn, so that an outage of the store does not make all VMs try it.
 const (
 	// ReadInterval is how often the reader reads the list of targets. A draining
 	// target must get no new requests after two seconds, so two reads in a row may
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -437,7 +437,7 @@
 			continue
 		}
 		startedAt, followed := time.Now(), s.followsTable()
-		applied, err := s.readTable(ctx, s.tableWait())
+		applied, err := s.readTable(ctx, tableWait(followed))
 		switch {
 		case err != nil && s.isStoreLost():
 			delay = lostTableRetryDelay
@@ -460,11 +460,11 @@
 	}
 }
 
-// tableWait returns how long the next call for a newer table may wait for one. The first call
-// does not wait, nor does the one after a failure, so that an answer shows soon whether the
-// store is there.
-func (s *Source) tableWait() time.Duration {
-	if s.followsTable() {
+// tableWait returns how long the next call for a newer table may wait for one, given whether
+// this VM follows the table. The first call does not wait, nor does the one after a failure,
+// so that an answer shows soon whether the store is there.
+func tableWait(followsTable bool) time.Duration {
+	if followsTable {
 		return tableLongPoll
 	}
 	return 0
