thview, thpick, thsend, thforward: give a target the pause that it asks for when it turns a request away

Cause: no code read the field. A rejection counted as evidence of bad health only, which lets a VM come back as soon as the target looks cheap again. Change: thsend reads seconds, with fractions, from a 503 that has the request's ID and is not another target's; dates, negative, infinite and unreadable values are ignored and logged once for each process of the target (512). The view keeps the end of the pause at this start of the target, never earlier than one before, and a tenth of it (a second at most) later, drawn at random. Every pick goes through isEligible, which asks Candidate.IsPaused; the floor does not count paused targets. With no other target left a request is refused at once with 503 shed and the time until the first pause ends. status and metrics show who is paused. Ruled out: telling other VMs (the target asks the one that it turned away; the rejection is evidence at the others as before); sending to a paused target for want of another; pauses by address. Not done: how many targets a request that is shed tries; a refusal after a rejection that takes the last target still names half the expected latency; a target that is not listed for a while is no longer paused; the demo.

--- a/core/thevent/target.go
+++ b/core/thevent/target.go
@@ -11,6 +11,8 @@
 	FloorReleased   ID = 509
 	// TargetSaidLeaving follows from an answer of the target, TargetLeaving from the list.
 	TargetSaidLeaving ID = 510
+	TargetPaused      ID = 511
+	PauseIgnored      ID = 512
 )
 
 var targetEvents = []Event{
@@ -21,5 +23,7 @@
 	{TargetGone, Info, "targetGone", "a target is no longer in the list of targets"},
 	{FloorEnforced, Warn, "floorEnforced", "many requests to a service fail: idle targets are used, whatever is known of them, to keep its floor"},
 	{FloorReleased, Info, "floorReleased", "a service's floor is no longer enforced"},
+	{TargetPaused, Info, "targetPaused", "a target has turned a request away and asked for a pause, in which this VM sends it none"},
+	{PauseIgnored, Warn, "pauseIgnored", "a target has asked for a pause whose length could not be read"},
 	{TargetSaidLeaving, Info, "targetSaidLeaving", "a target has said in an answer that it leaves, and gets no new requests"},
 }
--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -28,6 +28,8 @@
 	// UsedAt is when any VM last had a request in flight at the target, and
 	// FailedAt is when a request last failed there; zero if never.
 	UsedAt, FailedAt thclock.Instant
+	// PausedUntil is when the VM may use the target again, which has asked for a pause.
+	PausedUntil thclock.Instant
 	// IsNew is set if the target was listed while the VM ran, and has had no request
 	// that the VM knows of.
 	IsNew bool
@@ -188,10 +190,13 @@
 	return best, best >= 0
 }
 
+// IsPaused reports whether the target has asked for a pause that has not ended.
+func (c Candidate) IsPaused(now thclock.Instant) bool { return now.Before(c.PausedUntil) }
+
 // isEligible reports whether the candidate may run the request: it is not
-// draining, and the request has not been sent to it before.
+// draining nor paused, and the request has not been sent to it before.
 func isEligible(q Query, c Candidate) bool {
-	return !c.Target.Draining && !slices.Contains(q.Tried, c.Target.ID)
+	return !c.Target.Draining && !c.IsPaused(q.Now) && !slices.Contains(q.Tried, c.Target.ID)
 }
 
 const (
--- /dev/null
+++ b/core/thview/pause.go
@@ -0,0 +1,62 @@
+package thview
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"tamarackhollow/core/thclock"
+)
+
+const (
+	// spreadShare is the part of a pause by which it is prolonged at most, and maxSpread the
+	// time: VMs and callers that were turned away together should not return together.
+	spreadShare = 0.1
+	maxSpread   = time.Second
+)
+
+// Pause keeps new requests of this VM from the target of the pick until the given time, or a
+// little longer. It never ends a pause earlier, and holds for the target's current process
+// only. Pause reports whether the target was not paused before.
+func (v *View) Pause(now thclock.Instant, p Picked, until thclock.Instant) (isNew bool) {
+	t := v.pickedTarget(p)
+	if t == nil || !now.Before(until) {
+		return false
+	}
+	isNew = !now.Before(t.pausedUntil)
+	t.pausedUntil = t.pausedUntil.Max(until.Add(v.pauseSpread(until.Sub(now))))
+	return isNew
+}
+
+// IgnorePause records that the target of the pick asked for a pause that could not be read,
+// and reports whether it is the first one of its current process.
+func (v *View) IgnorePause(p Picked) (isFirst bool) {
+	t := v.pickedTarget(p)
+	if t == nil || t.pauseIgnored {
+		return false
+	}
+	t.pauseIgnored = true
+	return true
+}
+
+// pauseSpread returns by how much to prolong a pause, drawn at random.
+func (v *View) pauseSpread(pause time.Duration) time.Duration {
+	return time.Duration(v.options.Rand.Float64() * min(spreadShare*float64(pause), float64(maxSpread)))
+}
+
+// pauseRefusal returns the refusal of a request for which there is no eligible candidate. If
+// candidates are paused to which the request was not sent, it may be retried once the first
+// pause ends.
+func (v *View) pauseRefusal(now thclock.Instant, s *service, tried []string) *Refusal {
+	first := time.Duration(math.MaxInt64)
+	for _, c := range v.candidates {
+		if c.IsPaused(now) && !c.Target.Draining && !slices.Contains(tried, c.Target.ID) {
+			first = min(first, c.PausedUntil.Sub(now))
+		}
+	}
+	if first == math.MaxInt64 {
+		return &Refusal{RetryAfter: retryAfterNoTarget}
+	}
+	v.countRefusal(now, s)
+	return &Refusal{Paused: true, RetryAfter: first + v.pauseSpread(first)}
+}
--- a/core/thview/status.go
+++ b/core/thview/status.go
@@ -9,6 +9,10 @@
 	FailureProbability, LatencyRatio float64
 	// InFlight is the number of requests of all VMs in flight at the target.
 	InFlight int
+	// PausedUntil is when this VM may use the target again, if it has asked for a pause.
+	PausedUntil thclock.Instant
+	// IsPaused is set until then.
+	IsPaused bool
 }
 
 // TargetStatuses returns the status of every target.
@@ -24,6 +28,7 @@
 	return TargetStatus{
 		ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Draining: t.current().Draining,
 		FailureProbability: t.health.FailureProbability(now), LatencyRatio: t.health.LatencyRatio(), InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key),
+		PausedUntil: t.pausedUntil, IsPaused: now.Before(t.pausedUntil),
 	}
 }
 
@@ -33,6 +38,7 @@
 	StateHealthy  = "well"
 	StateSuspect  = "suspect"
 	StateDraining = "leaving"
+	StatePaused   = "paused"
 )
 
 // State returns the target's state, one of the constants above.
@@ -42,6 +48,8 @@
 		return StateDraining
 	case s.FailureProbability > suspectProbability:
 		return StateSuspect
+	case s.IsPaused:
+		return StatePaused
 	}
 	return StateHealthy
 }
--- a/core/thview/subset.go
+++ b/core/thview/subset.go
@@ -159,7 +159,7 @@
 func (v *View) newCandidate(now thclock.Instant, t *target, idempotent bool) thpick.Candidate {
 	c := thpick.Candidate{
 		Target: t.current(), Health: t.health, WarmupUntil: t.warmupUntil,
-		InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key), UsedAt: t.usedAt, FailedAt: t.failedAt,
+		InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key), UsedAt: t.usedAt, FailedAt: t.failedAt, PausedUntil: t.pausedUntil,
 	}
 	// Other targets that this VM knows nothing of were used before it started, or by other
 	// VMs before it began to use them.
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -40,6 +40,10 @@
 	failedAt thclock.Instant
 	// leaving is set if the target has said that it leaves.
 	leaving bool
+	// pausedUntil is when this VM may use the target again, which has asked for a pause.
+	pausedUntil thclock.Instant
+	// pauseIgnored is set if the target has asked for a pause that could not be read.
+	pauseIgnored bool
 	// suspect is whether the target was last reported to OnSuspectChange as
 	// suspect.
 	suspect bool
@@ -240,6 +244,8 @@
 	// OverBudget is set if the request was sent before and the retry budget has no room
 	// for one more retry.
 	OverBudget bool
+	// Paused is set if targets are left, but all of them have asked for a pause.
+	Paused bool
 	// RetryAfter is the time after which a retry may succeed.
 	RetryAfter time.Duration
 }
@@ -264,7 +270,7 @@
 		i, ok = thpick.Pick(v.options.Rand, query, v.candidates)
 	}
 	if !ok {
-		return Picked{}, &Refusal{RetryAfter: retryAfterNoTarget}
+		return Picked{}, v.pauseRefusal(now, s, tried)
 	}
 	unused, keepsFloor := thpick.PickUnused(query, v.candidates, v.options.FloorShare, v.enforcesFloor(now, s), i)
 	if keepsFloor {
--- a/io/thcommand/command_test.go
+++ b/io/thcommand/command_test.go
@@ -107,7 +107,7 @@
 	assert.NilError(t, closed.Close())
 	_, second := startVM(t, thoperator.VMStatus{
 		VM: "vm-2", Zone: "b", State: "ready", TableVersion: 7,
-		Targets: []thoperator.TargetStatus{{Service: "stock", Target: "t-1", Address: "10.0.0.1:80", State: "suspect", FailurePerMille: 961}},
+		Targets: []thoperator.TargetStatus{{Service: "stock", Target: "t-1", Address: "10.0.0.1:80", State: "suspect", FailurePerMille: 961, PausedMillis: 2500}},
 	}, nil)
 	operators, _ := startVM(t, thoperator.VMStatus{VM: "vm-1", Zone: "a", State: "draining", StoreAnswers: true}, []thfleet.Identity{second, unreachable})
 	return operators
--- a/io/thcommand/status.go
+++ b/io/thcommand/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"time"
 
 	"tamarackhollow/io/thoperator"
 
@@ -58,21 +59,29 @@
 	}
 }
 
-// printTargets prints a row for each target and VM that reports it as suspect or
+// printTargets prints a row for each target and VM that reports it as suspect, paused or
 // draining.
 func (r *remoteCommand) printTargets(vms []thoperator.VMStatus) error {
 	var rows [][]string
 	for _, s := range vms {
 		for _, t := range s.Targets {
-			rows = append(rows, []string{t.Service, t.Target, t.Address, t.State, s.VM, fmt.Sprintf("%.1f%%", float64(t.FailurePerMille)/10)})
+			rows = append(rows, []string{t.Service, t.Target, t.Address, t.State, s.VM, fmt.Sprintf("%.1f%%", float64(t.FailurePerMille)/10), pauseCell(t.PausedMillis)})
 		}
 	}
 	if len(rows) == 0 {
-		_, _ = fmt.Fprintln(r.streams.Out, "\nno VM reports a target as suspect or leaving")
+		_, _ = fmt.Fprintln(r.streams.Out, "\nno VM reports a target as suspect, paused or leaving")
 		return nil
 	}
 	_, _ = fmt.Fprintln(r.streams.Out)
-	return writeTable(r.streams.Out, []string{"service", "target", "address", "state", "reported by", "failure probability"}, rows)
+	return writeTable(r.streams.Out, []string{"service", "target", "address", "state", "reported by", "failure probability", "paused for"}, rows)
+}
+
+// pauseCell returns the cell with the rest of a target's pause, which is empty if it has none.
+func pauseCell(millis int64) string {
+	if millis == 0 {
+		return ""
+	}
+	return (time.Duration(millis) * time.Millisecond).String()
 }
 
 // tableRows converts each element to the cells of a row.
--- a/io/thfake/target.go
+++ b/io/thfake/target.go
@@ -25,6 +25,11 @@
 	// MaxRunning is the number of requests that run at once. Further ones are
 	// answered with status 503 and not run; 0 means no limit.
 	MaxRunning int
+	// RejectsAll makes the target answer all requests in that way.
+	RejectsAll bool
+	// RetryAfter is the value of Retry-After in the answers to requests that are not run;
+	// empty means that they have none.
+	RetryAfter string
 	// DropShare is the share of requests, 0 to 1, whose connection is closed
 	// without an answer after they ran.
 	DropShare float64
@@ -63,6 +68,7 @@
 	behaviour   TargetBehaviour
 	random      *rand.Rand
 	running     int
+	rejected    int
 	runs        []Run
 	connections []net.Conn
 	crashes     int
@@ -104,6 +110,13 @@
 	return append([]Run(nil), t.runs...)
 }
 
+// Rejected returns how many requests the target has not run because it was full.
+func (t *Target) Rejected() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rejected
+}
+
 // Close stops the server and waits for running requests. A crashed target does
 // not restart.
 func (t *Target) Close() {
@@ -127,6 +140,9 @@
 		c.Response.Header.Set(headerNames.Leaving[0], "1")
 	}
 	if shed {
+		if b.RetryAfter != "" {
+			c.Response.Header.Set(fasthttp.HeaderRetryAfter, b.RetryAfter)
+		}
 		c.Response.Header.Set(headerNames.NotRun, "busy")
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
@@ -160,7 +176,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b = t.behaviour
-	if b.MaxRunning > 0 && t.running >= b.MaxRunning {
+	if b.RejectsAll || b.MaxRunning > 0 && t.running >= b.MaxRunning {
+		t.rejected++
 		return b, true, false, false
 	}
 	t.running++
--- a/io/thforward/hedge.go
+++ b/io/thforward/hedge.go
@@ -103,11 +103,15 @@
 	if r.End == thpick.TimedOut && overdue.Load() {
 		r.Outcome = thhealth.Inconclusive // the view has recorded the attempt as overdue already
 	}
-	leaves := false
+	leaves, pauses := false, false
 	f.WithView(func(now thclock.Instant, v *thview.View) {
 		v.Finish(now, p, s.request, outcomeOf(p, r), r.Took)
 		leaves = r.TargetLeaves && v.MarkLeaving(p)
+		pauses = r.PauseErr == nil && v.Pause(now, p, r.PausedUntil) || r.PauseErr != nil && v.IgnorePause(p)
 	})
+	if pauses {
+		f.logPause(p, r)
+	}
 	if leaves {
 		f.RetainConnections()
 	}
--- a/io/thnode/operators.go
+++ b/io/thnode/operators.go
@@ -101,6 +101,7 @@
 			}
 			s.Targets = append(s.Targets, thoperator.TargetStatus{
 				Service: t.Service, Target: t.ID, Address: t.Address, State: t.State(), FailurePerMille: int(t.FailureProbability * 1000),
+				PausedMillis: max(0, t.PausedUntil.Sub(now).Milliseconds()),
 			})
 		}
 	})
--- a/io/thoperator/operator.go
+++ b/io/thoperator/operator.go
@@ -30,16 +30,19 @@
 const partTimeout = 2 * time.Second
 
 // TargetStatus describes a target to which a VM sends no ordinary requests,
-// because it is suspect or draining.
+// because it is suspect, paused or draining.
 type TargetStatus struct {
 	Service string `json:"service"`
 	Target  string `json:"target"`
 	Address string `json:"address"`
-	// State is "suspect", or "leaving" for a draining target.
+	// State is "suspect", "paused", or "leaving" for a draining target.
 	State string `json:"state"`
 	// FailurePerMille is the VM's estimate of the probability that the next
 	// request to the target fails, in thousandths.
 	FailurePerMille int `json:"badPerMille"`
+	// PausedMillis is how much longer the VM sends the target nothing because it has asked
+	// for a pause.
+	PausedMillis int64 `json:"pausedMillis,omitempty"`
 }
 
 // VMStatus describes the state of one VM.
@@ -61,7 +64,7 @@
 	LiveVMs int `json:"vmsHeard"`
 	// InFlight counts the callers' requests in progress.
 	InFlight int `json:"inFlight"`
-	// Targets lists the targets that are suspect or draining.
+	// Targets lists the targets that are suspect, paused or draining.
 	Targets []TargetStatus `json:"targets,omitempty"`
 }
 
--- a/io/thsend/client.go
+++ b/io/thsend/client.go
@@ -50,6 +50,11 @@
 	NewConnection bool
 	// TargetLeaves is set if the target said in its answer that it leaves.
 	TargetLeaves bool
+	// PausedUntil is when the target wants the next request from this VM, if it turned this
+	// one away and said so; otherwise it is the zero Instant.
+	PausedUntil thclock.Instant
+	// PauseErr is set if the target asked for a pause that could not be read.
+	PauseErr error
 	// Err is the cause of an attempt without an answer, for the log.
 	Err  error
 	Took time.Duration
--- a/io/thsend/exchange.go
+++ b/io/thsend/exchange.go
@@ -72,7 +72,10 @@
 		return c.classifyError(ctx, p, n, err), false
 	}
 	result := c.classifyAnswer(n, r, request)
-	result.TargetLeaves = c.saysLeaving(r, request)
+	if c.isOwnAnswer(r, request) {
+		result.TargetLeaves = c.saysLeaving(r)
+		result.PausedUntil, result.PauseErr = c.readPause(r)
+	}
 	if !keep {
 		p.discard(n)
 		return result, false
@@ -272,14 +275,16 @@
 	return Result{End: thpick.Answered, Outcome: thhealth.Answered, Answer: answer}
 }
 
-// saysLeaving reports whether the answer says that the target leaves. Only an answer that has
-// the request's ID and is not that of another target at the same address can say so.
-func (c *Client) saysLeaving(r *fasthttp.Response, request *thmessage.Request) bool {
-	names := c.options.HeaderNames
-	if r.StatusCode() == fasthttp.StatusMisdirectedRequest || names.RequestID != "" && string(r.Header.Peek(names.RequestID)) != request.ID {
-		return false
-	}
-	return slices.ContainsFunc(names.Leaving, func(name string) bool { return string(r.Header.Peek(name)) == "1" })
+// isOwnAnswer reports whether the answer tells something of the target itself: it has the
+// request's ID and is not that of another target at the same address.
+func (c *Client) isOwnAnswer(r *fasthttp.Response, request *thmessage.Request) bool {
+	name := c.options.HeaderNames.RequestID
+	return r.StatusCode() != fasthttp.StatusMisdirectedRequest && (name == "" || string(r.Header.Peek(name)) == request.ID)
+}
+
+// saysLeaving reports whether the answer says that the target leaves.
+func (c *Client) saysLeaving(r *fasthttp.Response) bool {
+	return slices.ContainsFunc(c.options.HeaderNames.Leaving, func(name string) bool { return string(r.Header.Peek(name)) == "1" })
 }
 
 // promisesNotRun reports whether callers take the status for a promise that the request has
