thoperator, thnode, thcommand: show in status how old each VM's table and targets are

Ruled out: the age of the VM's own last call, which says nothing of a follower. No decision depends on it.

--- a/io/thcommand/status.go
+++ b/io/thcommand/status.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"tamarackhollow/core/thfleet"
 	"tamarackhollow/io/thoperator"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -44,7 +45,7 @@
 	if r.json {
 		return printJSON(r.streams.Out, f)
 	}
-	headings := []string{"vm", "zone", "state", "table version", "targets version", "store answers", "reads store", "live vms", "in flight"}
+	headings := []string{"vm", "zone", "state", "table version", "targets version", "store answers", "reads store", "table age", "targets age", "live vms", "in flight"}
 	if err := writeTable(r.streams.Out, headings, tableRows(f.VMs, statusRow)); err != nil {
 		return err
 	}
@@ -55,10 +56,18 @@
 func statusRow(s thoperator.VMStatus) []string {
 	return []string{
 		s.VM, s.Zone, s.State, strconv.FormatUint(s.TableVersion, 10), strconv.FormatUint(s.TargetsVersion, 10),
-		yesNo(s.StoreAnswers), yesNo(s.IsReader), strconv.Itoa(s.LiveVMs), strconv.Itoa(s.InFlight),
+		yesNo(s.StoreAnswers), yesNo(s.IsReader), ageCell(s.TableAgeMillis), ageCell(s.TargetsAgeMillis), strconv.Itoa(s.LiveVMs), strconv.Itoa(s.InFlight),
 	}
 }
 
+// ageCell returns the cell with the age of a read of the store.
+func ageCell(millis uint16) string {
+	if millis == thfleet.UnknownReadAge {
+		return "unknown"
+	}
+	return (time.Duration(millis) * time.Millisecond).String()
+}
+
 // printTargets prints a row for each target and VM that reports it as suspect, paused or
 // draining.
 func (r *remoteCommand) printTargets(vms []thoperator.VMStatus) error {
--- a/io/thnode/node_test.go
+++ b/io/thnode/node_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -282,6 +283,12 @@
 		fleet, err := c.Status(ctx)
 		return err == nil && len(fleet.VMs) == 3 && fleet.VMs[2].State == "ready" && fleet.VMs[0].LiveVMs == 3
 	})
+	g.waitUntil("the status tells how old each VM's table and targets are", func() bool {
+		fleet, err := c.Status(ctx)
+		return err == nil && !slices.ContainsFunc(fleet.VMs, func(s thoperator.VMStatus) bool {
+			return s.TableAgeMillis > 2000 || s.TargetsAgeMillis > 2000
+		})
+	})
 	r, err := c.Report(ctx, thburn.Query{})
 	assert.NilError(t, err)
 	assert.Equal(t, len(r.Rows), 1)
--- a/io/thnode/operators.go
+++ b/io/thnode/operators.go
@@ -87,11 +87,12 @@
 // status returns this VM's status for operators, with all targets that are not
 // healthy.
 func (n *Node) status() thoperator.VMStatus {
-	sourceStatus := n.source.Status()
+	sourceStatus, ages := n.source.Status(), n.monitor.readAges()
 	s := thoperator.VMStatus{
 		VM: n.options.Settings.VM.ID, Zone: n.options.Settings.VM.Zone, State: n.state(),
 		TableVersion: sourceStatus.TableVersion, TargetsVersion: sourceStatus.TargetsVersion,
-		StoreAnswers: sourceStatus.IsStoreReachable, IsReader: sourceStatus.IsReader, InFlight: n.ingress.InFlight(),
+		StoreAnswers: sourceStatus.IsStoreReachable, IsReader: sourceStatus.IsReader,
+		TableAgeMillis: ages.Table, TargetsAgeMillis: ages.Targets, InFlight: n.ingress.InFlight(),
 	}
 	n.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
 		s.LiveVMs, _ = v.Fleet.Size(now)
--- a/io/thoperator/operator.go
+++ b/io/thoperator/operator.go
@@ -60,6 +60,11 @@
 	StoreAnswers bool `json:"storeAnswers"`
 	// IsReader is true if the VM reads the store on behalf of other VMs.
 	IsReader bool `json:"reading"`
+	// TableAgeMillis and TargetsAgeMillis are how long ago any VM is known to have read the
+	// store for the table and targets that this one holds; 65535 stands for that, longer, or
+	// never.
+	TableAgeMillis   uint16 `json:"tableAgeMillis"`
+	TargetsAgeMillis uint16 `json:"targetsAgeMillis"`
 	// LiveVMs counts the VMs that this VM considers live, itself included.
 	LiveVMs int `json:"vmsHeard"`
 	// InFlight counts the callers' requests in progress.
