thview, thnode: test that unreadable pauses are logged once and that status shows pauses

Two parts of the pause by Retry-After had no test: IgnorePause, which lets a VM log an unreadable value once for each process of a target, and the rest of the pause in status.

--- a/core/thview/pause_test.go
+++ b/core/thview/pause_test.go
@@ -129,6 +129,22 @@
 	}
 }
 
+// TestUnreadablePauseIsNewOnceForEachProcess guards against a log line for each answer of a
+// target that asks for pauses in a wrong format, and against none for its next process.
+func TestUnreadablePauseIsNewOnceForEachProcess(t *testing.T) {
+	f := newFleet(1, 3)
+	v := f.views[0]
+	for start := range int64(2) {
+		v.SetTargets(f.instant(), targetsWithStart(start))
+		for i := range 3 {
+			f.now += 10 * time.Millisecond
+			p := f.pickTarget(t, 0, "t0")
+			v.Finish(f.instant(), p, leavingRequest(f, thtable.Idempotent), thhealth.Answered, time.Millisecond)
+			assert.Equal(t, v.IgnorePause(p), i == 0)
+		}
+	}
+}
+
 // TestPauseOfZeroInstantIsNone guards against attempts without a pause that end one.
 func TestPauseOfZeroInstantIsNone(t *testing.T) {
 	f := newFleet(1, 1)
--- a/io/thnode/pause_test.go
+++ b/io/thnode/pause_test.go
@@ -1,11 +1,15 @@
 package thnode_test
 
 import (
+	"context"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"tamarackhollow/io/thfake"
+	"tamarackhollow/io/thoperator"
+	"tamarackhollow/io/thwire"
 
 	"gotest.tools/v3/assert"
 )
@@ -29,6 +33,14 @@
 	rejected := g.targets[0].Rejected()
 	assert.Assert(t, rejected > 0 && rejected <= 1+requestsInPause, "%d requests", rejected)
 	assert.Assert(t, refused <= rejected) // a VM that has just started has no retry budget
+
+	c := thoperator.NewClient(thwire.NewClient(thwire.ClientOptions{Credential: credential}), g.operators[0])
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	fleet, err := c.Status(ctx)
+	assert.NilError(t, err)
+	paused := slices.IndexFunc(fleet.VMs[0].Targets, func(s thoperator.TargetStatus) bool { return s.Target == "t0" })
+	assert.Assert(t, paused >= 0 && fleet.VMs[0].Targets[paused].PausedMillis > 0)
 }
 
 // Requests for which all targets have asked for a pause must be refused at once, not tried
