thview, thforward: tell callers to return when a target may be used again, not when one that was tried may

What callers saw: a request whose rejection paused the last target of its service got 503 with half the expected latency as Retry-After, and the next one the true time. A request that had been rejected by some targets got the time at which another one's pause ends, though its caller may be sent to the former in its next attempt. Cause: the refusal after an attempt did not ask for pauses, and the one without a target left out those that were tried, which bind the request, not its caller. Change: View.RetryAfterPause is the time until any target of the service may be used, and both refusals ask it.

--- a/core/thview/pause.go
+++ b/core/thview/pause.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -44,19 +43,31 @@
 	return time.Duration(v.options.Rand.Float64() * min(spreadShare*float64(pause), float64(maxSpread)))
 }
 
-// pauseRefusal returns the refusal of a request for which there is no eligible candidate. If
-// candidates are paused to which the request was not sent, it may be retried once the first
-// pause ends.
-func (v *View) pauseRefusal(now thclock.Instant, s *service, tried []string) *Refusal {
+// RetryAfterPause returns the time after which a request to the service may be sent again
+// because all of its targets that do not drain have asked for a pause: once the first pause
+// ends, or a little later. It returns 0 if a target is not paused.
+func (v *View) RetryAfterPause(now thclock.Instant, name string) time.Duration {
 	first := time.Duration(math.MaxInt64)
-	for _, c := range v.candidates {
-		if c.IsPaused(now) && !c.Target.Draining && !slices.Contains(tried, c.Target.ID) {
-			first = min(first, c.PausedUntil.Sub(now))
+	for _, t := range v.service(name).targets {
+		switch {
+		case t.current().Draining:
+		case !now.Before(t.pausedUntil):
+			return 0
+		default:
+			first = min(first, t.pausedUntil.Sub(now))
 		}
 	}
 	if first == math.MaxInt64 {
-		return &Refusal{RetryAfter: retryAfterNoTarget}
+		return 0
 	}
-	v.countRefusal(now, s)
-	return &Refusal{Paused: true, RetryAfter: first + v.pauseSpread(first)}
+	return first + v.pauseSpread(first)
+}
+
+// refuseWithoutTarget returns the refusal of a request for which no target is left.
+func (v *View) refuseWithoutTarget(now thclock.Instant, s *service) *Refusal {
+	if after := v.RetryAfterPause(now, s.name); after > 0 {
+		v.countRefusal(now, s)
+		return &Refusal{Paused: true, RetryAfter: after}
+	}
+	return &Refusal{RetryAfter: retryAfterNoTarget}
 }
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -244,7 +244,7 @@
 	// OverBudget is set if the request was sent before and the retry budget has no room
 	// for one more retry.
 	OverBudget bool
-	// Paused is set if targets are left, but all of them have asked for a pause.
+	// Paused is set if all targets of the service have asked for a pause.
 	Paused bool
 	// RetryAfter is the time after which a retry may succeed.
 	RetryAfter time.Duration
@@ -270,7 +270,7 @@
 		i, ok = thpick.Pick(v.options.Rand, query, v.candidates)
 	}
 	if !ok {
-		return Picked{}, v.pauseRefusal(now, s, tried)
+		return Picked{}, v.refuseWithoutTarget(now, s)
 	}
 	unused, keepsFloor := thpick.PickUnused(query, v.candidates, v.options.FloorShare, v.enforcesFloor(now, s), i)
 	if keepsFloor {
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -176,18 +176,22 @@
 		f.logAnswer(s, s.last.picked, s.last.result)
 		return s.last.result.Answer, nil, true
 	case thpick.Refuse:
-		return nil, f.logRefusal(s, &thingress.Refusal{Err: therror.New(d.Kind, "%s", detailOf(d.Kind)), RetryAfter: f.retryAfter(d.Kind, s.last.picked)}), true
+		return nil, f.logRefusal(s, &thingress.Refusal{Err: therror.New(d.Kind, "%s", detailOf(d.Kind)), RetryAfter: f.retryAfter(s, d.Kind)}), true
 	}
 	return nil, nil, false
 }
 
 // retryAfter returns how long the caller should wait before it retries: half the
-// time that an answer was expected to take, or 0 if the request may have run.
-func (f *Forwarder) retryAfter(k therror.Kind, p thview.Picked) time.Duration {
+// time that an answer was expected to take, longer while all targets are paused, or 0
+// if the request may have run.
+func (f *Forwarder) retryAfter(s *requestState, k therror.Kind) (after time.Duration) {
 	if k.Answer().Outcome != therror.NotRun {
 		return 0
 	}
-	return p.ExpectedLatency / 2
+	f.WithView(func(now thclock.Instant, v *thview.View) {
+		after = max(s.last.picked.ExpectedLatency/2, v.RetryAfterPause(now, s.service))
+	})
+	return after
 }
 
 // detailOf returns the detail of a refusal that follows an attempt.
--- a/io/thforward/forwarder_test.go
+++ b/io/thforward/forwarder_test.go
@@ -142,6 +142,23 @@
 	}
 }
 
+// TestCallerReturnsAfterPause guards against callers that are told to return while all targets
+// have asked for a pause, by the request that learned of the last one too.
+func TestCallerReturnsAfterPause(t *testing.T) {
+	const pause = time.Hour
+	f, s := newForwarder(func(context.Context, int) thsend.Result {
+		r := rejected
+		r.PausedUntil = thclock.System{}.Now().Add(pause)
+		return r
+	})
+	for range 3 {
+		_, refusal := f.Forward(context.Background(), newRequest(thtable.AtMostOnce, time.Second))
+		assert.Equal(t, therror.KindOf(refusal.Err), therror.Shed)
+		assert.Assert(t, refusal.RetryAfter > pause-testTimeout, "%v", refusal.RetryAfter)
+	}
+	assert.Equal(t, len(s.attempts()), 6)
+}
+
 // TestCallerLeaves guards against cancelling a non-idempotent request after it was
 // sent, and against finishing an idempotent one whose caller has left.
 func TestCallerLeaves(t *testing.T) {
