thforward, thpick: say in one place what is recorded of a pause, and when PickUnused picks

The attempt's code chose between two calls in one expression; recordPause does now, in a file with the log lines of pauses. The comment of PickUnused told of one margin where there are two. No behaviour changes.

--- a/core/thpick/floor.go
+++ b/core/thpick/floor.go
@@ -123,9 +123,10 @@
 )
 
 // PickUnused returns the index of the cheapest target that is not in use, and
-// true, if fewer than the given share of the service's targets are in use.
-// Unless the floor is enforced, that target may cost at most maxExtraCost more
-// than the candidate at index best; otherwise PickUnused returns false.
+// true, if too few of the service's targets are in use for the given share of them
+// to be kept. While the floor is enforced, these are fewer than the share and
+// floorMargin. Up to the share and cheapMargin, the target may cost at most
+// maxExtraCost more than the candidate at index best.
 func PickUnused(q Query, candidates []Candidate, share float64, enforced bool, best int) (int, bool) {
 	if enforced {
 		if i, ok := cheapestUnused(q, candidates, share+floorMargin); ok {
@@ -137,7 +138,7 @@
 }
 
 // cheapestUnused returns the index of the cheapest candidate that is not in
-// use, and false if there is none or enough targets are in use, both of those that
+// use, and false if there is none or the given share of the targets is in use, both of those that
 // have not just failed and of those that have not failed for longer.
 func cheapestUnused(q Query, candidates []Candidate, share float64) (int, bool) {
 	for _, span := range [...]time.Duration{floorRecentFailure, floorLastingSuccess} {
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -366,17 +366,6 @@
 		thevent.F("tookMillis", r.Took.Milliseconds()))...)
 }
 
-// logPause logs that the target asked for a pause in an answer, or why what it asked for was
-// ignored.
-func (f *Forwarder) logPause(p thview.Picked, r thsend.Result) {
-	fields := []thevent.Field{thevent.F("target", p.Target.ID), thevent.F("service", p.Target.Service), thevent.F("address", p.Target.Address)}
-	if r.PauseErr != nil {
-		f.options.Log.Log(thevent.PauseIgnored, append(fields, thevent.F("error", r.PauseErr.Error()))...)
-		return
-	}
-	f.options.Log.Log(thevent.TargetPaused, append(fields, thevent.F("pauseMillis", r.PausedUntil.Sub(f.options.Clock.Now()).Milliseconds()))...)
-}
-
 // logRefusal logs the refusal and returns it.
 func (f *Forwarder) logRefusal(s *requestState, r *thingress.Refusal) *thingress.Refusal {
 	f.options.Log.Log(thevent.RequestRefused, append(s.logFields(s.attempts.Total), thevent.F("error", r.Err.Error()),
--- a/io/thforward/hedge.go
+++ b/io/thforward/hedge.go
@@ -107,7 +107,7 @@
 	f.WithView(func(now thclock.Instant, v *thview.View) {
 		v.Finish(now, p, s.request, outcomeOf(p, r), r.Took)
 		leaves = r.TargetLeaves && v.MarkLeaving(p)
-		pauses = r.PauseErr == nil && v.Pause(now, p, r.PausedUntil) || r.PauseErr != nil && v.IgnorePause(p)
+		pauses = recordPause(now, v, p, r)
 	})
 	if pauses {
 		f.logPause(p, r)
