--- a/core/thpick/floor.go
+++ b/core/thpick/floor.go
@@ -138,8 +138,9 @@
 }
 
 // cheapestUnused returns the index of the cheapest candidate that is not in
-// use, and false if there is none or the given share of the targets is in use, both of those that
-// have not just failed and of those that have not failed for longer.
+// use, and false if there is none or the given share of the targets is in use,
+// both of those that have not just failed and of those that have not failed for
+// longer.
 func cheapestUnused(q Query, candidates []Candidate, share float64) (int, bool) {
 	for _, span := range [...]time.Duration{floorRecentFailure, floorLastingSuccess} {
 		if i, ok := cheapestUnusedWithoutFailure(q, candidates, share, span); ok {
--- a/io/thingress/fuzz_test.go
+++ b/io/thingress/fuzz_test.go
@@ -173,12 +173,14 @@
 		if err != nil {
 			return // there are no more
 		}
+		_, err = io.Copy(io.Discard, a.Body)
+		assert.NilError(t, a.Body.Close())
+		if err != nil {
+			return
+		}
 		if a.StatusCode == http.StatusContinue {
 			continue
 		}
-		if _, err := io.Copy(io.Discard, a.Body); err != nil {
-			return
-		}
 		if echo := a.Header.Get(echoField); echo != "" {
 			assert.Assert(t, i < len(requests), "a target gets %s after %s", echo, strings.Join(descriptions, ", "))
 			assert.Equal(t, echo, descriptions[i])
