--- a/core/thpick/floor.go
+++ b/core/thpick/floor.go
@@ -53,7 +53,14 @@
 	floorLastingSuccess = floorRecentFailure + 2*time.Second
 	// floorMargin is added to the share of targets to keep in use, because VMs
 	// pick at the same time and differ in what they know.
-	floorMargin = 0.15
+	floorMargin = 0.05
+	// enforcedRetryableMargin and cheapRetryableMargin replace floorMargin for requests that
+	// may be retried: while the floor is enforced, and otherwise. A VM does not know which
+	// targets the platform counts as healthy. Of these, a smaller share may be in use than
+	// of those that it counts itself, and it finds out at the least cost by a request that
+	// can be sent to another target if the attempt fails.
+	enforcedRetryableMargin = 0.15
+	cheapRetryableMargin    = 0.25
 )
 
 // WithSuccess returns the floor with one more answered request counted, sent
@@ -112,24 +119,21 @@
 	return succeeded, failed
 }
 
-const (
-	// maxExtraCost is how much more than the best target an unused target may cost
-	// to be picked while the floor is not enforced.
-	maxExtraCost = 0.12
-	// cheapMargin replaces floorMargin for unused targets that cost at most that much
-	// more. A VM does not know which targets the platform counts as healthy: of these, a
-	// smaller share may be in use than of those that it counts itself.
-	cheapMargin = 0.25
-)
+// maxExtraCost is how much more than the best target an unused target may cost
+// to be picked while the floor is not enforced.
+const maxExtraCost = 0.12
 
 // PickUnused returns the index of the cheapest target that is not in use, and
-// true, if too few of the service's targets are in use for the given share of them
-// to be kept. While the floor is enforced, these are fewer than the share and
-// floorMargin. Up to the share and cheapMargin, the target may cost at most
-// maxExtraCost more than the candidate at index best.
+// true, if fewer than the given share of the service's targets and a margin are in
+// use. Unless the floor is enforced, that target may cost at most maxExtraCost more
+// than the candidate at index best; otherwise PickUnused returns false.
 func PickUnused(q Query, candidates []Candidate, share float64, enforced bool, best int) (int, bool) {
+	enforcedMargin, cheapMargin := floorMargin, floorMargin
+	if q.Retryable {
+		enforcedMargin, cheapMargin = enforcedRetryableMargin, cheapRetryableMargin
+	}
 	if enforced {
-		if i, ok := cheapestUnused(q, candidates, share+floorMargin); ok {
+		if i, ok := cheapestUnused(q, candidates, share+enforcedMargin); ok {
 			return i, true
 		}
 	}
