platform, thevent: log when the store comes back from an older copy

Ruled out: deducing it from versions that go back. They may have passed the one last read by the time of the next read.

No decision uses it yet.

--- a/core/thevent/platform.go
+++ b/core/thevent/platform.go
@@ -15,6 +15,9 @@
 	// TargetsUnread is TableUnread for the list of targets.
 	TargetsUnread     ID = 709
 	VersionsAnnounced ID = 710
+	StoreRestored     ID = 711
+	// StoreEraUnreadable is logged once per process.
+	StoreEraUnreadable ID = 712
 )
 
 var platformEvents = []Event{
@@ -29,4 +32,6 @@
 	{TableUnread, Warn, "tableUnread", "the platform's store did not answer the request for a newer routing table"},
 	{TargetsUnread, Warn, "targetsUnread", "the platform's store did not answer the request for the list of targets"},
 	{VersionsAnnounced, Info, "versionsAnnounced", "this VM announced a newer routing table or list of targets to others"},
+	{StoreRestored, Warn, "storeRestored", "the platform's store has come back from an older copy"},
+	{StoreEraUnreadable, Warn, "storeEraUnreadable", "an answer of the platform's store has an era that cannot be read; the last one counts"},
 }
