thhttp, thwire, platform: a connection for each call to other VMs and to the store

Cause: open connections had gone silent. A call took any idle connection of its pool and waited there for its whole deadline of 3 s, no second call was made to the same VM meanwhile, and the next call could take the next silent connection. Class of fault: state that is kept for a later use and whose loss shows only at that use.

Change: each call opens a connection and closes it (thhttp.Exchange, for thwire and platform). A fetch that is under way ends if nothing arrives for 1 s beyond the time that the other VM may wait; a transfer that makes progress goes on. A call now ends with its context.

Conclusion: the new connection removes the state instead of watching it.

--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -103,6 +103,9 @@
 	// fetchTimeout bounds a call to another VM. It leaves a slow transfer time to
 	// finish after the longest wait: others are asked meanwhile.
 	fetchTimeout = 3 * time.Second
+	// maxFetchSilence is how long nothing may arrive from a VM beyond the time that it may
+	// wait, since its connection may have gone silent. Then it is asked again.
+	maxFetchSilence = time.Second
 	// seedTimeout bounds a call to a seed, which may be an address without a VM.
 	seedTimeout = 500 * time.Millisecond
 	// askNextAfter is how long a VM waits for an answer before it also asks the next
@@ -213,7 +216,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	startedAt := time.Now()
-	k, size, err := thwire.CallSized[knownRequest, knownResponse](callCtx, s.options.Client, address, pathKnown, request)
+	k, size, err := thwire.CallSized[knownRequest, knownResponse](callCtx, s.options.Client, address, pathKnown, request,
+		time.Duration(request.WaitMillis)*time.Millisecond+maxFetchSilence)
 	fields := []thevent.Field{thevent.F("peer", address), thevent.F("bytes", size), thevent.F("tookMillis", time.Since(startedAt).Milliseconds())}
 	s.mu.Lock()
 	if !s.behindSince.IsZero() {
--- a/io/thwire/client.go
+++ b/io/thwire/client.go
@@ -8,18 +8,13 @@
 	"time"
 
 	"tamarackhollow/core/therror"
+	"tamarackhollow/io/thhttp"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
-const (
-	defaultCallTimeout = 2 * time.Second
-	// clientIdleTimeout is shorter than serverIdleTimeout, so that the client is
-	// the side that closes an idle connection.
-	clientIdleTimeout = 20 * time.Second
-	maxConnsPerHost   = 64
-)
+// defaultCallTimeout bounds a call whose context has no deadline.
+const defaultCallTimeout = 2 * time.Second
 
 // ClientOptions holds what a client sends with each call to authenticate and
 // identify itself, and the address that it calls from.
@@ -35,55 +30,45 @@
 	LocalIP string
 }
 
-// Client makes calls over pooled connections. Create it with NewClient; it is
+// Client makes calls, each over a connection of its own. Create it with NewClient; it is
 // safe for concurrent use.
 type Client struct {
 	options  ClientOptions
-	http     fasthttp.Client
+	dialer   net.Dialer
 	counters callCounters
 }
 
 // NewClient returns a client that sends each call at most once: it never
 // retries one that failed.
 func NewClient(options ClientOptions) *Client {
-	dialer := &fasthttp.TCPDialer{}
+	c := &Client{options: options, dialer: net.Dialer{KeepAlive: -1}} // calls end before a probe would be sent
 	if options.LocalIP != "" {
-		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(options.LocalIP)}
+		c.dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(options.LocalIP)}
 	}
-	return &Client{options: options, http: fasthttp.Client{
-		DialTimeout: func(address string, timeout time.Duration) (net.Conn, error) {
-			return dialRepeatedly(dialer, address, timeout)
-		},
-		MaxConnsPerHost:           maxConnsPerHost,
-		MaxIdleConnDuration:       clientIdleTimeout,
-		MaxResponseBodySize:       DefaultMaxBodyBytes,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		NoDefaultUserAgentHeader:  true,
-	}}
+	return c
 }
 
 // Call sends one request to a path of a server and returns the decoded answer.
-// It waits until the context's deadline, or two seconds if there is none.
-// Cancelling the context during the call does not end the wait.
+// It waits until the context ends, for two seconds if that has no deadline.
 //
 // The error's kind is ConnectFailed if nothing was sent, AnswerLost if the
 // server may have acted on the request, MessageMalformed if the request
 // can't be encoded or the answer is not valid JSON for its type, and AnswerBroken if the server's error
 // could not be read. Otherwise it is the kind that the server named.
 func Call[Request, Answer any](ctx context.Context, c *Client, address, path string, request Request) (Answer, error) {
-	answer, _, err := CallSized[Request, Answer](ctx, c, address, path, request)
+	answer, _, err := CallSized[Request, Answer](ctx, c, address, path, request, 0)
 	return answer, err
 }
 
 // CallSized is like Call, and also returns the length of the answer's body in
-// bytes as it arrived, which may be compressed; 0 if none did.
-func CallSized[Request, Answer any](ctx context.Context, c *Client, address, path string, request Request) (answer Answer, size int, err error) {
+// bytes as it arrived, which may be compressed; 0 if none did. It fails with AnswerLost if nothing
+// arrives for maxSilence while the answer is not complete, unless that is 0.
+func CallSized[Request, Answer any](ctx context.Context, c *Client, address, path string, request Request, maxSilence time.Duration) (answer Answer, size int, err error) {
 	data, err := json.Marshal(request)
 	if err != nil {
 		return answer, 0, therror.Wrap(therror.MessageMalformed, err, "call to %s", path)
 	}
-	body, size, err := c.post(ctx, address, path, data)
+	body, size, err := c.post(ctx, address, path, data, maxSilence)
 	if err != nil {
 		return answer, size, err
 	}
@@ -95,31 +80,25 @@
 
 // post sends one request body to a path. It returns the decompressed body of the
 // answer and the length of the body as it arrived.
-func (c *Client) post(ctx context.Context, address, path string, data []byte) (answer []byte, size int, err error) {
-	if err := ctx.Err(); err != nil {
-		return nil, 0, therror.Wrap(therror.ConnectFailed, err, "call to %s", path)
-	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	request.SetRequestURI("http://" + address + path)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.Header.SetContentType("application/json")
-	request.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
-	request.Header.Set(headerCredential, c.options.Credential)
-	request.Header.Set(headerFrom, c.options.From)
-	request.Header.Set(headerIncarnation, strconv.FormatUint(c.options.Incarnation, 10))
-	request.SetBodyRaw(data)
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(defaultCallTimeout)
+func (c *Client) post(ctx context.Context, address, path string, data []byte, maxSilence time.Duration) (answer []byte, size int, err error) {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultCallTimeout)
+		defer cancel()
 	}
-	if err := c.http.DoDeadline(request, response, deadline); err != nil {
+	nc, err := dialRepeatedly(ctx, c.dialer, address)
+	if err != nil {
 		c.counters.record(len(data), 0, 0, true)
-		// After a timeout fasthttp may still use the request and response, so they
-		// are left to the garbage collector instead of being released.
-		return nil, 0, transportError(err, path)
+		return nil, 0, therror.Wrap(therror.ConnectFailed, err, "call to %s", path)
 	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
+	c.fillRequest(request, address, path, data)
+	if err := thhttp.Exchange(ctx, nc, request, response, thhttp.AnswerBounds{MaxBodyBytes: DefaultMaxBodyBytes, MaxSilence: maxSilence}); err != nil {
+		c.counters.record(len(data), 0, 0, true)
+		return nil, 0, therror.Wrap(therror.AnswerLost, err, "call to %s", path)
+	}
 	c.counters.record(len(data), len(response.Body()), len(request.Header.Header())+len(response.Header.Header()), response.StatusCode() != fasthttp.StatusOK)
 	if response.StatusCode() != fasthttp.StatusOK {
 		return nil, len(response.Body()), decodeError(response, path)
@@ -131,14 +110,16 @@
 	return append([]byte(nil), body...), len(response.Body()), nil
 }
 
-// transportError returns ConnectFailed for an error that came before anything
-// was sent, and AnswerLost for any other.
-func transportError(err error, path string) error {
-	var opError *net.OpError
-	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.As(err, &opError) && opError.Op == "dial" {
-		return therror.Wrap(therror.ConnectFailed, err, "call to %s", path)
-	}
-	return therror.Wrap(therror.AnswerLost, err, "call to %s", path)
+// fillRequest sets request to the call with the given body, which is not copied.
+func (c *Client) fillRequest(request *fasthttp.Request, address, path string, data []byte) {
+	request.SetRequestURI("http://" + address + path)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.Header.Set(fasthttp.HeaderAcceptEncoding, "gzip")
+	request.Header.Set(headerCredential, c.options.Credential)
+	request.Header.Set(headerFrom, c.options.From)
+	request.Header.Set(headerIncarnation, strconv.FormatUint(c.options.Incarnation, 10))
+	request.SetBodyRaw(data)
 }
 
 // decodeError returns the error that a server answered with.
--- a/io/thwire/dial.go
+++ b/io/thwire/dial.go
@@ -1,11 +1,11 @@
 package thwire
 
 import (
+	"context"
 	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 )
 
 const (
@@ -18,18 +18,16 @@
 	firstDialTimeout = 150 * time.Millisecond
 )
 
-// dialRepeatedly connects to the address in as many attempts as fit into the timeout,
-// which is at most dialTimeout. It returns the error of the last one.
-func dialRepeatedly(d *fasthttp.TCPDialer, address string, timeout time.Duration) (net.Conn, error) {
-	if timeout <= 0 || timeout > dialTimeout {
-		timeout = dialTimeout
-	}
-	deadline := time.Now().Add(timeout)
-	for attempt := firstDialTimeout; ; attempt *= 2 {
-		left := time.Until(deadline)
-		c, err := d.DialTimeout(address, min(attempt, max(left, time.Millisecond)))
-		if err == nil || left <= attempt || !isTimeout(err) {
-			return c, err
+// dialRepeatedly connects to the address in as many attempts as fit into dialTimeout and the
+// context. It returns the error of the last one.
+func dialRepeatedly(ctx context.Context, d net.Dialer, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	for timeout := firstDialTimeout; ; timeout *= 2 {
+		d.Timeout = timeout
+		nc, err := d.DialContext(ctx, "tcp", address)
+		if err == nil || ctx.Err() != nil || !isTimeout(err) {
+			return nc, err
 		}
 	}
 }
@@ -37,5 +35,5 @@
 // isTimeout reports whether an attempt to connect got no reply in time.
 func isTimeout(err error) bool {
 	var netError net.Error
-	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &netError) && netError.Timeout()
+	return errors.As(err, &netError) && netError.Timeout()
 }
--- a/io/thwire/wire_test.go
+++ b/io/thwire/wire_test.go
@@ -176,7 +176,7 @@
 	t.Cleanup(func() { _ = s.Shutdown() })
 	c := thwire.NewClient(thwire.ClientOptions{Credential: "secret"})
 	for _, path := range []string{"/plain", "/encoded"} {
-		got, size, err := thwire.CallSized[request, answer](context.Background(), c, l.Addr().String(), path, request{})
+		got, size, err := thwire.CallSized[request, answer](context.Background(), c, l.Addr().String(), path, request{}, 0)
 		assert.NilError(t, err)
 		assert.Equal(t, got.Text, long)
 		assert.Assert(t, size < len(long)/10, "%d bytes for %d", size, len(long))
