thsend: an answer without a length is not whole after a failed write

Cause: the write that fails takes the reset from the kernel, which reports it once. The reads after it return what had arrived and then the end of the connection, as if the target had closed it in order. Class of fault: an error that is consumed at one place and missed at another.

Ruled out: answers with a length or in chunks (their end is checked), and a write that stops because an answer has arrived: its look at the connection takes data before an error, so a reset is still seen by the reads.

Change: a connection remembers that a write failed because it was closed, and an answer that ends with it is then lost.

Conclusion: an early answer without a length is passed on only if its connection ended in order. Looked for elsewhere: calls to VMs and to the store return the error of a failed write.

--- a/io/thsend/connection.go
+++ b/io/thsend/connection.go
@@ -60,6 +60,9 @@
 	unfinished               *byteBudget
 	// held is how many bytes of unfinished are taken by the answer.
 	held int
+	// broken is set once a write has failed because the connection was closed. The kernel
+	// reports a reset once, so that a read after it can't tell a reset from an end.
+	broken bool
 }
 
 func newConnection(nc net.Conn, unfinished *byteBudget) (*connection, error) {
@@ -100,6 +103,7 @@
 		n.bytesSent += w
 		switch {
 		case !isTimeout(err) || !time.Now().Before(n.deadline):
+			n.broken = err != nil && !isTimeout(err)
 			return total, err
 		case !n.isQuiet():
 			return total, errEarlyAnswer
--- a/io/thsend/damaged_test.go
+++ b/io/thsend/damaged_test.go
@@ -125,3 +125,22 @@
 		})
 	}
 }
+
+// A target sent part of an answer without a length and reset the connection while it was still
+// being sent the request, and the caller got that part as a whole answer.
+func TestEarlyAnswerWithoutLengthIsNotWholeAfterReset(t *testing.T) {
+	s := newScriptedTarget(t, func(_ *scriptedTarget, k net.Conn, _ *bufio.Reader, _ int, id string) bool {
+		write(k, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\n\r\npart of the ans", id))
+		time.Sleep(50 * time.Millisecond) // the client gets this before the reset
+		assert.Check(t, k.(*net.TCPConn).SetLinger(0))
+		return false
+	})
+	client := newClient()
+	for range 10 {
+		q := newRequest("id-1", thtable.Upload, testTimeout)
+		q.Method, q.Body = "POST", make([]byte, 32<<20)
+		r := client.Send(t.Context(), thtable.Target{ID: "t1", Address: s.address}, q, thsend.ConnectionOptions{})
+		assert.Equal(t, r.End, thpick.Lost, "%v", r.Err)
+		assert.Assert(t, r.Answer == nil)
+	}
+}
--- a/io/thsend/exchange.go
+++ b/io/thsend/exchange.go
@@ -37,6 +37,7 @@
 	errMissingSignature   = errors.New("the answer does not have the target's signature")
 	errUnexpectedEncoding = errors.New("the answer's body has a content encoding that was not requested")
 	errUnassuredRefusal   = errors.New("the answer's status promises that the request has not run, but the target does not assure it")
+	errUnknownEnd         = errors.New("the answer ends with the connection, which the target has closed or reset while the request was being sent")
 	errAnswerTooLarge     = errors.New("the answer's body is larger than the limit")
 )
 
@@ -237,6 +238,9 @@
 		return errUnfinishedBudget
 	}
 	if length == closeDelimited {
+		if n.broken {
+			return errUnknownEnd
+		}
 		r.Header.SetConnectionClose()
 	}
 	if err := r.ReadBody(br, c.options.MaxAnswerBytes); err != nil {
