--- a/core/thtable/position.go
+++ b/core/thtable/position.go
@@ -21,5 +21,8 @@
 // IsAfter reports whether the position is after the other one.
 func (p Position) IsAfter(o Position) bool { return p.Compare(o) > 0 }
 
+// IsBefore reports whether the position is before the other one.
+func (p Position) IsBefore(o Position) bool { return p.Compare(o) < 0 }
+
 // IsZero reports whether the position is the zero Position.
 func (p Position) IsZero() bool { return p == Position{} }
