thsource: list VMs in the store again after it has come back from an older copy

Cause: a VM took its row in the store's list of VMs for lasting once the write was acknowledged.

Ruled out: writing by all VMs at once; only the first-ranked of each zone are listed, each checks once a second on its own.

Change: the era in which the row was written, as known before the call, is kept with it, and the row is written again once a higher one is known. A VM that stops deletes its row whenever it has had one.

--- a/io/thsource/membership.go
+++ b/io/thsource/membership.go
@@ -265,20 +265,21 @@
 func (s *Source) joinThroughStore(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	era := s.versions().Targets.Era // if a higher one becomes known during the call, the row may be gone
 	all, err := s.options.Store.Join(callCtx, s.options.Self)
 	s.recordStoreResult(ctx, err)
 	if err != nil {
 		return false
 	}
 	s.mu.Lock()
-	s.registered = true
+	s.registered, s.registeredEra = true, era
 	s.mu.Unlock()
 	s.options.Fleet.RecordPeers(all)
 	return true
 }
 
 // keepRegistered lists this VM in the store once it is one of the first-ranked of its
-// zone, until the context ends.
+// zone, until the context ends. It does so again when the store has come back from an older copy.
 func (s *Source) keepRegistered(ctx context.Context) {
 	for sleep(ctx, registerInterval, nil) {
 		if !s.isRegistered() && s.options.Fleet.ZoneRank() < registeredRanks {
@@ -288,14 +289,19 @@
 }
 
 func (s *Source) isRegistered() bool {
+// isRegistered reports whether this VM was listed in the store's current era.
 	s.mu.Lock()
+	era := s.versions().Targets.Era
 	defer s.mu.Unlock()
-	return s.registered
+	return s.registered && s.registeredEra >= era
 }
 
-// Leave removes this VM from the store's list of VMs if it is there.
+// Leave removes this VM from the store's list of VMs if it may be there.
 func (s *Source) Leave(ctx context.Context) error {
-	if !s.isRegistered() {
+	s.mu.Lock()
+	registered := s.registered
+	s.mu.Unlock()
+	if !registered {
 		return nil
 	}
 	return s.options.Store.Leave(ctx, s.options.Self)
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -135,8 +135,10 @@
 	// reader tells whether this VM is the one that reads the store.
 	reader bool
 	reads  ownReads
-	// registered is set once this VM is in the store's list of VMs.
-	registered bool
+	// registered is set once this VM has been in the store's list of VMs, and registeredEra is
+	// the era in which it was written there.
+	registered    bool
+	registeredEra uint64
 	// answeredAt is when the store last answered a call of Targets or Join.
 	answeredAt time.Time
 	// storeLost tells whether the last call of Targets or Join failed.
