thtable, thfleet, thsource: keep what targets have said against an older copy of the store

Cause: the list of the store was taken at its word as a whole. What one target had said of itself had no order of its own.

Ruled out: a merge by the reader (a reader that has just started remembers nothing, and VMs that know more would hold lists of other digests); waiting before lists are applied (changes made meanwhile would be late); the versions of rows (given out again).

Change: all VMs hold the list as it was read, and thtable.Recollection, a pure and immutable value, decides which targets a VM uses: what it knew of a target by an earlier era stays until the target says something newer, by its start and sequence number; one that the copy lacks is kept for 3 s after the first VM has seen the era. Changes tell the last word of targets that left, whole lists what their sender keeps against them, and notices the age of a new era. Reads in an earlier era, or by VMs of older builds, don't hold back a takeover for longer than from the moment at which the era was heard of. Lines 713 and 714 tell what was kept.

Conclusion: nothing that was accepted goes back while one VM that knows it runs. On a store that tells no era nothing changes.

--- a/core/thevent/platform.go
+++ b/core/thevent/platform.go
@@ -18,6 +18,8 @@
 	StoreRestored     ID = 711
 	// StoreEraUnreadable is logged once per process.
 	StoreEraUnreadable ID = 712
+	TargetKept         ID = 713
+	TableKept          ID = 714
 )
 
 var platformEvents = []Event{
@@ -34,4 +36,6 @@
 	{VersionsAnnounced, Info, "versionsAnnounced", "this VM announced a newer routing table or list of targets to others"},
 	{StoreRestored, Warn, "storeRestored", "the platform's store has come back from an older copy"},
 	{StoreEraUnreadable, Warn, "storeEraUnreadable", "an answer of the platform's store has an era that cannot be read; the last one counts"},
+	{TargetKept, Info, "targetKept", "the platform's store has come back with something older of a target than this VM knows"},
+	{TableKept, Info, "tableKept", "the platform's store has an older routing table than this VM, which keeps its own"},
 }
--- a/core/thfleet/change_test.go
+++ b/core/thfleet/change_test.go
@@ -98,7 +98,7 @@
 	if vm.readAt > 0 {
 		reads = reads.Max(thfleet.StoreReads{Table: at(vm.readAt), Targets: at(vm.readAt)})
 	}
-	vm.fleet.RecordAnnouncement(versions, reads)
+	vm.fleet.RecordAnnouncement(at(s.now), versions, reads)
 	ages := reads.Ages(at(s.now))
 	told := map[string]bool{}
 	if elsewhere {
--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -85,6 +85,9 @@
 	// store was read for them.
 	announced      StoreVersions
 	announcedReads StoreReads
+	// era is the highest era of the store that this VM has heard of, and eraSince since when.
+	era      uint64
+	eraSince thclock.Instant
 	// probes records since when this VM probes others.
 	probes probes
 	size   sizeCache
@@ -206,7 +209,11 @@
 	}
 	u.Started = f.recordLoads(now, n)
 	u.Refused = updateTotals(p.refused, n.Refused)
+	if n.NewEra != nil {
+		f.NoteEra(now.Add(-time.Duration(n.NewEra.Millis)*time.Millisecond), n.NewEra.Era)
+	}
 	if versions, ok := n.Versions(); ok {
+		f.NoteEra(now, versions.Targets.Era)
 		p.recordVersions(now, versions, n.ReadAges)
 	}
 	f.receiveLosses(now, n.Lost, &u)
--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -126,6 +126,13 @@
 	Targets thtable.Position
 }
 
+// EraAge tells how long ago the first VM is known to have seen an era of the store.
+type EraAge struct {
+	_      struct{} `cbor:",toarray"`
+	Era    uint64
+	Millis uint16
+}
+
 // wireVersions is the form of StoreVersions in a notice, without the era.
 type wireVersions struct {
 	_       struct{} `cbor:",toarray"`
@@ -160,6 +167,8 @@
 	// AnnouncedEra is the era of the announced list of targets. VMs of older builds do not
 	// know it.
 	AnnouncedEra uint64 `cbor:"21,keyasint,omitempty"`
+	// NewEra tells an era of the store that is new; nil if the sender knows of none.
+	NewEra *EraAge `cbor:"22,keyasint,omitempty"`
 	// ReadAges says how old the announced versions are; nil if both have just been read.
 	ReadAges *ReadAges `cbor:"19,keyasint,omitempty"`
 	// Leaving is set if the sender leaves the fleet.
--- a/core/thfleet/reads.go
+++ b/core/thfleet/reads.go
@@ -70,19 +70,56 @@
 func (f *Fleet) LastReads(have StoreVersions) StoreReads {
 	var last StoreReads
 	for _, p := range f.peers {
+		reads := f.readsOf(p)
 		if p.storeVersions.Table <= have.Table {
-			last.Table = last.Table.Max(p.reads.Table)
+			last.Table = last.Table.Max(reads.Table)
 		}
 		if !p.storeVersions.Targets.IsAfter(have.Targets) {
-			last.Targets = last.Targets.Max(p.reads.Targets)
+			last.Targets = last.Targets.Max(reads.Targets)
 		}
 	}
 	return last
 }
 
+// readsOf returns when the store was read for the versions that a VM has announced. A read in an
+// earlier era, or by a VM of an older build, which does not know the era, says nothing of the
+// store as it has been since this VM heard of the current one.
+func (f *Fleet) readsOf(p *Peer) StoreReads {
+	if p.storeVersions.Targets.Era >= f.era {
+		return p.reads
+	}
+	return StoreReads{Table: p.reads.Table.Min(f.eraSince), Targets: p.reads.Targets.Min(f.eraSince)}
+}
+
+// NoteEra records that the store is in an era, as it has told this VM or another one at the given
+// time, and returns the time since which any VM is known to have seen it.
+func (f *Fleet) NoteEra(seenAt thclock.Instant, era uint64) thclock.Instant {
+	switch {
+	case era > f.era:
+		f.era, f.eraSince = era, seenAt
+	case era < f.era:
+		return seenAt
+	}
+	f.eraSince = f.eraSince.Min(seenAt)
+	return f.eraSince
+}
+
+// maxEraAge is the age from which an era is no longer told to be new.
+const maxEraAge = time.Minute
+
+// NewEra returns the store's era for notices if it is new, else nil.
+func (f *Fleet) NewEra(now thclock.Instant) *EraAge {
+	age := now.Sub(f.eraSince)
+	if f.era == 0 || age >= maxEraAge {
+		return nil
+	}
+	return &EraAge{Era: f.era, Millis: uint16(max(0, age.Milliseconds()))}
+}
+
 // RecordAnnouncement records that this VM announces versions, and when the store was read
 // for them by it or by the VM that it follows.
-func (f *Fleet) RecordAnnouncement(versions StoreVersions, reads StoreReads) {
+func (f *Fleet) RecordAnnouncement(now thclock.Instant, versions StoreVersions, reads StoreReads) {
+	f.NoteEra(now, versions.Targets.Era)
 	f.announced, f.announcedReads = versions, reads
 }
 
--- a/core/thfleet/role.go
+++ b/core/thfleet/role.go
@@ -58,7 +58,7 @@
 	ownHash := rankHash(f.self.ID)
 	for _, p := range f.peers {
 		if p.Identity.Zone == f.self.Zone && rankHash(p.Identity.ID) < ownHash {
-			last = last.Max(p.reads.Complete())
+			last = last.Max(f.readsOf(p).Complete())
 		}
 	}
 	return last
@@ -130,7 +130,7 @@
 	var last thclock.Instant
 	for _, p := range f.peers {
 		if p.Identity.Zone != f.self.Zone && rankHash(p.Identity.ID) < hashLimit {
-			last = last.Max(p.reads.Complete())
+			last = last.Max(f.readsOf(p).Complete())
 		}
 	}
 	return last
--- a/core/thfleet/role_test.go
+++ b/core/thfleet/role_test.go
@@ -66,7 +66,7 @@
 func (s *simulation) announce(i int, readAt time.Duration, to func(j int) bool) {
 	s.sequence++
 	versions, reads := thfleet.StoreVersions{Table: 1, Targets: position(1)}, thfleet.StoreReads{Table: at(readAt), Targets: at(readAt)}
-	s.fleets[i].RecordAnnouncement(versions, reads)
+	s.fleets[i].RecordAnnouncement(at(s.now), versions, reads)
 	ages := reads.Ages(at(s.now))
 	n := thfleet.Notice{From: thfleet.VMKeyOf(s.ids[i].ID), StartMillis: 1, Sequence: s.sequence, Identity: &s.ids[i], ReadAges: &ages}.WithVersions(versions)
 	s.deliver(i, n, func(j int) bool {
--- a/core/thtable/change.go
+++ b/core/thtable/change.go
@@ -171,3 +171,19 @@
 	sortTargets(ts)
 	return TargetSet{list: TargetList{Position: c.Position, Targets: ts, Left: c.Left}, digest: c.Result}, nil
 }
+
+// WithChanges returns the set that the changes lead to, one after the other. Its list tells of all
+// targets that left on the way.
+func (s TargetSet) WithChanges(changes []TargetsChange) (TargetSet, error) {
+	changed := s
+	var left []LeftTarget
+	for _, c := range changes {
+		var err error
+		if changed, err = changed.WithChange(c); err != nil {
+			return s, err
+		}
+		left = append(left, c.Left...)
+	}
+	changed.list.Left = left
+	return changed, nil
+}
--- a/core/thtable/target.go
+++ b/core/thtable/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -34,15 +35,30 @@
 	// Position orders lists.
 	Position
 	Targets []Target `json:"targets"`
-	// Left holds targets that have recently left the list. It is no part of the content.
+	// Left holds targets that have recently left the list, and Kept what the sender of the list
+	// keeps against it. Neither is part of the content.
 	Left []LeftTarget `json:"left,omitempty"`
+	Kept []KeptTarget `json:"kept,omitempty"`
 }
 
-// LeftTarget is a target that is no longer listed, with the last that it had written of itself.
+// KeptTarget is what a VM knows of a target, by a list of an earlier era of the store.
+type KeptTarget struct {
+	Target
+	Era uint64 `json:"era"`
+}
+
+// UnknownSequence is the sequence number of a target that has left and may have written more than
+// is known. No later number is known to be higher.
+const UnknownSequence = math.MaxInt64
+
+// LeftTarget is a target that is no longer listed.
 type LeftTarget struct {
 	ID          string `json:"id"`
 	StartMillis int64  `json:"start,omitempty"`
-	Sequence    int64  `json:"seq,omitempty"`
+	// Sequence is the highest that it may have written, or UnknownSequence.
+	Sequence int64 `json:"seq,omitempty"`
+	// Era is that of the list which it left.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // TargetSet is a list of targets with its digest. It is immutable. The zero
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -160,9 +160,9 @@
 }
 
 // ProbeAnswer returns a notice that answers a probe.
-func (v *View) ProbeAnswer() thfleet.Notice {
+func (v *View) ProbeAnswer(now thclock.Instant) thfleet.Notice {
 	n := v.Introduction(false)
-	n.LiveHash = v.Fleet.LiveHash()
+	n.LiveHash, n.NewEra = v.Fleet.LiveHash(), v.Fleet.NewEra(now)
 	return n
 }
 
@@ -185,9 +185,10 @@
 // as given, or by another one.
 func (v *View) Announcement(now thclock.Instant, versions thfleet.StoreVersions, own thfleet.ReadAges) thfleet.Notice {
 	reads := own.Reads(now).Max(v.Fleet.LastReads(versions))
-	v.Fleet.RecordAnnouncement(versions, reads)
+	v.Fleet.RecordAnnouncement(now, versions, reads)
 	n := v.newNotice()
 	n = n.WithVersions(versions)
+	n.NewEra = v.Fleet.NewEra(now)
 	if ages := reads.Ages(now); ages != (thfleet.ReadAges{}) {
 		n.ReadAges = &ages
 	}
--- a/io/thfake/store.go
+++ b/io/thfake/store.go
@@ -104,6 +104,9 @@
 	return nil
 }
 
+// Era implements thsource.Store: the fake tells none.
+func (s *Store) Era() uint64 { return 0 }
+
 func (s *Store) remove(self thfleet.Identity) {
 	kept := s.vms[:0]
 	for _, i := range s.vms {
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -367,7 +367,7 @@
 		switch {
 		case n.Leaving || n.Relay: // a relayed notice comes from another VM than its sender
 		case n.WantsIdentity:
-			introduction = v.ProbeAnswer()
+			introduction = v.ProbeAnswer(now)
 		case update.SenderUnknown || n.Identity != nil && (update.Joined || update.BecameLive):
 			introduction = v.Introduction(update.SenderUnknown)
 		}
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -311,6 +311,11 @@
 	return rank
 }
 
+func (f fleetAdapter) NoteEra(era uint64) (since thclock.Instant) {
+	f.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) { since = v.Fleet.NoteEra(now, era) })
+	return since
+}
+
 func (f fleetAdapter) MarkJoined() { f.node.forwarder.MarkJoined() }
 
 func (f fleetAdapter) AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, elsewhere bool) {
--- a/io/thsource/content.go
+++ b/io/thsource/content.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thfleet"
 	"tamarackhollow/core/thtable"
@@ -19,9 +20,12 @@
 	// on in their order. It is locked before mu.
 	applying sync.Mutex
 
-	mu            sync.Mutex
-	table         thtable.Table
+	mu    sync.Mutex
+	table thtable.Table
+	// targets is the list as it was read from the store, which all VMs hold alike. What this
+	// VM remembers decides which of them it uses.
 	targets       thtable.TargetSet
+	recollection  thtable.Recollection
 	tableChanges  thtable.ChangeLog[thtable.TableChange]
 	targetChanges thtable.ChangeLog[thtable.TargetsChange]
 	// changed is closed, and replaced, when a newer table or list is applied.
@@ -98,14 +102,39 @@
 	c.changed = make(chan struct{})
 }
 
-// setTargets replaces the list of targets; see setTable.
-func (c *content) setTargets(s thtable.TargetSet, changes ...thtable.TargetsChange) {
+// setTargets replaces the list of targets, whose era is known since the given time; see setTable.
+// It returns the recollection before, and what was kept against the list.
+func (c *content) setTargets(s thtable.TargetSet, eraSince thclock.Instant, changes []thtable.TargetsChange) (before thtable.Recollection, kept []thtable.Kept) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before = c.recollection
 	c.targets = s
+	c.recollection, kept = before.WithList(thclock.System{}.Now(), s.List(), eraSince)
 	c.targetChanges = extended(c.targetChanges, changes)
 	close(c.changed)
 	c.changed = make(chan struct{})
+	return before, kept
+}
+
+// updateRecollection removes targets from use whose time has passed to be listed again, given since
+// when the list's era is known. It returns the recollection before, and false if there is none.
+func (c *content) updateRecollection(eraSince thclock.Instant) (before thtable.Recollection, changed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := thclock.System{}.Now()
+	before = c.recollection
+	c.recollection = before.WithEraSince(eraSince)
+	if !c.recollection.IsDue(now) {
+		return before, false
+	}
+	c.recollection, _ = c.recollection.WithList(now, c.targets.List(), eraSince)
+	return before, true
+}
+
+func (c *content) currentRecollection() thtable.Recollection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.recollection
 }
 
 func extended[C thtable.Change](l thtable.ChangeLog[C], changes []C) thtable.ChangeLog[C] {
@@ -186,11 +215,11 @@
 	}
 	if c, ok := current.Diff(list); ok {
 		if changed, err := current.WithChange(c); err == nil {
-			s.publishTargets(current, changed, c)
+			s.publishTargets(changed, c)
 			return
 		}
 	}
-	s.publishTargets(current, thtable.NewTargetSet(list))
+	s.publishTargets(thtable.NewTargetSet(list))
 }
 
 // applyTargetChanges applies changes that lead from the current list to a newer one,
@@ -206,41 +235,53 @@
 	if !ok {
 		return errChangesDoNotFit
 	}
-	changed := current
-	for _, c := range changes {
-		var err error
-		if changed, err = changed.WithChange(c); err != nil {
-			return err
-		}
+	changed, err := current.WithChanges(changes)
+	if err != nil {
+		return err
 	}
-	s.publishTargets(current, changed, changes...)
+	s.publishTargets(changed, changes...)
 	return nil
 }
 
-func (s *Source) publishTargets(before, after thtable.TargetSet, changes ...thtable.TargetsChange) {
-	s.content.setTargets(after, changes...)
-	s.options.ApplyTargets(after.List().Targets)
-	s.logTargetChanges(before.List(), after.List())
+func (s *Source) publishTargets(after thtable.TargetSet, changes ...thtable.TargetsChange) {
+	before, kept := s.content.setTargets(after, s.options.Fleet.NoteEra(after.List().Era), changes)
+	for _, k := range kept {
+		s.options.Log.Log(thevent.TargetKept, thevent.F("target", k.ID), thevent.F("why", string(k.Why)), thevent.F("era", after.List().Era))
+	}
+	s.useTargets(before)
+}
+
+// updateTargets removes targets from use whose time has passed to be listed again by a store that
+// came back from an older copy.
+func (s *Source) updateTargets() {
+	s.content.applying.Lock()
+	defer s.content.applying.Unlock()
+	if before, changed := s.content.updateRecollection(s.options.Fleet.NoteEra(s.versions().Targets.Era)); changed {
+		s.useTargets(before)
+	}
 }
 
-// logTargetChanges logs which targets were listed, began to drain or are gone.
-func (s *Source) logTargetChanges(before, after thtable.TargetList) {
-	remaining := make(map[string]thtable.Target, len(before.Targets))
-	for _, t := range before.Targets {
+// useTargets hands on the targets to use, and logs which were listed, began to drain or are gone
+// since before.
+func (s *Source) useTargets(before thtable.Recollection) {
+	used, version := s.content.currentRecollection().Targets(), s.versions().Targets.Version
+	s.options.ApplyTargets(used)
+	remaining := make(map[string]thtable.Target)
+	for _, t := range before.Targets() {
 		remaining[t.ID] = t
 	}
-	for _, t := range after.Targets {
+	for _, t := range used {
 		was, ok := remaining[t.ID]
 		delete(remaining, t.ID)
 		switch {
 		case !ok:
-			s.logTarget(thevent.TargetListed, t, after.Version)
+			s.logTarget(thevent.TargetListed, t, version)
 		case t.Draining && !was.Draining:
-			s.logTarget(thevent.TargetLeaving, t, after.Version)
+			s.logTarget(thevent.TargetLeaving, t, version)
 		}
 	}
 	for _, t := range remaining {
-		s.logTarget(thevent.TargetGone, t, after.Version)
+		s.logTarget(thevent.TargetGone, t, version)
 	}
 }
 
--- a/io/thsource/membership.go
+++ b/io/thsource/membership.go
@@ -275,6 +275,7 @@
 	s.registered, s.registeredEra = true, era
 	s.mu.Unlock()
 	s.options.Fleet.RecordPeers(all)
+	s.options.Fleet.NoteEra(s.options.Store.Era()) // a reader of an older build tells none
 	return true
 }
 
@@ -288,10 +289,10 @@
 	}
 }
 
-func (s *Source) isRegistered() bool {
 // isRegistered reports whether this VM was listed in the store's current era.
-	s.mu.Lock()
+func (s *Source) isRegistered() bool {
 	era := s.versions().Targets.Era
+	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.registered && s.registeredEra >= era
 }
--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -91,8 +91,8 @@
 	c := &s.content
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k := knownResponse{VMs: []thfleet.Identity{s.options.Self}}
 	d, list := c.table.Document(), c.targets.List()
+	k := knownResponse{VMs: []thfleet.Identity{s.options.Self}}
 	if d.Version > request.Table {
 		rows := len(d.Routes) + len(d.Services) + len(d.Customers)
 		var ok bool
@@ -103,6 +103,7 @@
 	if list.IsAfter(request.versions().Targets) {
 		var ok bool
 		if k.TargetChanges, ok = c.targetChanges.Since(request.TargetsDigest, len(list.Targets)); !ok {
+			list = c.recollection.WithKnowledge(list)
 			k.Targets = &list
 		}
 	}
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -6,7 +6,9 @@
 // zone, whose VMs fetch them from the leader; a deputy does so for a leader that
 // does not. A VM that hears of no recent read of both table and targets reads the
 // store itself, and one that cannot reach the store fetches from any VM that has
-// newer versions. Versions only rise.
+// newer versions. The table is ordered by its own version, which only rises, the list of
+// targets by its position in the store's history, since the store may come back from an
+// older copy of itself. What a VM knows of targets is not taken back by such a copy.
 package thsource
 
 import (
@@ -14,6 +16,7 @@
 	"sync"
 	"time"
 
+	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thfleet"
@@ -35,6 +38,8 @@
 	Join(ctx context.Context, self thfleet.Identity) ([]thfleet.Identity, error)
 	// Leave removes this VM from the list of VMs.
 	Leave(ctx context.Context, self thfleet.Identity) error
+	// Era returns the highest era that the store has told this VM; 0 if it has told none.
+	Era() uint64
 }
 
 // Fleet is the source's access to the other VMs.
@@ -58,6 +63,9 @@
 	// Roster returns the VMs that are known to run, this one included, and whether
 	// these are all members of the fleet.
 	Roster() (vms []thfleet.Identity, joined bool)
+	// NoteEra records an era of the store, and returns since when any VM is known to have seen
+	// it.
+	NoteEra(era uint64) thclock.Instant
 	// MarkJoined records that all members of the fleet are known, and IsJoined reports
 	// whether they are.
 	MarkJoined()
@@ -148,6 +156,8 @@
 	behindSince time.Time
 	// fleetReadAt is when this VM last read the store, or heard of a VM that had.
 	fleetReadAt time.Time
+	// olderTable is the last version of a table in the store that was older than this VM's.
+	olderTable uint64
 	// announced are the versions that this VM last announced.
 	announced thfleet.StoreVersions
 	// storeLostAt is when the store first failed to answer in the last outage.
@@ -182,7 +192,7 @@
 // and operators.
 type Status struct {
 	TableVersion uint64
-	// Targets is the position of the list of targets.
+	// Targets is the position of the list of targets, and TargetCount how many are in use.
 	Targets                    thtable.Position
 	TargetCount                int
 	IsReader, IsStoreReachable bool
@@ -193,11 +203,11 @@
 
 // Status returns the source's current status.
 func (s *Source) Status() Status {
-	table, list := s.content.currentTable(), s.content.currentTargets().List()
+	table, have, used := s.content.currentTable(), s.versions(), s.content.currentRecollection().Targets()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Status{
-		TableVersion: table.Version(), Targets: list.Position, TargetCount: len(list.Targets),
+		TableVersion: table.Version(), Targets: have.Targets, TargetCount: len(used),
 		IsReader: s.reader, IsStoreReachable: !s.storeLost, ReadAgeMillis: time.Since(s.answeredAt).Milliseconds(),
 	}
 }
@@ -265,6 +275,7 @@
 func (s *Source) syncTargets(ctx context.Context) {
 	delay := time.Duration(0)
 	for sleep(ctx, delay, s.targetsDue) {
+		s.updateTargets()
 		role := s.options.Fleet.Role()
 		s.setReader(role == thfleet.Reader)
 		switch {
@@ -359,16 +370,11 @@
 	return true
 }
 
-const (
-	// minOutage is how long the store must be unreachable before targets' entries
-	// can expire because of it. Targets renew their entries every 1.5 s and
-	// entries expire after 3 s, so one may have only 1.5 s left when an outage
-	// begins.
-	minOutage = 1500 * time.Millisecond
-	// relistTimeout is how long targets whose entries expired during an outage
-	// may take to be listed again.
-	relistTimeout = 2200 * time.Millisecond
-)
+// minOutage is how long the store must be unreachable before targets' entries
+// can expire because of it. Targets renew their entries every 1.5 s and
+// entries expire after 3 s, so one may have only 1.5 s left when an outage
+// begins.
+const minOutage = 1500 * time.Millisecond
 
 // recordFleetRead records that this or another VM has read the list of targets from the store
 // at the given time. If this VM can't read it and no other VM has read it for minOutage,
@@ -385,14 +391,14 @@
 		silentSince = s.fleetReadAt
 	}
 	if s.storeLost && at.Sub(silentSince) > minOutage {
-		s.keepUnlistedUntil = at.Add(relistTimeout)
+		s.keepUnlistedUntil = at.Add(thtable.RelistTimeout)
 	}
 	s.fleetReadAt = at
 }
 
 // applyStoreTargets applies a list that was read from the store, unless it holds
-// the same targets as the current one, under whatever version. For relistTimeout
-// after an outage, targets that are not listed are kept.
+// the same targets as the current one, under whatever version of the same era. For
+// thtable.RelistTimeout after an outage, targets that are not listed are kept.
 func (s *Source) applyStoreTargets(list thtable.TargetList) {
 	current := s.content.currentTargets().List()
 	s.mu.Lock()
@@ -400,7 +406,7 @@
 		list = list.WithRetained(current.Targets)
 	}
 	s.mu.Unlock()
-	if current.Era < list.Era || current.Version == 0 || !thtable.EqualTargets(current.Targets, list.Targets) {
+	if current.Era < list.Era || current.IsZero() || len(list.Left) > 0 || !thtable.EqualTargets(current.Targets, list.Targets) {
 		s.applyTargets(list)
 	}
 }
@@ -498,9 +504,24 @@
 		s.options.Log.Log(id, thevent.F("error", err.Error()), thevent.F("tookMillis", time.Since(startedAt).Milliseconds()))
 		return false, err
 	}
+	s.logOlderTable(d.Version)
 	return s.applyTable(d, sourceStore), nil
 }
 
+// logOlderTable logs that the store has an older table than this VM, once for each version.
+func (s *Source) logOlderTable(version uint64) {
+	have := s.versions()
+	s.mu.Lock()
+	isNew := version < have.Table && version != s.olderTable
+	if isNew {
+		s.olderTable = version
+	}
+	s.mu.Unlock()
+	if isNew {
+		s.options.Log.Log(thevent.TableKept, thevent.F("version", have.Table), thevent.F("inStore", version), thevent.F("era", have.Targets.Era))
+	}
+}
+
 func (s *Source) isStoreLost() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thfleet"
@@ -93,6 +94,8 @@
 
 func (s *fakeStore) Leave(context.Context, thfleet.Identity) error { return nil }
 
+func (s *fakeStore) Era() uint64 { return 0 }
+
 // fakeFleet is a Fleet in which the test sets whether this VM is the reader.
 type fakeFleet struct {
 	mu     sync.Mutex
@@ -114,6 +117,8 @@
 	return thfleet.Follower
 }
 
+func (f *fakeFleet) NoteEra(uint64) thclock.Instant { return thclock.System{}.Now() }
+
 func (f *fakeFleet) RoleBasis() thfleet.RoleBasis          { return thfleet.RoleBasis{} }
 func (f *fakeFleet) IsRelayDue(thfleet.StoreVersions) bool { return false }
 
@@ -283,6 +288,16 @@
 	g.waitForTargets(t, 3) // c is added, a is kept
 }
 
+// A store that comes back from a copy with the same targets must be followed in its new era, which
+// is also when this VM is listed there again.
+func TestNewEraIsFollowedThoughTargetsAreTheSame(t *testing.T) {
+	g := newFixture(t)
+	g.store.set(func(s *fakeStore) { s.list.Era, s.list.Version = 2, 0 })
+	for until := time.Now().Add(testTimeout); g.source.Status().Targets.Era != 2; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the list is at %v", g.source.Status().Targets)
+	}
+}
+
 // Every call to the store costs money, so a VM must stop reading targets once it
 // is no longer the reader.
 func TestFormerReaderStopsReadingTargets(t *testing.T) {
