thoperator, thcommand, thnode: show the era of the store

Cause: an operator could not see which VMs had heard that the store has come back from an older copy.

Change: status has the era of the list that each VM holds, in a column and in JSON, and store_era is a metric.

Ruled out: a list of the rows that were written again; the events name them.

--- a/io/thcommand/command_test.go
+++ b/io/thcommand/command_test.go
@@ -109,7 +109,7 @@
 		VM: "vm-2", Zone: "b", State: "ready", TableVersion: 7,
 		Targets: []thoperator.TargetStatus{{Service: "stock", Target: "t-1", Address: "10.0.0.1:80", State: "suspect", FailurePerMille: 961, PausedMillis: 2500}},
 	}, nil)
-	operators, _ := startVM(t, thoperator.VMStatus{VM: "vm-1", Zone: "a", State: "draining", StoreAnswers: true, TableAgeMillis: 1250, TargetsAgeMillis: thfleet.UnknownReadAge}, []thfleet.Identity{second, unreachable})
+	operators, _ := startVM(t, thoperator.VMStatus{VM: "vm-1", Zone: "a", State: "draining", StoreEra: 3, StoreAnswers: true, TableAgeMillis: 1250, TargetsAgeMillis: thfleet.UnknownReadAge}, []thfleet.Identity{second, unreachable})
 	return operators
 }
 
--- a/io/thcommand/status.go
+++ b/io/thcommand/status.go
@@ -45,7 +45,7 @@
 	if r.json {
 		return printJSON(r.streams.Out, f)
 	}
-	headings := []string{"vm", "zone", "state", "table version", "targets version", "store answers", "reads store", "table age", "targets age", "live vms", "in flight"}
+	headings := []string{"vm", "zone", "state", "table version", "targets version", "store era", "store answers", "reads store", "table age", "targets age", "live vms", "in flight"}
 	if err := writeTable(r.streams.Out, headings, tableRows(f.VMs, statusRow)); err != nil {
 		return err
 	}
@@ -55,7 +55,7 @@
 // statusRow returns the cells of a VM's row.
 func statusRow(s thoperator.VMStatus) []string {
 	return []string{
-		s.VM, s.Zone, s.State, strconv.FormatUint(s.TableVersion, 10), strconv.FormatUint(s.TargetsVersion, 10),
+		s.VM, s.Zone, s.State, strconv.FormatUint(s.TableVersion, 10), strconv.FormatUint(s.TargetsVersion, 10), strconv.FormatUint(s.StoreEra, 10),
 		yesNo(s.StoreAnswers), yesNo(s.IsReader), ageCell(s.TableAgeMillis), ageCell(s.TargetsAgeMillis), strconv.Itoa(s.LiveVMs), strconv.Itoa(s.InFlight),
 	}
 }
--- a/io/thnode/monitor.go
+++ b/io/thnode/monitor.go
@@ -119,6 +119,7 @@
 	gauge("request_body_bytes", func() float64 { return float64(m.node.ingress.BodyBytes()) })
 	gauge("table_version", func() float64 { return float64(m.node.source.Status().TableVersion) })
 	gauge("targets_version", func() float64 { return float64(m.node.source.Status().Targets.Version) })
+	gauge("store_era", func() float64 { return float64(m.node.source.Status().Targets.Era) })
 	gauge("targets_known", func() float64 { return float64(m.node.source.Status().TargetCount) })
 	gauge("store_answers", func() float64 { return boolToFloat(m.node.source.Status().IsStoreReachable) })
 	gauge("store_read_age_seconds", func() float64 { return float64(m.node.source.Status().ReadAgeMillis) / 1000 })
--- a/io/thnode/operators.go
+++ b/io/thnode/operators.go
@@ -90,7 +90,7 @@
 	sourceStatus, ages := n.source.Status(), n.monitor.readAges()
 	s := thoperator.VMStatus{
 		VM: n.options.Settings.VM.ID, Zone: n.options.Settings.VM.Zone, State: n.state(),
-		TableVersion: sourceStatus.TableVersion, TargetsVersion: sourceStatus.Targets.Version,
+		TableVersion: sourceStatus.TableVersion, TargetsVersion: sourceStatus.Targets.Version, StoreEra: sourceStatus.Targets.Era,
 		StoreAnswers: sourceStatus.IsStoreReachable, IsReader: sourceStatus.IsReader,
 		TableAgeMillis: ages.Table, TargetsAgeMillis: ages.Targets, InFlight: n.ingress.InFlight(),
 	}
--- a/io/thoperator/operator.go
+++ b/io/thoperator/operator.go
@@ -56,6 +56,8 @@
 	// of the targets that the VM uses.
 	TableVersion   uint64 `json:"tableVersion"`
 	TargetsVersion uint64 `json:"targetsVersion"`
+	// StoreEra is the era of the store that TargetsVersion belongs to.
+	StoreEra uint64 `json:"storeEra"`
 	// StoreAnswers is true if the VM's last call to the store was answered.
 	StoreAnswers bool `json:"storeAnswers"`
 	// IsReader is true if the VM reads the store on behalf of other VMs.
