thwire: end the attempts to connect by the time that is left

Cause: since the loop over attempts ended when the context had, which is told by a timer. Between the deadline and the timer, which fires late on a busy VM, each attempt failed at once with a timeout, and the loop spun.

No test: on a real kernel the window is some microseconds.

--- a/io/thwire/dial.go
+++ b/io/thwire/dial.go
@@ -23,10 +23,12 @@
 func dialRepeatedly(ctx context.Context, d net.Dialer, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	deadline, _ := ctx.Deadline() // there is one
 	for timeout := firstDialTimeout; ; timeout *= 2 {
+		left := time.Until(deadline)
 		d.Timeout = timeout
 		nc, err := d.DialContext(ctx, "tcp", address)
-		if err == nil || ctx.Err() != nil || !isTimeout(err) {
+		if err == nil || left <= timeout || !isTimeout(err) {
 			return nc, err
 		}
 	}
