--- a/io/thsend/fuzz_test.go
+++ b/io/thsend/fuzz_test.go
@@ -30,6 +30,7 @@
 			return "", false
 		}
 		body, err := io.ReadAll(r.Body)
+		_ = r.Body.Close() // it was read to its end, or the answer is not used
 		if err != nil {
 			return "", false
 		}
