--- a/core/thtable/recollection.go
+++ b/core/thtable/known.go
@@ -17,18 +17,18 @@
 	// restoredRelistTimeout is RelistTimeout for a store that has come back from an older copy,
 	// with the time until the list has been read once more and has reached all VMs.
 	restoredRelistTimeout = RelistTimeout + 800*time.Millisecond
-	// recollectionTime is how long a VM keeps what it knew against an older copy, and how long
+	// knowledgeTime is how long a VM keeps what it knew against an older copy, and how long
 	// it remembers targets that have left. Copies are some seconds old.
-	recollectionTime = time.Minute
+	knowledgeTime = time.Minute
 )
 
-// Recollection is what a VM remembers of targets, so that a list which the store has from an older
+// KnownTargets is what a VM remembers of targets, so that a list which the store has from an older
 // copy of itself does not take back what they have said since: a target that was draining or has
 // left gets no requests, and one that the copy does not know yet goes on to get them. It is
-// immutable; the zero Recollection remembers nothing.
-type Recollection struct {
+// immutable; the zero KnownTargets remembers nothing.
+type KnownTargets struct {
 	position Position
-	targets  map[string]recollected
+	targets  map[string]knownTarget
 	// eraSince is when the first VM is known to have seen the current era, relistBy when targets
 	// that a restored store does not list count as gone, and keepUntil until when what was known
 	// before is kept against its lists. They are zero if this VM has seen no other era.
@@ -37,8 +37,8 @@
 	dueAt thclock.Instant
 }
 
-// recollected is the last that a target has said of itself, as far as the VM knows.
-type recollected struct {
+// knownTarget is the last that a target has said of itself, as far as the VM knows.
+type knownTarget struct {
 	Target
 	// era is that of the list that said it.
 	era uint64
@@ -46,18 +46,18 @@
 	forgetAt thclock.Instant
 }
 
-func (t recollected) hasLeft() bool { return t.forgetAt != thclock.Instant{} }
+func (t knownTarget) hasLeft() bool { return t.forgetAt != thclock.Instant{} }
 
 // leaving returns the target as one that leaves the list of the era now.
-func (t recollected) leaving(now thclock.Instant, era uint64) recollected {
-	t.era, t.forgetAt = era, now.Add(recollectionTime)
+func (t knownTarget) leaving(now thclock.Instant, era uint64) knownTarget {
+	t.era, t.forgetAt = era, now.Add(knowledgeTime)
 	return t
 }
 
 // isNewerThan reports whether what is remembered of a target was said later than what a list of a
 // later era holds of it. Of two words that can't be ordered, the one by which the target gets no
 // requests counts.
-func (t recollected) isNewerThan(listed Target) bool {
+func (t knownTarget) isNewerThan(listed Target) bool {
 	order := cmp.Or(cmp.Compare(t.StartMillis, listed.StartMillis), cmp.Compare(t.Sequence, listed.Sequence))
 	return order > 0 || order == 0 && (t.hasLeft() || t.Draining)
 }
@@ -79,21 +79,21 @@
 	KeptUnlisted KeptReason = "unlisted"
 )
 
-// WithList returns the recollection after a list that is not before the last one, or after the same
+// WithList returns what is known after a list that is not before the last one, or after the same
 // one at a later time. If the list is the first one of its era, it also returns which targets the
 // VM keeps against it; eraSince is when the first VM is known to have seen that era, and has no
 // meaning for other lists.
-func (r Recollection) WithList(now thclock.Instant, list TargetList, eraSince thclock.Instant) (Recollection, []Kept) {
-	next := Recollection{
+func (r KnownTargets) WithList(now thclock.Instant, list TargetList, eraSince thclock.Instant) (KnownTargets, []Kept) {
+	next := KnownTargets{
 		position: list.Position, eraSince: r.eraSince, relistBy: r.relistBy, keepUntil: r.keepUntil,
-		targets: make(map[string]recollected, len(r.targets)+len(list.Targets)),
+		targets: make(map[string]knownTarget, len(r.targets)+len(list.Targets)),
 	}
 	isNewEra := !r.position.IsZero() && list.Era > r.position.Era
 	if isNewEra {
-		next.eraSince, next.relistBy, next.keepUntil = eraSince, eraSince.Add(restoredRelistTimeout), now.Add(recollectionTime)
+		next.eraSince, next.relistBy, next.keepUntil = eraSince, eraSince.Add(restoredRelistTimeout), now.Add(knowledgeTime)
 	}
 	known := next.withKnowledgeOf(now, r.targets, list)
-	if len(list.Kept) > 0 && next.relistBy == (thclock.Instant{}) {
+	if len(list.Earlier) > 0 && next.relistBy == (thclock.Instant{}) {
 		next.relistBy = eraSince.Add(restoredRelistTimeout)
 	}
 	kept := next.recordListed(now, known, list)
@@ -106,13 +106,13 @@
 
 // withKnowledgeOf returns what was known of targets, by this VM or the sender of the list. The list
 // may say something older if the store has it from an older copy.
-func (r *Recollection) withKnowledgeOf(now thclock.Instant, known map[string]recollected, list TargetList) map[string]recollected {
-	if len(list.Left)+len(list.Kept) == 0 {
+func (r *KnownTargets) withKnowledgeOf(now thclock.Instant, known map[string]knownTarget, list TargetList) map[string]knownTarget {
+	if len(list.Left)+len(list.Earlier) == 0 {
 		return known
 	}
-	all := make(map[string]recollected, len(known)+len(list.Left)+len(list.Kept))
+	all := make(map[string]knownTarget, len(known)+len(list.Left)+len(list.Earlier))
 	maps.Copy(all, known)
-	learn := func(word recollected) {
+	learn := func(word knownTarget) {
 		k, ok := all[word.ID]
 		switch {
 		case ok && k.hasLeft() && word.hasLeft() && k.StartMillis == word.StartMillis:
@@ -121,21 +121,21 @@
 		case ok && !word.isNewerThan(k.Target):
 			return
 		case word.era < r.position.Era:
-			r.keepUntil = r.keepUntil.Max(now.Add(recollectionTime))
+			r.keepUntil = r.keepUntil.Max(now.Add(knowledgeTime))
 		}
 		all[word.ID] = word
 	}
 	for _, l := range list.Left {
-		learn(recollected{Target: Target{ID: l.ID, StartMillis: l.StartMillis, Sequence: l.Sequence}}.leaving(now, l.Era))
+		learn(knownTarget{Target: Target{ID: l.ID, StartMillis: l.StartMillis, Sequence: l.Sequence}}.leaving(now, l.Era))
 	}
-	for _, k := range list.Kept {
-		learn(recollected{Target: k.Target, era: k.Era})
+	for _, k := range list.Earlier {
+		learn(knownTarget{Target: k.Target, era: k.Era})
 	}
 	return all
 }
 
 // recordListed records the targets of the list, or what was known of them if that is newer.
-func (r *Recollection) recordListed(now thclock.Instant, known map[string]recollected, list TargetList) (kept []Kept) {
+func (r *KnownTargets) recordListed(now thclock.Instant, known map[string]knownTarget, list TargetList) (kept []Kept) {
 	for _, t := range list.Targets {
 		k, ok := known[t.ID]
 		if ok && k.era < list.Era && now.Before(r.keepUntil) && k.isNewerThan(t) {
@@ -144,13 +144,13 @@
 			kept = append(kept, Kept{ID: t.ID, Why: k.reason()})
 			continue
 		}
-		r.targets[t.ID] = recollected{Target: t, era: list.Era}
+		r.targets[t.ID] = knownTarget{Target: t, era: list.Era}
 	}
 	return kept
 }
 
 // recordUnlisted records what was known of the targets that the list lacks.
-func (r *Recollection) recordUnlisted(now thclock.Instant, known map[string]recollected) (kept []Kept) {
+func (r *KnownTargets) recordUnlisted(now thclock.Instant, known map[string]knownTarget) (kept []Kept) {
 	for id, k := range known {
 		_, isListed := r.targets[id]
 		switch {
@@ -170,13 +170,13 @@
 }
 
 // noteDue records that Targets changes at a time.
-func (r *Recollection) noteDue(at thclock.Instant) {
+func (r *KnownTargets) noteDue(at thclock.Instant) {
 	if r.dueAt == (thclock.Instant{}) || at.Before(r.dueAt) {
 		r.dueAt = at
 	}
 }
 
-func (t recollected) reason() KeptReason {
+func (t knownTarget) reason() KeptReason {
 	switch {
 	case t.hasLeft():
 		return KeptLeft
@@ -188,13 +188,13 @@
 
 // IsDue reports whether WithList has to be called with the same list again, since the time has
 // come to which a target was kept.
-func (r Recollection) IsDue(now thclock.Instant) bool {
+func (r KnownTargets) IsDue(now thclock.Instant) bool {
 	return r.dueAt != (thclock.Instant{}) && !now.Before(r.dueAt)
 }
 
-// WithEraSince returns the recollection with the knowledge that a VM saw the era of the list at the
+// WithEraSince returns what is known if a VM saw the era of the list at the
 // given time.
-func (r Recollection) WithEraSince(since thclock.Instant) Recollection {
+func (r KnownTargets) WithEraSince(since thclock.Instant) KnownTargets {
 	if r.relistBy == (thclock.Instant{}) || !since.Before(r.eraSince) {
 		return r
 	}
@@ -204,7 +204,7 @@
 }
 
 // Targets returns the targets that are listed or kept, ordered by ID.
-func (r Recollection) Targets() []Target {
+func (r KnownTargets) Targets() []Target {
 	ts := make([]Target, 0, len(r.targets))
 	for _, t := range r.targets {
 		if !t.hasLeft() {
@@ -217,17 +217,17 @@
 
 // WithKnowledge returns the list, which is the last one, with what a VM that has just started needs
 // besides: which targets have left, and what is kept against the list.
-func (r Recollection) WithKnowledge(list TargetList) TargetList {
-	list.Left, list.Kept = nil, nil
+func (r KnownTargets) WithKnowledge(list TargetList) TargetList {
+	list.Left, list.Earlier = nil, nil
 	for _, t := range r.targets {
 		switch {
 		case t.hasLeft():
 			list.Left = append(list.Left, LeftTarget{ID: t.ID, StartMillis: t.StartMillis, Sequence: t.Sequence, Era: t.era})
 		case t.era < r.position.Era:
-			list.Kept = append(list.Kept, KeptTarget{Target: t.Target, Era: t.era})
+			list.Earlier = append(list.Earlier, EarlierTarget{Target: t.Target, Era: t.era})
 		}
 	}
 	slices.SortFunc(list.Left, func(a, b LeftTarget) int { return cmp.Compare(a.ID, b.ID) })
-	slices.SortFunc(list.Kept, func(a, b KeptTarget) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list.Earlier, func(a, b EarlierTarget) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/core/thtable/recollection_test.go
+++ b/core/thtable/known_test.go
@@ -150,7 +150,7 @@
 		{"and what has joined again in the same era", []step{{0, listAt(2, 50, []string{"a 7.8"}, leftWord("a 7.9", 2)), []string{"a 7.8"}}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			var r thtable.Recollection
+			var r thtable.KnownTargets
 			now := thclock.At(time.Hour)
 			for i, s := range c.steps {
 				now = now.Add(time.Duration(s.afterMillis) * time.Millisecond)
@@ -166,7 +166,7 @@
 
 func TestTargetsKeptAgainstCopyAreTold(t *testing.T) {
 	now := thclock.At(time.Hour)
-	var r thtable.Recollection
+	var r thtable.KnownTargets
 	r, _ = r.WithList(now, listAt(1, 100, []string{"a 7.3", "b 7.3", "c 7.3", "d 7.3", "e 7.3"}), now)
 	r, _ = r.WithList(now, listAt(1, 101, []string{"a 7.5d", "c 7.3", "d 7.6", "e 7.3"}, leftWord("b 7.4", 1)), now)
 	r, kept := r.WithList(now, listAt(2, 50, []string{"a 7.3", "b 7.3", "d 7.5", "e 7.3"}), now)
@@ -176,8 +176,8 @@
 	assert.Assert(t, r.IsDue(now.Add(3*time.Second)))
 	told := r.WithKnowledge(listAt(2, 50, []string{"a 7.3", "b 7.3", "d 7.5", "e 7.3"}))
 	assert.DeepEqual(t, told.Left, []thtable.LeftTarget{leftWord("b 7.4", 1)})
-	assert.DeepEqual(t, told.Kept, []thtable.KeptTarget{{Target: word("a 7.5d"), Era: 1}, {Target: word("c 7.3"), Era: 1}, {Target: word("d 7.6"), Era: 1}})
-	started, _ := thtable.Recollection{}.WithList(now, told, now)
+	assert.DeepEqual(t, told.Earlier, []thtable.EarlierTarget{{Target: word("a 7.5d"), Era: 1}, {Target: word("c 7.3"), Era: 1}, {Target: word("d 7.6"), Era: 1}})
+	started, _ := thtable.KnownTargets{}.WithList(now, told, now)
 	assert.DeepEqual(t, texts(started.Targets()), texts(r.Targets()))
 	started, _ = started.WithList(now.Add(time.Second), listAt(2, 51, []string{"a 7.3", "b 7.3", "d 7.5", "e 7.3"}), now)
 	assert.DeepEqual(t, texts(started.Targets()), texts(r.Targets()))
@@ -188,7 +188,7 @@
 // A VM that was cut off while the store came back kept targets that had left since.
 func TestUnlistedTargetsAreKeptFromTheBeginningOfTheEra(t *testing.T) {
 	now := thclock.At(time.Hour)
-	r, _ := thtable.Recollection{}.WithList(now, listAt(1, 100, []string{"a 7.3", "b 7.3"}), now)
+	r, _ := thtable.KnownTargets{}.WithList(now, listAt(1, 100, []string{"a 7.3", "b 7.3"}), now)
 	since := now.Add(time.Second)
 	late, kept := r.WithList(now.Add(10*time.Second), listAt(2, 50, []string{"b 7.3"}), since)
 	assert.DeepEqual(t, texts(late.Targets()), []string{"b 7.3"})
@@ -204,9 +204,9 @@
 }
 
 // Targets that left long ago are forgotten.
-func TestRecollectionIsBounded(t *testing.T) {
+func TestKnownTargetsAreBounded(t *testing.T) {
 	now := thclock.At(time.Hour)
-	var r thtable.Recollection
+	var r thtable.KnownTargets
 	for i := range uint64(500) {
 		r, _ = r.WithList(now, listAt(1, i+1, []string{fmt.Sprintf("t-%d 7.1", i)}), now)
 		now = now.Add(time.Second)
@@ -226,7 +226,7 @@
 		current := map[string]thtable.Target{}
 		last := map[string]thtable.Target{} // the newest word of each target, listed or not
 		gone := map[string]bool{}
-		var r thtable.Recollection
+		var r thtable.KnownTargets
 		position := thtable.Position{Era: 1, Version: 1}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "millis")) * time.Millisecond)
--- a/core/thtable/target.go
+++ b/core/thtable/target.go
@@ -35,14 +35,14 @@
 	// Position orders lists.
 	Position
 	Targets []Target `json:"targets"`
-	// Left holds targets that have recently left the list, and Kept what the sender of the list
-	// keeps against it. Neither is part of the content.
-	Left []LeftTarget `json:"left,omitempty"`
-	Kept []KeptTarget `json:"kept,omitempty"`
+	// Left holds targets that have recently left the list, and Earlier what the sender of the
+	// list keeps against it. Neither is part of the content.
+	Left    []LeftTarget    `json:"left,omitempty"`
+	Earlier []EarlierTarget `json:"earlier,omitempty"`
 }
 
-// KeptTarget is what a VM knows of a target, by a list of an earlier era of the store.
-type KeptTarget struct {
+// EarlierTarget is what a VM knows of a target, by a list of an earlier era of the store.
+type EarlierTarget struct {
 	Target
 	Era uint64 `json:"era"`
 }
--- a/io/thsource/content.go
+++ b/io/thsource/content.go
@@ -25,7 +25,7 @@
 	// targets is the list as it was read from the store, which all VMs hold alike. What this
 	// VM remembers decides which of them it uses.
 	targets       thtable.TargetSet
-	recollection  thtable.Recollection
+	known         thtable.KnownTargets
 	tableChanges  thtable.ChangeLog[thtable.TableChange]
 	targetChanges thtable.ChangeLog[thtable.TargetsChange]
 	// changed is closed, and replaced, when a newer table or list is applied.
@@ -103,38 +103,38 @@
 }
 
 // setTargets replaces the list of targets, whose era is known since the given time; see setTable.
-// It returns the recollection before, and what was kept against the list.
-func (c *content) setTargets(s thtable.TargetSet, eraSince thclock.Instant, changes []thtable.TargetsChange) (before thtable.Recollection, kept []thtable.Kept) {
+// It returns what was known before, and what was kept against the list.
+func (c *content) setTargets(s thtable.TargetSet, eraSince thclock.Instant, changes []thtable.TargetsChange) (before thtable.KnownTargets, kept []thtable.Kept) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	before = c.recollection
+	before = c.known
 	c.targets = s
-	c.recollection, kept = before.WithList(thclock.System{}.Now(), s.List(), eraSince)
+	c.known, kept = before.WithList(thclock.System{}.Now(), s.List(), eraSince)
 	c.targetChanges = extended(c.targetChanges, changes)
 	close(c.changed)
 	c.changed = make(chan struct{})
 	return before, kept
 }
 
-// updateRecollection removes targets from use whose time has passed to be listed again, given since
-// when the list's era is known. It returns the recollection before, and false if there is none.
-func (c *content) updateRecollection(eraSince thclock.Instant) (before thtable.Recollection, changed bool) {
+// updateKnown removes targets from use whose time has passed to be listed again, given since
+// when the list's era is known. It returns what was known before, and false if nothing changes.
+func (c *content) updateKnown(eraSince thclock.Instant) (before thtable.KnownTargets, changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := thclock.System{}.Now()
-	before = c.recollection
-	c.recollection = before.WithEraSince(eraSince)
-	if !c.recollection.IsDue(now) {
+	before = c.known
+	c.known = before.WithEraSince(eraSince)
+	if !c.known.IsDue(now) {
 		return before, false
 	}
-	c.recollection, _ = c.recollection.WithList(now, c.targets.List(), eraSince)
+	c.known, _ = c.known.WithList(now, c.targets.List(), eraSince)
 	return before, true
 }
 
-func (c *content) currentRecollection() thtable.Recollection {
+func (c *content) knownTargets() thtable.KnownTargets {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.recollection
+	return c.known
 }
 
 func extended[C thtable.Change](l thtable.ChangeLog[C], changes []C) thtable.ChangeLog[C] {
@@ -256,15 +256,15 @@
 func (s *Source) updateTargets() {
 	s.content.applying.Lock()
 	defer s.content.applying.Unlock()
-	if before, changed := s.content.updateRecollection(s.options.Fleet.NoteEra(s.versions().Targets.Era)); changed {
+	if before, changed := s.content.updateKnown(s.options.Fleet.NoteEra(s.versions().Targets.Era)); changed {
 		s.useTargets(before)
 	}
 }
 
 // useTargets hands on the targets to use, and logs which were listed, began to drain or are gone
 // since before.
-func (s *Source) useTargets(before thtable.Recollection) {
-	used, version := s.content.currentRecollection().Targets(), s.versions().Targets.Version
+func (s *Source) useTargets(before thtable.KnownTargets) {
+	used, version := s.content.knownTargets().Targets(), s.versions().Targets.Version
 	s.options.ApplyTargets(used)
 	remaining := make(map[string]thtable.Target)
 	for _, t := range before.Targets() {
--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -103,7 +103,7 @@
 	if list.IsAfter(request.versions().Targets) {
 		var ok bool
 		if k.TargetChanges, ok = c.targetChanges.Since(request.TargetsDigest, len(list.Targets)); !ok {
-			list = c.recollection.WithKnowledge(list)
+			list = c.known.WithKnowledge(list)
 			k.Targets = &list
 		}
 	}
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -203,7 +203,7 @@
 
 // Status returns the source's current status.
 func (s *Source) Status() Status {
-	table, have, used := s.content.currentTable(), s.versions(), s.content.currentRecollection().Targets()
+	table, have, used := s.content.currentTable(), s.versions(), s.content.knownTargets().Targets()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Status{
