thview, thsource: tell VMs that start which targets leave by their own word

Cause: such a mark is held by the VMs that heard it or were told when it was set; nothing told it to a VM that came later.

Ruled out: a flag in the list of targets; the list is what the store says, and the mark must not end with a newer list.

Change: the answer to a VM that needs the whole list has the targets that leave with their start times, and that VM marks them once it has the list.

--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -54,10 +54,10 @@
 // LeavingTarget reports that a target has said that it leaves.
 type LeavingTarget struct {
 	_      struct{} `cbor:",toarray"`
-	Target Key
+	Target Key      `json:"target"`
 	// StartMillis is the start time of the target's process. A later process with the same
 	// ID does not leave.
-	StartMillis int64
+	StartMillis int64 `json:"start"`
 }
 
 // UnknownLatencyRatio is the LatencyRatio of an attempt whose time says nothing about
--- a/core/thview/leaving.go
+++ b/core/thview/leaving.go
@@ -17,6 +17,20 @@
 	return true
 }
 
+// LeavingTargets returns the targets that have said that they leave, for a VM that starts.
+func (v *View) LeavingTargets() []thfleet.LeavingTarget {
+	var leaving []thfleet.LeavingTarget
+	for _, t := range v.targets {
+		if t.leaving {
+			leaving = append(leaving, thfleet.LeavingTarget{Target: t.key, StartMillis: t.StartMillis})
+		}
+	}
+	return leaving
+}
+
+// NoteLeaving records targets that another VM knows to leave.
+func (v *View) NoteLeaving(targets []thfleet.LeavingTarget) { v.receiveLeaving(targets) }
+
 // receiveLeaving records the targets that another VM reports as leaving, and reports whether
 // there are new ones.
 func (v *View) receiveLeaving(targets []thfleet.LeavingTarget) (isNew bool) {
--- a/io/thnode/leaving_test.go
+++ b/io/thnode/leaving_test.go
@@ -33,3 +33,25 @@
 	}
 	assert.Equal(t, len(g.targets[0].Runs()), before)
 }
+
+// A VM that starts is told of such a target, and sends it nothing.
+func TestStartingVMLearnsWhichTargetsLeave(t *testing.T) {
+	g := newFixture(t, 1, 3)
+	g.targets[0].SetBehaviour(thfake.TargetBehaviour{LatencyMillis: 2, Leaving: true})
+	for before := -1; before != len(g.targets[0].Runs()) || before == 0; {
+		before = len(g.targets[0].Runs())
+		for range 20 {
+			status, _ := g.call(0, http.MethodGet, "/safe/look", "")
+			assert.Equal(t, status, http.StatusOK)
+		}
+	}
+	g.seeds = []string{g.peers[0]}
+	g.start("late")
+	g.waitUntil("the VM is ready", g.nodes[1].IsReady)
+	before := len(g.targets[0].Runs())
+	for range 60 {
+		status, _ := g.call(1, http.MethodGet, "/safe/look", "")
+		assert.Equal(t, status, http.StatusOK)
+	}
+	assert.Equal(t, len(g.targets[0].Runs()), before)
+}
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -316,6 +316,15 @@
 	return since
 }
 
+func (f fleetAdapter) LeavingTargets() (leaving []thfleet.LeavingTarget) {
+	f.node.forwarder.WithView(func(_ thclock.Instant, v *thview.View) { leaving = v.LeavingTargets() })
+	return leaving
+}
+
+func (f fleetAdapter) NoteLeaving(targets []thfleet.LeavingTarget) {
+	f.node.forwarder.WithView(func(_ thclock.Instant, v *thview.View) { v.NoteLeaving(targets) })
+}
+
 func (f fleetAdapter) MarkJoined() { f.node.forwarder.MarkJoined() }
 
 func (f fleetAdapter) AnnounceVersions(versions thfleet.StoreVersions, own thfleet.ReadAges, elsewhere bool) {
--- a/io/thnode/node_test.go
+++ b/io/thnode/node_test.go
@@ -47,7 +47,10 @@
 	callers   []string
 	operators []string
 	metrics   []string
-	client    *http.Client
+	// peers are the addresses on which each node serves the other VMs, and seeds those that
+	// nodes which start from now on ask first.
+	peers, seeds []string
+	client       *http.Client
 	// sent counts the requests, for their IDs.
 	sent int
 }
@@ -124,13 +127,13 @@
 	g.stores = append(g.stores, &vmStore{Store: g.store})
 	n, err := thnode.Start(thnode.Options{
 		Settings: s, Store: g.stores[len(g.stores)-1], HeaderNames: thmessage.DefaultHeaderNames(), Log: thevent.Discard{},
-		LiveSettings: thnode.LiveSettings{RetryBudget: thpick.RetryBudgetRule{Window: 10 * time.Second, Ratio: 0.2, Slack: 60}, FloorShare: 0.5, GracePeriod: time.Second},
+		LiveSettings: thnode.LiveSettings{RetryBudget: thpick.RetryBudgetRule{Window: 10 * time.Second, Ratio: 0.2, Slack: 60}, FloorShare: 0.5, GracePeriod: time.Second, Seeds: g.seeds},
 	})
 	assert.NilError(g.t, err)
 	g.t.Cleanup(n.Stop)
 	g.nodes = append(g.nodes, n)
 	g.callers, g.operators = append(g.callers, s.Listen.Callers), append(g.operators, s.Listen.Operators)
-	g.metrics = append(g.metrics, s.Listen.Metrics)
+	g.metrics, g.peers = append(g.metrics, s.Listen.Metrics), append(g.peers, s.Listen.Peers)
 }
 
 // waitUntil waits until the condition holds.
--- a/io/thsource/membership.go
+++ b/io/thsource/membership.go
@@ -165,7 +165,7 @@
 			newest.Table, source = k.Table, p.Address
 		}
 		if k.Targets != nil {
-			newest.Targets = k.Targets
+			newest.Targets, newest.Leaving = k.Targets, append(newest.Leaving, k.Leaving...)
 		}
 		if answers == peersComparedAtStart {
 			break
--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -48,6 +48,9 @@
 	Targets       *thtable.TargetList     `json:"targets,omitempty"`
 	TargetChanges []thtable.TargetsChange `json:"targetChanges,omitempty"`
 	VMs           []thfleet.Identity      `json:"vms,omitempty"`
+	// Leaving holds the targets that have said that they leave, if Targets is set: a VM that
+	// needs the whole list has mostly just started.
+	Leaving []thfleet.LeavingTarget `json:"leaving,omitempty"`
 }
 
 // answerCache holds the answer to the call /known that was encoded last. The VMs of
@@ -72,9 +75,12 @@
 
 // encodeAnswer returns the answer to the call /known.
 func (s *Source) encodeAnswer(request knownRequest) (thwire.Encoded, error) {
+	k, versions := s.newerThan(request)
+	if k.Targets != nil {
+		k.Leaving = s.options.Fleet.LeavingTargets()
+	}
 	s.answers.mu.Lock()
 	defer s.answers.mu.Unlock()
-	k, versions := s.newerThan(request)
 	if s.answers.request == request && s.answers.versions == versions {
 		return s.answers.answer, nil
 	}
@@ -272,6 +278,7 @@
 	}
 	if k.Targets != nil {
 		s.applyTargets(*k.Targets)
+		s.options.Fleet.NoteLeaving(k.Leaving)
 	} else {
 		targetsErr = s.applyTargetChanges(k.TargetChanges)
 	}
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -66,6 +66,10 @@
 	// NoteEra records an era of the store, and returns since when any VM is known to have seen
 	// it.
 	NoteEra(era uint64) thclock.Instant
+	// LeavingTargets returns the targets that have said that they leave, and NoteLeaving records
+	// those that another VM knows.
+	LeavingTargets() []thfleet.LeavingTarget
+	NoteLeaving(targets []thfleet.LeavingTarget)
 	// MarkJoined records that all members of the fleet are known, and IsJoined reports
 	// whether they are.
 	MarkJoined()
--- a/io/thsource/source_test.go
+++ b/io/thsource/source_test.go
@@ -119,6 +119,10 @@
 
 func (f *fakeFleet) NoteEra(uint64) thclock.Instant { return thclock.System{}.Now() }
 
+func (f *fakeFleet) LeavingTargets() []thfleet.LeavingTarget { return nil }
+
+func (f *fakeFleet) NoteLeaving([]thfleet.LeavingTarget) {}
+
 func (f *fakeFleet) RoleBasis() thfleet.RoleBasis          { return thfleet.RoleBasis{} }
 func (f *fakeFleet) IsRelayDue(thfleet.StoreVersions) bool { return false }
 
