thmemory, thingress, thnode: bound all that callers make a VM hold by one account

Cause: the bytes of a body were counted as they arrived, while the buffer was made as soon as a chunk's head announced it and again each time it doubled; heads, connections and unread answers were counted nowhere. With the settings of a machine of 136 MB, 60 bodies in chunks of 4 MiB ended the process.

Ruled out: a limit on the number of bodies (one chunk of 60 MiB is enough), the library's own reader with smaller buffers (it allocates what a chunk announces).

An answer with both a length and chunks is malformed.

--- a/cmd/tamarackhollow/front.go
+++ b/cmd/tamarackhollow/front.go
@@ -57,6 +57,6 @@
 	bounds, err := platform.ParseBounds(s.Platform.Bounds)
 	return thnode.LiveSettings{
 		RetryBudget: bounds.RetryBudget, FloorShare: bounds.FloorShare, GracePeriod: bounds.GracePeriod,
-		Seeds: s.Peers.Seeds, MemoryMegabytes: s.VM.MemoryMegabytes,
+		Seeds: s.Peers.Seeds, MemoryMegabytes: s.VM.MemoryMegabytes, MaxConnections: s.Listen.MaxConnections,
 	}, err
 }
--- a/core/thevent/platform.go
+++ b/core/thevent/platform.go
@@ -20,6 +20,8 @@
 	StoreEraUnreadable ID = 712
 	TargetKept         ID = 713
 	TableKept          ID = 714
+	ZoneEvacuated      ID = 715
+	ZoneReleased       ID = 716
 )
 
 var platformEvents = []Event{
@@ -38,4 +40,6 @@
 	{StoreEraUnreadable, Warn, "storeEraUnreadable", "an answer of the platform's store has an era that cannot be read; the last one counts"},
 	{TargetKept, Info, "targetKept", "the platform's store has come back with something older of a target than this VM knows"},
 	{TableKept, Info, "tableKept", "the platform's store has an older routing table than this VM, which keeps its own"},
+	{ZoneEvacuated, Warn, "zoneEvacuated", "the operator's order to evacuate an availability zone is in force on this VM, which sends no requests to the zone's targets"},
+	{ZoneReleased, Warn, "zoneReleased", "an availability zone is no longer evacuated on this VM"},
 }
--- a/core/thevent/target.go
+++ b/core/thevent/target.go
@@ -13,6 +13,8 @@
 	TargetSaidLeaving ID = 510
 	TargetPaused      ID = 511
 	PauseIgnored      ID = 512
+	TargetCold        ID = 513
+	TargetWarm        ID = 514
 )
 
 var targetEvents = []Event{
@@ -25,5 +27,7 @@
 	{FloorReleased, Info, "floorReleased", "a service's floor is no longer enforced"},
 	{TargetPaused, Info, "targetPaused", "a target has turned a request away and asked for a pause, in which this VM sends it none"},
 	{PauseIgnored, Warn, "pauseIgnored", "a target has asked for a pause whose length could not be read"},
+	{TargetCold, Info, "targetCold", "a target is cold, and gets no more requests than its service's bound for cold targets allows"},
+	{TargetWarm, Info, "targetWarm", "a target is no longer cold"},
 	{TargetSaidLeaving, Info, "targetSaidLeaving", "a target has said in an answer that it leaves, and gets no new requests"},
 }
--- a/core/thmemory/ledger.go
+++ b/core/thmemory/ledger.go
@@ -23,15 +23,30 @@
 // Hold counts further bytes as the holder's. It returns false, and counts nothing, if all
 // bytes would exceed the limit, or the holder's would exceed its part.
 func (l *Ledger) Hold(holder string, bytes int64) bool {
-	if l.limit > 0 && l.held[holder]+bytes > ownPart*(l.limit-l.used-bytes) {
+	if !l.hasRoom(bytes, 0) || !l.isWithinPart(holder, bytes) {
 		return false
 	}
+	l.add(holder, bytes)
+	return true
+}
+
+// hasRoom reports whether the limit has room for further bytes and the reserved ones.
+func (l *Ledger) hasRoom(bytes, reserved int64) bool {
+	return l.limit <= 0 || l.used+bytes+reserved <= l.limit
+}
+
+// isWithinPart reports whether the holder's part has room for further bytes.
+func (l *Ledger) isWithinPart(holder string, bytes int64) bool {
+	return l.limit <= 0 || l.held[holder]+bytes <= ownPart*(l.limit-l.used-bytes)
+}
+
+// add counts further bytes as the holder's, whatever the limit.
+func (l *Ledger) add(holder string, bytes int64) {
 	if l.held == nil {
 		l.held = make(map[string]int64)
 	}
 	l.used += bytes
 	l.held[holder] += bytes
-	return true
 }
 
 // Release gives back bytes that the holder has.
--- a/core/thmessage/message.go
+++ b/core/thmessage/message.go
@@ -28,7 +28,7 @@
 	// Header holds the fields to pass on: neither hop-by-hop fields nor those meant
 	// for the proxy itself.
 	Header  []HeaderField
-	Body    []byte
+	Body    Body
 	Arrived thclock.Instant
 	// Objective is the instant up to which an answer meets the route's latency
 	// objective.
@@ -64,6 +64,11 @@
 	// Leaving are the names of the field whose value is 1 in the answers of a target that
 	// leaves, whatever their status.
 	Leaving []string
+	// Cold carries for how many more milliseconds a target is cold, in its answers.
+	Cold string
+	// ServerLoad carries a target's running and waiting requests and its slots, separated by
+	// commas, in its answers.
+	ServerLoad string
 	// ReservedPrefix is the prefix of the fields that callers may not set, except
 	// RequestID and Deadline.
 	ReservedPrefix string
@@ -74,7 +79,8 @@
 func DefaultHeaderNames() HeaderNames {
 	return HeaderNames{
 		RequestID: "Tamarack-Request-Id", Deadline: "Tamarack-Deadline-Millis", Target: "Tamarack-Target",
-		Customer: "Tamarack-Customer", Signature: "Tamarack-Signature", NotRun: "Tamarack-Not-Run", Leaving: []string{"Tamarack-Leaving"}, ReservedPrefix: "Tamarack-",
+		Customer: "Tamarack-Customer", Signature: "Tamarack-Signature", NotRun: "Tamarack-Not-Run", Leaving: []string{"Tamarack-Leaving"},
+		Cold: "Tamarack-Cold-Millis", ServerLoad: "Tamarack-Server-Load", ReservedPrefix: "Tamarack-",
 	}
 }
 
--- a/core/thquarantine/key.go
+++ b/core/thquarantine/key.go
@@ -30,6 +30,8 @@
 		_, _ = digest.Write(size[:])
 		_, _ = digest.WriteString(s)
 	}
-	_, _ = digest.Write(request.Body)
+	for _, piece := range request.Body {
+		_, _ = digest.Write(piece)
+	}
 	return Key{Customer: request.Customer.Name, Hash: digest.Sum64()}
 }
--- a/core/thsettings/definition.go
+++ b/core/thsettings/definition.go
@@ -20,6 +20,7 @@
 	minCredentialLength = 8
 	maxCredentialLength = 256
 	maxMegabytes        = 1 << 20
+	maxConnections      = 1 << 20
 )
 
 // definitions returns all settings; their values are stored in s.
@@ -31,6 +32,7 @@
 		{"vm.memoryMegabytes", "memory that the process may use, in megabytes; 0 sets no limit", &integerValue[int]{&s.VM.MemoryMegabytes, 0, maxMegabytes}, false, true},
 		{"vm.firstStart", "whether the whole fleet starts for the first time", &boolValue{&s.VM.FirstStart}, false, true},
 		{"listen.callers", "address that callers connect to", &addressValue{&s.Listen.Callers}, true, false},
+		{"listen.maxConnections", "connections of callers that may be open; 0 derives it from memory and descriptors", &integerValue[int]{&s.Listen.MaxConnections, 0, maxConnections}, false, true},
 		{"listen.peers", "address that other VMs connect to", &addressValue{&s.Listen.Peers}, true, false},
 		{"listen.readiness", "address for the load balancer's readiness checks", &addressValue{&s.Listen.Readiness}, false, false},
 		{"listen.operators", "address that operators' commands connect to", &addressValue{&s.Listen.Operators}, true, false},
--- a/core/thsettings/settings.go
+++ b/core/thsettings/settings.go
@@ -26,7 +26,10 @@
 // Listen holds the addresses that the process listens on, each "IP:port".
 type Listen struct {
 	Callers string
-	Peers   string
+	// MaxConnections bounds the connections of callers; 0 derives it from the memory and the
+	// number of descriptors that the process may have.
+	MaxConnections int
+	Peers          string
 	// Operators is where operators ask for status and reports.
 	Operators string
 	// Readiness is where the load balancer checks over HTTP whether the VM is
--- a/io/thhttp/head.go
+++ b/io/thhttp/head.go
@@ -12,6 +12,10 @@
 	lineEnd = []byte("\r\n")
 )
 
+// errLengthAndEncoding means that an answer has a Content-Length and a Transfer-Encoding, so that its
+// end is ambiguous (RFC 9112, section 6.3).
+var errLengthAndEncoding = errors.New("malformed head: a length and a transfer encoding")
+
 // CheckHead waits for the head of an answer and returns an error unless it is well formed. It
 // reads nothing from br, whose buffer has to hold the head.
 //
@@ -38,16 +42,27 @@
 	if err != nil {
 		return err
 	}
+	var hasLength, hasEncoding bool
 	for len(fields) > 0 {
 		var field []byte
 		field, fields, _ = bytes.Cut(fields, lineEnd)
 		if err := checkField(field, version); err != nil {
 			return err
 		}
+		hasLength = hasLength || isNamed(field, "Content-Length")
+		hasEncoding = hasEncoding || isNamed(field, "Transfer-Encoding")
+	}
+	if hasLength && hasEncoding {
+		return errLengthAndEncoding
 	}
 	return nil
 }
 
+// isNamed reports whether a well-formed header field has the name.
+func isNamed(field []byte, name string) bool {
+	return len(field) > len(name) && field[len(name)] == ':' && bytes.EqualFold(field[:len(name)], []byte(name))
+}
+
 const (
 	http10 = "HTTP/1.0"
 	http11 = "HTTP/1.1"
--- a/io/thingress/body.go
+++ b/io/thingress/body.go
@@ -1,123 +1,101 @@
 package thingress
 
 import (
-	"errors"
-	"io"
-	"sync"
 	"time"
 
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thmemory"
 	"tamarackhollow/core/thmessage"
 
 	"github.com/valyala/fasthttp"
 )
 
-// chunkedFactor is how many times its length the buffer of a chunked body may take, since
-// the buffer doubles as it grows.
-const chunkedFactor = 2
-
-// retryAfterBody is the time after which a caller may return whose body had no room. Bodies
+// retryAfterBody is the time after which a caller may return whose request had no room. Bodies
 // take seconds to arrive.
 const retryAfterBody = time.Second
 
-// errBodyMemory means that the bodies that are held leave no room for one more.
-var errBodyMemory = errors.New("the bodies of requests take all memory that is left for them")
-
-// bodyMemory counts the bodies that the VM holds for callers, by customer.
-type bodyMemory struct {
-	mu sync.Mutex
-	// ledger is guarded by mu.
-	ledger thmemory.Ledger
-}
+// paceBytes is how much of a body arrives between two looks at its pace, since a body may come in
+// chunks of a byte.
+const paceBytes = 1 << 10
 
-// heldBody is the memory of one request's body. The zero value holds nothing.
-type heldBody struct {
-	memory *bodyMemory
-	// holder is the name of the customer, or empty if the request has no valid key.
-	holder string
-	bytes  int64
+// incoming is a request that has been read.
+type incoming struct {
+	request *thmessage.Request
+	refusal *Refusal
+	// held is what the request holds, nil if its head could not be read.
+	held *holding
 }
 
-// grow holds more bytes. It returns false if there is no room for them.
-func (h *heldBody) grow(bytes int64) bool {
-	h.memory.mu.Lock()
-	defer h.memory.mu.Unlock()
-	if !h.memory.ledger.Hold(h.holder, bytes) {
-		return false
+// readBody reads the body of the request, whose head has been read. It does not keep the body of a
+// request that is refused anyway.
+func (c *connection) readBody(q *fasthttp.Request, l limits, held *holding, isRefused bool, arrived thclock.Instant) (thmessage.Body, error) {
+	const chunked = -1 // fasthttp's content length of a chunked request
+	length := q.Header.ContentLength()
+	if length > l.bodyBytes {
+		return nil, fasthttp.ErrBodyTooLarge
 	}
-	h.bytes += bytes
-	return true
-}
-
-// release gives back what is held.
-func (h *heldBody) release() {
-	if h.bytes == 0 {
-		return
+	p := c.newPacer(held, time.Now().Add(min(bodyTimeout, c.server.timeLeft(q, arrived))))
+	r := bodyReader{input: c.input, grow: held.grow, received: p.add, discards: isRefused}
+	if length != chunked {
+		return r.body, r.read(max(0, length), 0)
 	}
-	h.memory.mu.Lock()
-	defer h.memory.mu.Unlock()
-	h.memory.ledger.Release(h.holder, h.bytes)
-	h.bytes = 0
+	if err := r.readChunks(l.bodyBytes); err != nil {
+		return nil, err
+	}
+	return r.body, unexpectedEnd(q.Header.ReadTrailer(c.input))
 }
 
-// LimitBodies bounds the bytes of all requests' bodies that the server holds; 0 means no
-// bound. A customer may take three quarters of what the others leave.
-func (s *Server) LimitBodies(bytes int64) {
-	s.bodies.mu.Lock()
-	defer s.bodies.mu.Unlock()
-	s.bodies.ledger.SetLimit(bytes)
+// pacer bounds the time to read a body by its pace.
+type pacer struct {
+	c    *connection
+	held *holding
+	pace thmemory.Pace
+	// until is when the body has to be complete.
+	until time.Time
+	// bytes are those that pace does not have yet.
+	bytes int
 }
 
-// BodyBytes returns the bytes of all requests' bodies that the server holds.
-func (s *Server) BodyBytes() int64 {
-	s.bodies.mu.Lock()
-	defer s.bodies.mu.Unlock()
-	return s.bodies.ledger.Used()
+// newPacer begins to bound the reading of a body that has to be complete at the given time.
+func (c *connection) newPacer(held *holding, until time.Time) *pacer {
+	p := &pacer{c: c, held: held, pace: thmemory.NewPace(c.server.options.Clock.Now(), c.server.options.BodyPace), until: until}
+	p.setDeadline()
+	return p
 }
 
-// holdBody returns what the body of the request, whose head has been read, holds: nothing
-// yet.
-func (s *Server) holdBody(q *fasthttp.Request) heldBody {
-	var keyed thmessage.Request
-	if s.authenticate(q, &keyed) != nil {
-		return heldBody{memory: &s.bodies} // it will be refused
+// add counts bytes that have arrived.
+func (p *pacer) add(bytes int) {
+	if p.bytes += bytes; p.bytes < paceBytes {
+		return
 	}
-	return heldBody{memory: &s.bodies, holder: keyed.Customer.Name}
+	p.held.progress(p.bytes)
+	p.pace = p.pace.WithReceived(p.c.server.options.Clock.Now(), p.bytes)
+	p.bytes = 0
+	p.setDeadline()
 }
 
-// readBody reads the body of the request, whose head has been read, and returns it with
-// what it holds, also if it returns an error.
-func (c *connection) readBody(q *fasthttp.Request, l limits) (body []byte, held heldBody, err error) {
-	length := q.Header.ContentLength()
-	switch {
-	case length > l.bodyBytes:
-		return nil, held, fasthttp.ErrBodyTooLarge
-	case length > 0:
-		if held = c.server.holdBody(q); !held.grow(int64(length)) {
-			return nil, held, errBodyMemory
+func (p *pacer) setDeadline() {
+	until := p.until
+	if deadline, ok := p.pace.Deadline(); ok {
+		paced := time.Now().Add(deadline.Sub(p.c.server.options.Clock.Now()))
+		if paced.Before(until) {
+			until = paced
 		}
-		body = make([]byte, length)
-		_, err = io.ReadFull(c.input, body)
-		return body, held, err
-	case length == 0:
-		return nil, held, nil
 	}
-	held = c.server.holdBody(q)
-	if !held.grow(chunkedFactor * int64(c.input.Buffered())) {
-		return nil, held, errBodyMemory
-	}
-	c.reading = &held
-	defer func() { c.reading = nil }()
-	err = q.ContinueReadBody(c.input, l.bodyBytes, false)
-	return q.SwapBody(nil), held, err
+	p.c.setReadUntil(until)
 }
 
-// Read reads from the caller. It returns errBodyMemory if there is no room for what it has
-// read of a chunked body.
-func (c *connection) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if err == nil && c.reading != nil && !c.reading.grow(chunkedFactor*int64(n)) {
-		return 0, errBodyMemory // fasthttp ignores an error that comes with bytes
+// ownerOf returns to whom a request is charged.
+func (s *Server) ownerOf(request *thmessage.Request, refusal *Refusal) thmemory.Owner {
+	return thmemory.Owner{
+		Customer: request.Customer.Name,
+		HasKey:   refusal == nil && (request.Customer.Name != "" || !s.options.Table().RequiresKey()),
 	}
-	return n, err
+}
+
+// isFinal reports whether a request that has been refused by its head stays refused whatever happens
+// while its body arrives.
+func isFinal(refusal *Refusal) bool {
+	return refusal != nil && !therror.Is(refusal.Err, therror.NotReady)
 }
--- a/io/thingress/closing.go
+++ b/io/thingress/closing.go
@@ -9,6 +9,9 @@
 	// quietTimeout is how long a caller has to send nothing for the connection to be closed
 	// before that.
 	quietTimeout = 2 * time.Second
+	// displacedCloseTimeout is closeTimeout for a caller that had to give way to others. It had
+	// stalled, and its connection may be what others wait for.
+	displacedCloseTimeout = 200 * time.Millisecond
 )
 
 // stopReading makes the reader accept no further request unless it has begun to read one.
@@ -27,7 +30,11 @@
 // the caller's system drop what it has not read of the reply.
 func (c *connection) closeAfterReply() {
 	c.mu.Lock()
-	c.discardUntil = time.Now().Add(closeTimeout)
+	timeout := closeTimeout
+	if c.closesSoon {
+		timeout = displacedCloseTimeout
+	}
+	c.discardUntil = time.Now().Add(timeout)
 	c.setDiscardDeadline()
 	c.mu.Unlock()
 	c.cancel()
--- a/io/thingress/connection.go
+++ b/io/thingress/connection.go
@@ -10,6 +10,7 @@
 
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thmemory"
 	"tamarackhollow/core/thmessage"
 
 	"github.com/valyala/fasthttp"
@@ -42,8 +43,9 @@
 	done  chan struct{}
 	// written is closed once the reply has been written or dropped.
 	written chan struct{}
-	// held is what the request's body holds until the call is complete.
-	held heldBody
+	// held is what the request holds, and then its answer until it has been written. It is nil if
+	// the request could not be read.
+	held *holding
 }
 
 // connection is one caller's connection. One goroutine, the reader, reads the
@@ -55,9 +57,8 @@
 	server *Server
 	input  *bufio.Reader
 	calls  chan *call
-	// reading is the chunked body that is being read, nil if none is. Only the reader
-	// uses it.
-	reading *heldBody
+	// held is what the connection holds without its requests. It is set before any is read.
+	held holding
 	// ctx is cancelled when the caller closes the connection or no further reply
 	// is to be written.
 	ctx    context.Context
@@ -69,6 +70,15 @@
 	// awaitingRequest is set while the reader waits for the first byte of a
 	// request.
 	awaitingRequest bool
+	// isWriting is set while a reply is being written.
+	isWriting bool
+	// isReading is set while the rest of a request is being read whose head has been.
+	isReading bool
+	// displaced is set once the connection has to end what it reads, so that others get its
+	// memory.
+	displaced bool
+	// closesSoon is set if the connection has to end soon after its last reply.
+	closesSoon bool
 	// fullyRead is set while no byte after the last request has been received, so
 	// that closing the connection loses no request.
 	fullyRead bool
@@ -95,6 +105,11 @@
 // and none of its requests is in flight.
 func (c *connection) serve() {
 	defer c.server.removeConnection(c)
+	if !c.open() {
+		c.abort()
+		return
+	}
+	defer c.held.close()
 	var writer sync.WaitGroup
 	writer.Go(c.writeReplies)
 	c.readRequests()
@@ -104,6 +119,37 @@
 	writer.Wait()
 }
 
+// open adds the connection to the account of callers' memory. It returns false if there is no room.
+func (c *connection) open() bool {
+	held, granted := c.server.memory.openConnection(int64(c.limits().headerBytes)+connectionBytes, c.giveWay)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held = held
+	return granted
+}
+
+// giveWay ends what takes memory that others need: a request that is being read, an answer that is
+// not being read, or the whole connection if it is idle.
+func (c *connection) giveWay(phase thmemory.Phase) {
+	if phase == thmemory.Writing {
+		c.abort()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.displaced = true
+	c.setReadDeadline(time.Now())
+}
+
+// setPhaseLocked tells the account whether the connection is idle. It returns false if the connection
+// has to give way. c.mu must be held.
+func (c *connection) setPhaseLocked() bool {
+	if c.pending > 0 || c.isReading {
+		return c.held.setPhase(thmemory.Running)
+	}
+	return c.held.setPhase(thmemory.Idle)
+}
+
 // readRequests reads and starts requests until the caller closes the connection
 // or no further request is to be accepted.
 func (c *connection) readRequests() {
@@ -186,8 +232,14 @@
 }
 
 // setReadDeadline sets the read deadline. It ignores the error, which means that
-// the connection is closed: the next read reports that as well.
-func (c *connection) setReadDeadline(t time.Time) { _ = c.SetReadDeadline(t) }
+// the connection is closed: the next read reports that as well. Once the connection has been
+// displaced, reads fail at once. c.mu must be held.
+func (c *connection) setReadDeadline(t time.Time) {
+	if c.displaced {
+		t = time.Unix(1, 0)
+	}
+	_ = c.SetReadDeadline(t)
+}
 
 // cancelUnlessTimeout cancels the connection's requests after a read error that
 // shows that the caller has closed the connection.
@@ -206,26 +258,28 @@
 	q := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(q)
 	q.Header.SetNoDefaultContentType(true)
-	body, held, err := c.readRequest(q, l, arrived)
+	in, err := c.readRequest(q, l, arrived)
 	if err != nil {
-		held.release()
+		in.held.close()
 		return c.refuseUnread(q, err), false
 	}
 	c.setReadUntil(time.Time{})
 	next := c.newCall()
-	next.held = held
-	c.server.awaitConfiguration(c.ctx)
-	request, refusal := c.server.convertRequest(q, body, arrived)
-	next.reply.close = q.ConnectionClose() || !q.Header.IsHTTP11()
+	next.held = in.held
+	closes := q.ConnectionClose() || !q.Header.IsHTTP11()
+	next.reply.close = closes
 	next.reply.omitBody = q.Header.IsHead()
 	c.calls <- next
-	c.startCall(next, request, refusal, previous)
-	return next, !next.reply.close
+	c.startCall(next, in.request, in.refusal, previous)
+	return next, !closes
 }
 
 // refuseUnread replies to a request that could not be read because of the error. It returns
 // nil if the caller closed the connection.
 func (c *connection) refuseUnread(q *fasthttp.Request, err error) *call {
+	if c.endDisplacement() && isTimeout(err) {
+		err = errBodyMemory
+	}
 	refusal := c.server.refusalOf(err)
 	if refusal == nil {
 		c.cancel()
@@ -239,34 +293,84 @@
 	return next
 }
 
-// readRequest reads one request, which has begun to arrive at the given time, into q, but
-// its body into a buffer of its own. It returns what the body holds, also with an error.
-func (c *connection) readRequest(q *fasthttp.Request, l limits, arrived thclock.Instant) (body []byte, held heldBody, err error) {
+// endDisplacement reports whether the connection has been displaced, and lets it read again, so that
+// the refusal arrives before the connection ends.
+func (c *connection) endDisplacement() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	displaced := c.displaced
+	c.displaced = false
+	c.closesSoon = c.closesSoon || displaced
+	return displaced
+}
+
+// readRequest reads one request, whose head begins to arrive at the given time, into q, but its body
+// into pieces of its own. It returns what the request holds, also with an error.
+func (c *connection) readRequest(q *fasthttp.Request, l limits, arrived thclock.Instant) (in incoming, err error) {
 	c.setReadUntil(time.Now().Add(l.headerTimeout))
 	if err := q.Header.Read(c.input); err != nil {
-		return nil, held, err
+		return in, err
 	}
 	if q.MayContinue() {
 		if err := c.writeContinue(); err != nil {
-			return nil, held, err
+			return in, err
 		}
 	}
 	if err := checkFraming(&q.Header); err != nil {
-		return nil, held, err
+		return in, err
+	}
+	c.server.awaitConfiguration(c.ctx)
+	in.request, in.refusal = c.server.convertRequest(q, nil, arrived)
+	in.held = c.server.memory.openRequest(c.held.id, c.server.ownerOf(in.request, in.refusal), c.giveWay)
+	if !c.beginReading() || !in.held.grow(requestBytes+headFactor*int64(len(q.Header.RawHeaders()))) {
+		return in, errBodyMemory
+	}
+	if length := q.Header.ContentLength(); length == 0 || length == noBody {
+		return in, in.markRead()
 	}
-	c.setReadUntil(time.Now().Add(min(bodyTimeout, c.server.timeLeft(q, arrived))))
-	return c.readBody(q, l)
+	body, err := c.readBody(q, l, in.held, isFinal(in.refusal), arrived)
+	if err != nil {
+		return in, err
+	}
+	if !isFinal(in.refusal) {
+		// The key may have been revoked while the body arrived.
+		in.request, in.refusal = c.server.convertRequest(q, body, arrived)
+	}
+	return in, in.markRead()
+}
+
+// noBody is fasthttp's content length of a request that has neither a length nor chunks.
+const noBody = -2
+
+// beginReading marks the connection as busy. It returns false if it has to give way.
+func (c *connection) beginReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isReading = true
+	return c.setPhaseLocked()
+}
+
+// markRead marks the request as one that does not give way any more.
+func (in incoming) markRead() error {
+	isGranted := in.refusal != nil || in.held.grow(runningBytes)
+	if !in.held.setPhase(thmemory.Running) || !isGranted {
+		return errBodyMemory
+	}
+	return nil
 }
 
 // writeContinue sends "100 Continue" to a caller that waits for it before it
 // sends the body. It sends nothing while earlier answers are pending.
 func (c *connection) writeContinue() error {
 	c.mu.Lock()
-	idle := c.pending == 0
+	idle := c.pending == 0 && !c.isWriting
 	c.mu.Unlock()
 	if !idle {
 		return nil
 	}
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
 	_, err := c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	return err
 }
@@ -275,6 +379,8 @@
 func (c *connection) newCall() *call {
 	c.mu.Lock()
 	c.pending++
+	c.isReading = false
+	c.setPhaseLocked()
 	c.fullyRead = c.input.Buffered() == 0
 	c.mu.Unlock()
 	return &call{done: make(chan struct{}), written: make(chan struct{})}
@@ -290,7 +396,6 @@
 	task := func() {
 		defer s.inFlight.Add(-1)
 		defer close(next.done)
-		defer next.held.release()
 		if refusal == nil && previous != nil && !request.Route.IsIdempotent() {
 			select {
 			case <-previous.written:
@@ -299,6 +404,7 @@
 			}
 		}
 		next.reply.answer, next.reply.refusal = s.forward(c.ctx, request, refusal)
+		next.holdAnswer(s, request)
 	}
 	if err := s.options.Submit(task); err != nil {
 		s.inFlight.Add(-1)
@@ -308,16 +414,64 @@
 	}
 }
 
+// holdAnswer charges the answer in place of its request, which has ended. Without room for it, the
+// caller gets a refusal.
+func (n *call) holdAnswer(s *Server, request *thmessage.Request) {
+	n.held.release()
+	if n.reply.answer == nil {
+		return
+	}
+	bytes := requestBytes + int64(cap(n.reply.answer.Body))
+	for _, f := range n.reply.answer.Header {
+		bytes += int64(len(f.Name) + len(f.Value))
+	}
+	n.held.setPhase(thmemory.Writing)
+	if !n.held.grow(bytes) {
+		n.reply.answer = nil
+		n.reply.refusal = &Refusal{Err: therror.New(therror.AnswerLost, "no memory is left for the answer")}
+		s.logRefusal(request, n.reply.refusal)
+	}
+}
+
+// progressWriter writes a connection's replies and records their progress. Only the writer uses it.
+type progressWriter struct {
+	c *connection
+	// held is what the reply holds, nil if the request could not be read.
+	held *holding
+}
+
+// progressStep is how much is written at once, so that a slow caller is seen to read.
+const progressStep = 64 << 10
+
+func (w *progressWriter) Write(b []byte) (int, error) {
+	written := 0
+	for written < len(b) {
+		n, err := w.c.Write(b[written:min(len(b), written+progressStep)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		if w.held != nil {
+			w.held.progress(n)
+		}
+	}
+	return written, nil
+}
+
 // writeReplies writes the replies in the order of the requests. After the last reply
 // or an error it drops those that remain.
 func (c *connection) writeReplies() {
-	bw := bufio.NewWriterSize(c, writeBufferBytes)
+	w := &progressWriter{c: c}
+	bw := bufio.NewWriterSize(w, writeBufferBytes)
 	open := true
 	for next := range c.calls {
 		<-next.done
 		if open {
+			w.held = next.held
 			open = c.writeReply(bw, next)
 		}
+		next.held.close()
+		next.reply = reply{} // the reader keeps the call until the next request
 		close(next.written)
 	}
 }
@@ -326,6 +480,7 @@
 func (c *connection) writeReply(bw *bufio.Writer, next *call) bool {
 	c.mu.Lock()
 	c.pending--
+	c.isWriting = true
 	last := c.pending == 0 && (c.closing || c.server.IsDraining() && c.fullyRead)
 	closing := next.reply.close || last
 	if closing {
@@ -335,6 +490,15 @@
 		c.setIdleDeadline(c.limits())
 	}
 	c.mu.Unlock()
+	if next.reply.answer != nil {
+		next.held.setPhase(thmemory.Writing) // its time begins now
+	}
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.isWriting = false
+		c.setPhaseLocked()
+	}()
 	if c.ctx.Err() != nil || !c.write(bw, next, closing) {
 		c.abort()
 		return false
--- a/io/thingress/message.go
+++ b/io/thingress/message.go
@@ -40,7 +40,7 @@
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		err = therror.Wrap(therror.RequestTooLarge, err, "the body is larger than the limit")
 	case errors.Is(err, errBodyMemory):
-		return &Refusal{Err: therror.Wrap(therror.QueueFull, err, "no memory is left for the body"), RetryAfter: retryAfterBody}
+		return &Refusal{Err: therror.Wrap(therror.QueueFull, err, "no memory is left for the request"), RetryAfter: retryAfterBody}
 	case isTimeout(err) && s.isRefusing():
 		return stopRefusal()
 	case isTimeout(err):
@@ -89,7 +89,7 @@
 // convertRequest copies the head of the request, whose buffers will be reused, and finds
 // its route and customer. If it returns a refusal, the copy is incomplete. The objective and
 // the deadline count from when the request arrived.
-func (s *Server) convertRequest(q *fasthttp.Request, body []byte, arrived thclock.Instant) (*thmessage.Request, *Refusal) {
+func (s *Server) convertRequest(q *fasthttp.Request, body thmessage.Body, arrived thclock.Instant) (*thmessage.Request, *Refusal) {
 	request := &thmessage.Request{
 		ID: string(q.Header.Peek(s.options.HeaderNames.RequestID)), Method: string(q.Header.Method()),
 		Host: string(q.Header.Host()), URI: string(q.Header.RequestURI()), Arrived: arrived,
--- a/io/thingress/server.go
+++ b/io/thingress/server.go
@@ -13,6 +13,7 @@
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
+	"tamarackhollow/core/thmemory"
 	"tamarackhollow/core/thmessage"
 	"tamarackhollow/core/thtable"
 )
@@ -50,6 +51,8 @@
 	// Submit starts a task on a pool of workers, or returns an error if none is
 	// free. If it is nil, each task gets its own goroutine.
 	Submit func(task func()) error
+	// BodyPace is how fast bodies have to arrive; the zero rule means thmemory.DefaultPaceRule.
+	BodyPace thmemory.PaceRule
 	// RecordRequest, if not nil, is called once for each request that was
 	// submitted, when it has ended. It is not called for requests that could not be
 	// read or submitted, which are refused.
@@ -79,7 +82,7 @@
 	// refuseAt is when requests are no longer passed on; nil if no stop is planned.
 	refuseAt atomic.Pointer[time.Time]
 	inFlight atomic.Int64
-	bodies   bodyMemory
+	memory   callerMemory
 }
 
 // New returns a server that accepts no connections before Serve is called.
@@ -93,7 +96,13 @@
 			return nil
 		}
 	}
-	return &Server{options: options, connections: make(map[*connection]struct{})}
+	if options.BodyPace == (thmemory.PaceRule{}) {
+		options.BodyPace = thmemory.DefaultPaceRule
+	}
+	return &Server{
+		options: options, connections: make(map[*connection]struct{}),
+		memory: callerMemory{log: options.Log, clock: options.Clock, giveWay: make(map[thmemory.ID]func(thmemory.Phase))},
+	}
 }
 
 // acceptRetryDelay is the delay after a failed accept. It keeps Serve from
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -6,17 +6,20 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thmemory"
 	"tamarackhollow/core/thmessage"
 	"tamarackhollow/core/thpick"
 	"tamarackhollow/core/thsettings"
@@ -61,6 +64,9 @@
 	// Seeds are the addresses of VMs to fetch table and targets from while the
 	// store does not answer.
 	Seeds []string
+	// MaxConnections bounds the connections of callers; 0 derives it from the memory and the number
+	// of descriptors that the process may have.
+	MaxConnections int
 	// MemoryMegabytes is how much memory the process may use; 0 leaves the
 	// current limit.
 	MemoryMegabytes int
@@ -95,15 +101,10 @@
 	// gcPercent saves processor time at the cost of memory, which a VM can afford
 	// because its heap is small.
 	gcPercent = 200
-	// memoryShare is the share of the allowed memory that the Go runtime gets as
-	// its limit.
-	memoryShare = 0.7
 	// unfinishedShare is the share of the allowed memory that answers may take which are
 	// not complete yet. Their buffers take up to twice as much.
 	unfinishedShare = 0.15
-	// bodyShare is the share of the allowed memory that the bodies of requests may take.
-	bodyShare = 0.35
-	megabyte  = 1 << 20
+	megabyte        = 1 << 20
 )
 
 // Start starts a VM's process and begins to serve callers.
@@ -130,10 +131,26 @@
 	n.source.SetSeeds(s.Seeds)
 	n.forwarder.WithView(func(_ thclock.Instant, v *thview.View) { v.SetRules(s.RetryBudget, s.FloorShare) })
 	if s.MemoryMegabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMegabytes) * megabyte))
+		debug.SetMemoryLimit(thmemory.RuntimeLimit(int64(s.MemoryMegabytes) * megabyte))
 		n.sender.LimitUnfinishedBytes(int64(unfinishedShare * float64(s.MemoryMegabytes) * megabyte))
-		n.ingress.LimitBodies(int64(bodyShare * float64(s.MemoryMegabytes) * megabyte))
 	}
+	n.ingress.LimitMemory(n.callerLimits(s))
+}
+
+// callerLimits returns how many bytes callers may make the process hold, and how many connections they
+// may have open.
+func (n *Node) callerLimits(s LiveSettings) (bytes int64, connections int) {
+	if s.MemoryMegabytes > 0 {
+		bytes = thmemory.CallerLimit(int64(s.MemoryMegabytes) * megabyte)
+	}
+	if s.MaxConnections > 0 {
+		return bytes, s.MaxConnections
+	}
+	var descriptors syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
+		n.options.Log.Log(thevent.AcceptFailed, thevent.F("during", "the limit of descriptors"), thevent.F("error", err.Error()))
+	}
+	return bytes, thmemory.ConnectionLimit(bytes, int64(min(descriptors.Cur, math.MaxInt32)), thingress.ConnectionBytes)
 }
 
 // build creates the parts of the node and connects them, without serving yet.
--- a/io/thsend/exchange.go
+++ b/io/thsend/exchange.go
@@ -176,8 +176,11 @@
 	if request.Customer.Name != "" {
 		setHeader(h, names.Customer, request.Customer.Name)
 	}
-	r.SetBodyRaw(request.Body)
-	if len(request.Body) == 0 && request.Method != fasthttp.MethodGet && request.Method != fasthttp.MethodHead {
+	length := request.Body.Len()
+	if length > 0 {
+		r.SetBodyStream(request.Body.Reader(), length)
+	}
+	if length == 0 && request.Method != fasthttp.MethodGet && request.Method != fasthttp.MethodHead {
 		h.SetContentLength(0)
 	}
 }
