--- a/core/thfleet/distribution.go
+++ b/core/thfleet/distribution.go
@@ -39,7 +39,7 @@
 	return order[:min(len(order), maxFetchSources)]
 }
 
-// newerPeers returns the live VMs that have announced a newer table or newer targets,
+// newerPeers returns the live VMs that have announced newer orders, a newer table or newer targets,
 // those with the newest versions first, and among equal ones those of this zone. A deputy
 // leaves what other zones have just announced to its leader.
 func (f *Fleet) newerPeers(now thclock.Instant, have StoreVersions) []Peer {
@@ -59,17 +59,17 @@
 	}
 	slices.SortFunc(newer, func(a, b Peer) int {
 		return cmp.Or(
-			cmp.Compare(b.storeVersions.Table, a.storeVersions.Table), b.storeVersions.Targets.Compare(a.storeVersions.Targets),
+			b.storeVersions.Orders.Compare(a.storeVersions.Orders), cmp.Compare(b.storeVersions.Table, a.storeVersions.Table), b.storeVersions.Targets.Compare(a.storeVersions.Targets),
 			cmp.Compare(otherZone(a), otherZone(b)), cmp.Compare(a.Key, b.Key),
 		)
 	})
 	return newer
 }
 
-// IsNewerThan reports whether the table or the list of targets is newer than the
-// other one.
+// IsNewerThan reports whether the table, the list of targets or the orders are newer than the
+// other ones.
 func (v StoreVersions) IsNewerThan(o StoreVersions) bool {
-	return v.Table > o.Table || v.Targets.IsAfter(o.Targets)
+	return v.Table > o.Table || v.Targets.IsAfter(o.Targets) || v.Orders.IsAfter(o.Orders)
 }
 
 // ancestors returns the VMs between this one and the root of its zone's tree, the
--- a/core/thfleet/fleet.go
+++ b/core/thfleet/fleet.go
@@ -213,7 +213,7 @@
 		f.NoteEra(now.Add(-time.Duration(n.NewEra.Millis)*time.Millisecond), n.NewEra.Era)
 	}
 	if versions, ok := n.Versions(); ok {
-		f.NoteEra(now, versions.Targets.Era)
+		f.NoteEra(now, max(versions.Targets.Era, versions.Orders.Era))
 		p.recordVersions(now, versions, n.ReadAges)
 	}
 	f.receiveLosses(now, n.Lost, &u)
--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -30,6 +30,15 @@
 	InFlight uint16
 }
 
+// ReportedLoad passes on what a target said of its load.
+type ReportedLoad struct {
+	_                       struct{} `cbor:",toarray"`
+	Target                  Key
+	Running, Waiting, Slots uint16
+	// AgeMillis is how long ago the target's answer came.
+	AgeMillis uint16
+}
+
 // AttemptResult holds how one of the sender's attempts ended, or that it is overdue.
 type AttemptResult struct {
 	_       struct{} `cbor:",toarray"`
@@ -119,11 +128,14 @@
 	StartMillis uint64
 }
 
-// StoreVersions tells which routing table and list of targets a VM has. The table is ordered by
-// the operator's version, which does not go back with the store, the list by its position there.
+// StoreVersions tells which routing table, list of targets and orders to evacuate zones a VM has.
+// The table is ordered by the operator's version, which does not go back with the store, the list
+// and the orders by their positions there.
 type StoreVersions struct {
 	Table   uint64
 	Targets thtable.Position
+	// Orders is the zero Position at VMs of older builds, which do not know orders.
+	Orders thtable.Position
 }
 
 // EraAge tells how long ago the first VM is known to have seen an era of the store.
@@ -133,7 +145,14 @@
 	Millis uint16
 }
 
-// wireVersions is the form of StoreVersions in a notice, without the era.
+// wirePosition is the form of a position in a notice.
+type wirePosition struct {
+	_       struct{} `cbor:",toarray"`
+	Era     uint64
+	Version uint64
+}
+
+// wireVersions is the form of StoreVersions in a notice, without the era and the orders.
 type wireVersions struct {
 	_       struct{} `cbor:",toarray"`
 	Table   uint64
@@ -160,6 +179,9 @@
 	Sequence uint32          `cbor:"3,keyasint"`
 	Loads    []Load          `cbor:"4,keyasint,omitempty"`
 	Results  []AttemptResult `cbor:"5,keyasint,omitempty"`
+	// ReportedLoads holds what targets of Loads said of their load, if other VMs would expect
+	// another one. VMs of older builds do not know it.
+	ReportedLoads []ReportedLoad `cbor:"25,keyasint,omitempty"`
 	// Identity introduces the sender; nil if the notice does not.
 	Identity *Identity `cbor:"8,keyasint,omitempty"`
 	// Announced is set by a VM that reads the store or relays what was read; see Versions.
@@ -167,6 +189,9 @@
 	// AnnouncedEra is the era of the announced list of targets. VMs of older builds do not
 	// know it.
 	AnnouncedEra uint64 `cbor:"21,keyasint,omitempty"`
+	// AnnouncedOrders is the position of the announced orders; nil if there are none. VMs of
+	// older builds do not know it.
+	AnnouncedOrders *wirePosition `cbor:"23,keyasint,omitempty"`
 	// NewEra tells an era of the store that is new; nil if the sender knows of none.
 	NewEra *EraAge `cbor:"22,keyasint,omitempty"`
 	// ReadAges says how old the announced versions are; nil if both have just been read.
@@ -195,6 +220,10 @@
 // WithVersions returns the notice with versions that its sender announces.
 func (n Notice) WithVersions(v StoreVersions) Notice {
 	n.Announced, n.AnnouncedEra = &wireVersions{Table: v.Table, Targets: v.Targets.Version}, v.Targets.Era
+	n.AnnouncedOrders = nil
+	if !v.Orders.IsZero() {
+		n.AnnouncedOrders = &wirePosition{Era: v.Orders.Era, Version: v.Orders.Version}
+	}
 	return n
 }
 
@@ -203,7 +232,11 @@
 	if n.Announced == nil {
 		return StoreVersions{}, false
 	}
-	return StoreVersions{Table: n.Announced.Table, Targets: thtable.Position{Era: n.AnnouncedEra, Version: n.Announced.Targets}}, true
+	v := StoreVersions{Table: n.Announced.Table, Targets: thtable.Position{Era: n.AnnouncedEra, Version: n.Announced.Targets}}
+	if o := n.AnnouncedOrders; o != nil {
+		v.Orders = thtable.Position{Era: o.Era, Version: o.Version}
+	}
+	return v, true
 }
 
 // IsForAll reports whether the notice concerns all VMs. Other notices concern only
--- a/core/thfleet/reads.go
+++ b/core/thfleet/reads.go
@@ -66,12 +66,12 @@
 
 // LastReads returns when the store was last read, as far as other VMs have reported, for
 // content that is no newer than the given versions. A VM that has those versions holds what
-// was read then.
+// was read then. The orders are read with the table.
 func (f *Fleet) LastReads(have StoreVersions) StoreReads {
 	var last StoreReads
 	for _, p := range f.peers {
 		reads := f.readsOf(p)
-		if p.storeVersions.Table <= have.Table {
+		if p.storeVersions.Table <= have.Table && !p.storeVersions.Orders.IsAfter(have.Orders) {
 			last.Table = last.Table.Max(reads.Table)
 		}
 		if !p.storeVersions.Targets.IsAfter(have.Targets) {
@@ -119,7 +119,7 @@
 // RecordAnnouncement records that this VM announces versions, and when the store was read
 // for them by it or by the VM that it follows.
 func (f *Fleet) RecordAnnouncement(now thclock.Instant, versions StoreVersions, reads StoreReads) {
-	f.NoteEra(now, versions.Targets.Era)
+	f.NoteEra(now, max(versions.Targets.Era, versions.Orders.Era))
 	f.announced, f.announcedReads = versions, reads
 }
 
--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -5,6 +5,7 @@
 package thpick
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -19,7 +20,8 @@
 type Candidate struct {
 	Target thtable.Target
 	Health thhealth.Health
-	// InFlight is the number of requests of all VMs in flight at the target.
+	// InFlight is the number of requests that the VM expects at the target: those of all VMs in
+	// flight, corrected by what the target reported (see Load).
 	InFlight int
 	// HasIdleConnection is whether this VM has an idle connection to the target.
 	HasIdleConnection bool
@@ -30,6 +32,11 @@
 	UsedAt, FailedAt thclock.Instant
 	// PausedUntil is when the VM may use the target again, which has asked for a pause.
 	PausedUntil thclock.Instant
+	// IsEvacuated is set if the operator has ordered that the target's availability zone gets no
+	// requests.
+	IsEvacuated bool
+	// IsThrottled is set if the target is cold and its bound lets this VM send it no request now.
+	IsThrottled bool
 	// IsNew is set if the target was listed while the VM ran, and has had no request
 	// that the VM knows of.
 	IsNew bool
@@ -55,6 +62,11 @@
 	// ExpectedLatency is the median time that the request takes at a target of
 	// normal speed.
 	ExpectedLatency time.Duration
+	// SlotTime is the median time that requests of all routes take at a target of normal speed. If
+	// it is zero, ExpectedLatency stands for it.
+	SlotTime time.Duration
+	// Arrived is when the caller's request arrived.
+	Arrived thclock.Instant
 	// Objective is the time up to which an answer earns its full credit.
 	Objective thclock.Instant
 	// Deadline is the time up to which an answer is of any use.
@@ -103,8 +115,12 @@
 
 // serviceTime returns the median time that the target takes to run the request,
 // without waiting for a slot.
-func serviceTime(q Query, c Candidate) time.Duration {
-	t := float64(q.ExpectedLatency) * c.Health.LatencyRatio()
+func serviceTime(q Query, c Candidate) time.Duration { return timeAt(q, c, q.ExpectedLatency) }
+
+// timeAt returns the median time that the target takes to run a request that takes the given time at
+// a target of normal speed.
+func timeAt(q Query, c Candidate, normal time.Duration) time.Duration {
+	t := float64(normal) * c.Health.LatencyRatio()
 	if q.Now.Before(c.WarmupUntil) {
 		t *= warmupFactor
 	}
@@ -112,7 +128,8 @@
 }
 
 // ExpectedWait returns how long the request is expected to wait for a free slot
-// at the target.
+// at the target. The requests that run and wait there may be of other routes, which take longer or
+// less time than this one.
 func ExpectedWait(q Query, c Candidate) time.Duration {
 	slots := max(1, c.Target.Slots)
 	// mustFinish is how many requests must finish before a slot is free.
@@ -120,7 +137,8 @@
 	if mustFinish <= 0 {
 		return 0
 	}
-	return time.Duration(float64(serviceTime(q, c)) * meanOverMedian * float64(mustFinish) / float64(slots))
+	running := cmp.Or(q.SlotTime, q.ExpectedLatency)
+	return time.Duration(float64(timeAt(q, c, running)) * meanOverMedian * float64(mustFinish) / float64(slots))
 }
 
 // Cost returns the expected cost of sending the request to the target, in
@@ -194,9 +212,9 @@
 func (c Candidate) IsPaused(now thclock.Instant) bool { return now.Before(c.PausedUntil) }
 
 // isEligible reports whether the candidate may run the request: it is not
-// draining nor paused, and the request has not been sent to it before.
+// draining, paused, evacuated nor throttled, and the request has not been sent to it before.
 func isEligible(q Query, c Candidate) bool {
-	return !c.Target.Draining && !c.IsPaused(q.Now) && !slices.Contains(q.Tried, c.Target.ID)
+	return !c.Target.Draining && !c.IsEvacuated && !c.IsThrottled && !c.IsPaused(q.Now) && !slices.Contains(q.Tried, c.Target.ID)
 }
 
 const (
--- a/core/thpick/floor.go
+++ b/core/thpick/floor.go
@@ -183,10 +183,10 @@
 }
 
 // isCountedByFloor reports whether the candidate is one of the targets of which
-// a share must be in use. A draining or paused target or one that has failed within span is
-// not, nor is one that other VMs keep in use.
+// a share must be in use. A draining, paused, evacuated or throttled target or one that has failed within
+// span is not, nor is one that other VMs keep in use.
 func isCountedByFloor(q Query, c Candidate, span time.Duration) bool {
-	return !c.Target.Draining && !c.IsPaused(q.Now) && !c.IsExtra && (c.FailedAt == (thclock.Instant{}) || q.Now.Sub(c.FailedAt) >= span)
+	return !c.Target.Draining && !c.IsEvacuated && !c.IsThrottled && !c.IsPaused(q.Now) && !c.IsExtra && (c.FailedAt == (thclock.Instant{}) || q.Now.Sub(c.FailedAt) >= span)
 }
 
 // isRecentlyUsed reports whether any VM had a request at the candidate within
--- a/core/thpick/floor_test.go
+++ b/core/thpick/floor_test.go
@@ -7,6 +7,7 @@
 
 	"tamarackhollow/core/thhealth"
 	"tamarackhollow/core/thpick"
+	"tamarackhollow/core/thtable"
 
 	"gotest.tools/v3/assert"
 )
@@ -125,3 +126,22 @@
 		})
 	}
 }
+
+// TestFloorCountsNoThrottledTargets guards against a floor that counts cold targets which this VM may
+// not use: requests would go to unused targets one after the other, whatever these cost.
+func TestFloorCountsNoThrottledTargets(t *testing.T) {
+	for _, throttled := range []bool{true, false} {
+		var candidates []thpick.Candidate
+		for i := range 10 {
+			c := thpick.Candidate{Target: thtable.Target{ID: fmt.Sprint(i), Slots: 1}}
+			if i < 5 {
+				c.UsedAt = now
+			}
+			c.IsThrottled = throttled && i >= 5 && i < 9
+			candidates = append(candidates, c)
+		}
+		i, ok := thpick.PickUnused(thpick.Query{Now: now, Deadline: now.Add(time.Second), Objective: now.Add(time.Second)}, candidates, 0.7, true, 0)
+		assert.Equal(t, ok, !throttled)
+		assert.Assert(t, throttled || i >= 5)
+	}
+}
--- /dev/null
+++ b/core/thpick/urgency_test.go
@@ -0,0 +1,139 @@
+package thpick_test
+
+import (
+	"testing"
+	"time"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thpick"
+	"tamarackhollow/core/thtable"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	urgent = thpick.Urgency{Customer: 1, Route: 0}
+	normal = thpick.Urgency{Customer: 1, Route: 1}
+	low    = thpick.Urgency{Customer: 1, Route: 2}
+)
+
+// The customer's priority goes before the route's: a low route of an urgent customer overtakes the
+// urgent route of another customer.
+func TestUrgencyOrder(t *testing.T) {
+	assert.Assert(t, urgent.IsAbove(normal))
+	assert.Assert(t, !normal.IsAbove(normal))
+	assert.Assert(t, thpick.Urgency{Customer: 0, Route: 5}.IsAbove(urgent))
+}
+
+// Guards against a share that counts requests instead of the time that they take, and against one
+// that never forgets.
+func TestDemandFollowsTimeInSlots(t *testing.T) {
+	var d thpick.Demand
+	assert.Equal(t, d.ShareAbove(low), 0.0)
+	now := thclock.At(time.Hour)
+	for range 10 {
+		d = d.WithRequest(now, urgent, 100*time.Millisecond).WithRequest(now, low, 900*time.Millisecond)
+	}
+	assert.Assert(t, almostEqual(d.ShareAbove(low), 0.1))
+	assert.Equal(t, d.ShareAbove(urgent), 0.0)
+	later := now.Add(10 * time.Minute)
+	d = d.WithRequest(later, low, 900*time.Millisecond)
+	assert.Assert(t, d.ShareAbove(low) < 1e-6)
+}
+
+func almostEqual(a, b float64) bool { return a-b < 1e-9 && b-a < 1e-9 }
+
+// Requests of more urgencies than are counted must not displace the known ones.
+func TestDemandIsBounded(t *testing.T) {
+	var d thpick.Demand
+	now := thclock.At(time.Hour)
+	d = d.WithRequest(now, urgent, time.Second)
+	for i := range 100 {
+		d = d.WithRequest(now, thpick.Urgency{Customer: 2, Route: i}, time.Second)
+	}
+	assert.Assert(t, d.ShareAbove(thpick.Urgency{Customer: 9}) == 1)
+	assert.Assert(t, d.ShareAbove(normal) > 0)
+}
+
+// A service in which nobody is more urgent reserves nothing, and a reserve never takes more than a
+// quarter of the slots.
+func TestReservedSlots(t *testing.T) {
+	for _, c := range []struct {
+		slots int
+		above float64
+		want  int
+	}{{96, 0, 0}, {96, 0.001, 1}, {96, 0.05, 5}, {96, 0.9, 24}, {12, 0.05, 1}} {
+		assert.Equal(t, thpick.ReservedSlots(c.slots, c.above), c.want)
+	}
+}
+
+// waitCase returns a query of a request that is expected to take a second and has six of them, and
+// four targets with six slots each, of which the given number are free in all.
+func waitCase(free int) (thpick.Query, []thpick.Candidate) {
+	now := thclock.At(time.Hour)
+	q := thpick.Query{Now: now, Arrived: now, ExpectedLatency: time.Second, Objective: now.Add(6 * time.Second), Deadline: now.Add(20 * time.Second)}
+	candidates := make([]thpick.Candidate, 4)
+	for i := range candidates {
+		taken := min(6, free)
+		free -= taken
+		candidates[i] = thpick.Candidate{Target: thtable.Target{ID: string(rune('a' + i)), Slots: 6}, InFlight: 6 - taken}
+	}
+	return q, candidates
+}
+
+// Guards against less urgent requests that take the last slots, against ones that wait without need,
+// and against ones that wait until they miss their objective.
+func TestWaitForSlot(t *testing.T) {
+	const above = 0.08 // two of 24 slots
+	for _, c := range []struct {
+		name   string
+		free   int
+		above  float64
+		change func(*thpick.Query, []thpick.Candidate)
+		want   bool
+	}{
+		{name: "last slots", free: 2, above: above, want: true},
+		{name: "no slot", free: 0, above: above, want: true},
+		{name: "room", free: 3, above: above},
+		{name: "nobody is more urgent", free: 0},
+		{name: "little time", free: 0, above: above, change: func(q *thpick.Query, _ []thpick.Candidate) { q.Objective = q.Now.Add(2 * time.Second) }},
+		{name: "deadline before the objective", free: 0, above: above, change: func(q *thpick.Query, _ []thpick.Candidate) { q.Deadline = q.Now.Add(2 * time.Second) }},
+		{name: "sent before", free: 0, above: above, change: func(q *thpick.Query, _ []thpick.Candidate) { q.Tried = []string{"x"} }},
+		{name: "free slots drain", free: 6, above: above, want: true, change: func(_ *thpick.Query, cs []thpick.Candidate) { cs[0].Target.Draining = true }},
+		{name: "free slots are known to others", free: 6, above: above, want: true, change: func(_ *thpick.Query, cs []thpick.Candidate) { cs[0].IsExtra = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q, candidates := waitCase(c.free)
+			if c.change != nil {
+				c.change(&q, candidates)
+			}
+			until, wait := thpick.WaitForSlot(q, candidates, c.above)
+			assert.Equal(t, wait, c.want)
+			if wait {
+				assert.Equal(t, until, q.Now.Add(3200*time.Millisecond))
+			}
+		})
+	}
+	_, wait := thpick.WaitForSlot(thpick.Query{Objective: thclock.At(time.Hour)}, nil, above)
+	assert.Assert(t, !wait, "without a known target there is nothing to wait for")
+}
+
+// Guards against a request that waits until it misses its objective although few requests are before
+// it: the longer it has waited, the fewer slots it leaves free.
+func TestLongWaitTakesReservedSlot(t *testing.T) {
+	const above = 0.08 // two of 24 slots
+	q, candidates := waitCase(2)
+	_, wait := thpick.WaitForSlot(q, candidates, above)
+	assert.Assert(t, wait)
+	q.Now = q.Now.Add(3 * time.Second)
+	_, wait = thpick.WaitForSlot(q, candidates, above)
+	assert.Assert(t, !wait)
+}
+
+// Guards against a short request that expects a short wait behind long ones of other routes.
+func TestExpectedWaitFollowsWhatOccupiesSlots(t *testing.T) {
+	q, candidates := waitCase(0)
+	alone := thpick.ExpectedWait(q, candidates[0])
+	q.SlotTime = 4 * time.Second
+	assert.Equal(t, thpick.ExpectedWait(q, candidates[0]).Round(time.Millisecond), (4 * alone).Round(time.Millisecond))
+}
--- a/core/thquota/bucket.go
+++ b/core/thquota/bucket.go
@@ -81,6 +81,15 @@
 	return time.Duration((1-b.tokens)/(l.Rate*share)*float64(time.Second)) + time.Microsecond
 }
 
+// Interval returns the time in which the share of the limit gets one token; 0 if there is no
+// limit.
+func (l Limit) Interval(share float64) time.Duration {
+	if l.Rate <= 0 || share <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / (l.Rate * share))
+}
+
 // UsableShare returns the fraction of a part that its owner may use. The counts of live
 // VMs and of members of the owner's zone include the owner. If the network splits the
 // zone, each half has an owner; together they stay within the part.
--- a/core/thtable/change.go
+++ b/core/thtable/change.go
@@ -25,6 +25,13 @@
 	Customers   RowsChange[Customer] `json:"customers"`
 	Limits      Limits               `json:"limits"`
 	RequiresKey bool                 `json:"keyed"`
+	// Orders replaces the orders; nil if they stay as they are.
+	Orders *Orders `json:"orders,omitempty"`
+}
+
+// IsNewerThan reports whether the change leads to a newer part than that of the document.
+func (c TableChange) IsNewerThan(d Document) bool {
+	return c.Version > d.Version || c.Orders != nil && c.Orders.IsAfter(d.Orders.Position)
 }
 
 // TargetsChange turns a list of targets with the digest Base into the one that has
@@ -125,18 +132,25 @@
 	c.Routes, routesOK = diffRows(t.document.Routes, after.Routes, routeKey, equalRows[Route])
 	c.Services, servicesOK = diffRows(t.document.Services, after.Services, serviceKey, equalRows[Service])
 	c.Customers, customersOK = diffRows(t.document.Customers, after.Customers, customerKey, equalRows[Customer])
+	if !t.document.Orders.equal(after.Orders) {
+		c.Orders = &after.Orders
+	}
 	_, c.Result = c.apply(t)
 	return c, t.Version() > 0 && routesOK && servicesOK && customersOK
 }
 
 // apply returns the changed document and its digest.
 func (c TableChange) apply(t Table) (Document, Digest) {
-	d := Document{Version: c.Version, Limits: c.Limits, RequiresKey: c.RequiresKey}
-	var routes, services, customers Digest
+	d := Document{Version: c.Version, Limits: c.Limits, RequiresKey: c.RequiresKey, Orders: t.document.Orders}
+	var routes, services, customers, orders Digest
+	if c.Orders != nil {
+		d.Orders = *c.Orders
+		orders = digestRows(d.Orders.List) - digestRows(t.document.Orders.List)
+	}
 	d.Routes, routes = c.Routes.apply(t.document.Routes, routeKey)
 	d.Services, services = c.Services.apply(t.document.Services, serviceKey)
 	d.Customers, customers = c.Customers.apply(t.document.Customers, customerKey)
-	return d, t.digest - digestSettings(t.document) + digestSettings(d) + routes + services + customers
+	return d, t.digest - digestSettings(t.document) + digestSettings(d) + routes + services + customers + orders
 }
 
 // WithChange returns the table that the change leads to. It returns an error if the
--- a/core/thtable/changelog.go
+++ b/core/thtable/changelog.go
@@ -13,7 +13,11 @@
 func (c TargetsChange) digests() (base, result Digest) { return c.Base, c.Result }
 
 func (c TableChange) rows() int {
-	return c.Routes.rows() + c.Services.rows() + c.Customers.rows()
+	rows := c.Routes.rows() + c.Services.rows() + c.Customers.rows()
+	if c.Orders != nil {
+		rows += len(c.Orders.List)
+	}
+	return rows
 }
 func (c TargetsChange) rows() int { return c.Targets.rows() }
 
--- a/core/thtable/digest.go
+++ b/core/thtable/digest.go
@@ -18,7 +18,7 @@
 
 // digestDocument returns the digest of a document.
 func digestDocument(d Document) Digest {
-	return digestSettings(d) + digestRows(d.Routes) + digestRows(d.Services) + digestRows(d.Customers)
+	return digestSettings(d) + digestRows(d.Routes) + digestRows(d.Services) + digestRows(d.Customers) + digestRows(d.Orders.List)
 }
 
 // digestSettings returns the digest of what a document holds besides its rows.
@@ -52,6 +52,6 @@
 
 // withoutCounters returns the target without the fields that change with each read.
 func (t Target) withoutCounters() Target {
-	t.WarmupMillis, t.Sequence = 0, 0
+	t.WarmupAgeMillis, t.Sequence = 0, 0
 	return t
 }
--- a/core/thtable/document.go
+++ b/core/thtable/document.go
@@ -5,7 +5,7 @@
 // Document is the form in which VMs pass the routing table to each other, as
 // JSON. Package platform decodes the operator's configuration into one.
 type Document struct {
-	// Version orders documents. It only increases.
+	// Version orders documents, but for Orders. It only increases.
 	Version   uint64     `json:"version"`
 	Routes    []Route    `json:"routes"`
 	Services  []Service  `json:"services"`
@@ -13,6 +13,29 @@
 	Limits    Limits     `json:"limits"`
 	// RequiresKey is set if requests need a key, except on open routes.
 	RequiresKey bool `json:"keyed"`
+	// Orders are the orders to evacuate availability zones. Unlike all else, they are ordered by
+	// their own position. VMs of older builds do not know them.
+	Orders Orders `json:"orders,omitzero"`
+}
+
+// Merged returns the parts of both documents that are the newest: the routes, services, customers
+// and limits of the higher version, and the orders of the later position.
+func (d Document) Merged(o Document) Document {
+	merged, orders := d, d.Orders
+	if o.Version > d.Version {
+		merged = o
+	}
+	// At one position, a VM that has read all rows may not know of the last revocations.
+	if o.Orders.IsAfter(orders.Position) || o.Orders.Position == orders.Position && len(o.Orders.List) > len(orders.List) {
+		orders = o.Orders
+	}
+	merged.Orders = orders
+	return merged
+}
+
+// IsNewerThan reports whether a part of the document is newer than that of the other one.
+func (d Document) IsNewerThan(o Document) bool {
+	return d.Version > o.Version || d.Orders.IsAfter(o.Orders.Position)
 }
 
 // Safety says whether a request may be sent again once it may have run.
@@ -65,6 +88,11 @@
 	// MaxConnections is the number of connections that each target accepts from all
 	// VMs together.
 	MaxConnections int `json:"connections"`
+	// ColdRate is how many requests a second each target may get from all VMs together while
+	// it is cold, that is, warms up; 0 means no bound.
+	ColdRate float64 `json:"coldRate,omitempty"`
+	// ColdMillis is for how long a target is cold after it has started.
+	ColdMillis int64 `json:"coldMillis,omitempty"`
 }
 
 // Customer is a holder of keys whose requests share one rate limit.
--- a/core/thtable/known.go
+++ b/core/thtable/known.go
@@ -44,6 +44,17 @@
 	era uint64
 	// forgetAt is when a target that has left the list is forgotten; zero if it has not left.
 	forgetAt thclock.Instant
+	// warmUntil is until when the target warms up by its last report.
+	warmUntil thclock.Instant
+}
+
+// newKnownTarget returns what a list of the era says of a target, given what was known of it.
+func newKnownTarget(now thclock.Instant, t Target, era uint64, before knownTarget) knownTarget {
+	k := knownTarget{Target: t, era: era, warmUntil: before.warmUntil}
+	if before.hasLeft() || !t.HasReportOf(before.Target) {
+		k.warmUntil = t.WarmUntil(now)
+	}
+	return k
 }
 
 func (t knownTarget) hasLeft() bool { return t.forgetAt != thclock.Instant{} }
@@ -129,7 +140,7 @@
 		learn(knownTarget{Target: Target{ID: l.ID, StartMillis: l.StartMillis, Sequence: l.Sequence}}.leaving(now, l.Era))
 	}
 	for _, k := range list.Earlier {
-		learn(knownTarget{Target: k.Target, era: k.Era})
+		learn(newKnownTarget(now, k.Target, k.Era, known[k.ID]))
 	}
 	return all
 }
@@ -144,7 +155,7 @@
 			kept = append(kept, Kept{ID: t.ID, Why: k.reason()})
 			continue
 		}
-		r.targets[t.ID] = knownTarget{Target: t, era: list.Era}
+		r.targets[t.ID] = newKnownTarget(now, t, list.Era, k)
 	}
 	return kept
 }
--- a/core/thtable/table.go
+++ b/core/thtable/table.go
@@ -62,6 +62,10 @@
 // Document returns the document that the table was built from.
 func (t Table) Document() Document { return t.document }
 
+// Evacuated returns the availability zones that are evacuated by the orders in the document, in
+// their order. A VM may keep others; see KnownOrders.
+func (t Table) Evacuated() []string { return t.document.Orders.Zones() }
+
 // Limits returns the limits on callers' requests.
 func (t Table) Limits() Limits { return t.document.Limits }
 
--- a/core/thtable/target.go
+++ b/core/thtable/target.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
+
+	"tamarackhollow/core/thclock"
 )
 
 // Target is one running process of a service, as it registered itself. A process
@@ -19,17 +22,31 @@
 	Slots int `json:"slots"`
 	// Draining is set if the target must get no new requests.
 	Draining bool `json:"leaving,omitempty"`
-	// WarmupMillis is how much of the target's warm-up was left when the list was
-	// read. The target is slow until it has warmed up.
+	// WarmupMillis is how much of the target's warm-up was left when the list was read that
+	// first had this report. The target is slow until it has warmed up.
 	WarmupMillis int64 `json:"coldMillis,omitempty"`
+	// WarmupAgeMillis is how long ago that was when the target was sent to this VM. It is not
+	// part of the content.
+	WarmupAgeMillis int64 `json:"coldAgeMillis,omitempty"`
 	// StartMillis is when the process started, in Unix milliseconds. It tells
 	// targets apart whose processes used the same ID one after the other.
 	StartMillis int64 `json:"start,omitempty"`
-	// Sequence counts what the process has written of itself since its start. Like
-	// WarmupMillis it is that of the time when the list was read.
+	// Sequence counts what the process has written of itself since its start, up to when the
+	// list was read. It is not part of the content.
 	Sequence int64 `json:"seq,omitempty"`
 }
 
+// WarmUntil returns until when a target is warming up that was received at the given time.
+func (t Target) WarmUntil(receivedAt thclock.Instant) thclock.Instant {
+	return receivedAt.Add(time.Duration(t.WarmupMillis-t.WarmupAgeMillis) * time.Millisecond)
+}
+
+// HasReportOf reports whether the target is the same process as the other one and both have the
+// same report of its warm-up.
+func (t Target) HasReportOf(o Target) bool {
+	return t.ID == o.ID && t.StartMillis == o.StartMillis && t.WarmupMillis == o.WarmupMillis
+}
+
 // TargetList is the list of all services' targets at one position of the store.
 type TargetList struct {
 	// Position orders lists.
@@ -82,7 +99,7 @@
 func (s TargetSet) Digest() Digest { return s.digest }
 
 // EqualTargets reports whether both lists hold the same targets in the same state
-// and order. WarmupMillis and Sequence are ignored, since they change all the time.
+// and order. What changes with each read is ignored.
 func EqualTargets(a, b []Target) bool {
 	return slices.EqualFunc(a, b, equalTargets)
 }
--- a/core/thview/admission.go
+++ b/core/thview/admission.go
@@ -11,10 +11,19 @@
 )
 
 const (
-	// maxEmptyOwners is how many other VMs without a token a request is refused by. More
-	// would seldom have one, and a customer over its limit would cost all owners a
-	// question for each request.
+	// QuestionTimeout is how long a VM waits for another one's answer to a request for
+	// tokens; a caller waits meanwhile. It covers a round trip between availability zones
+	// and, if the one that is asked has to check the presence of another, the time for
+	// that.
+	QuestionTimeout = 50 * time.Millisecond
+	// maxEmptyOwners is how many other VMs without a token a request may be told by,
+	// however long their answers took.
 	maxEmptyOwners = 2
+	// maxFurtherWait bounds the wait of a request that asks more owners than that, and
+	// furtherWaitShare the share of the route's latency objective that it waits at most.
+	// Most parts of a limit have an owner in another zone, 20 ms or so away.
+	maxFurtherWait   = 100 * time.Millisecond
+	furtherWaitShare = 0.3
 	// maxSilentOwners is how many VMs that do not answer a request waits for.
 	maxSilentOwners = 5
 	// retryAfterUnknownLimit is the time after which a request may be retried that no
@@ -45,8 +54,9 @@
 
 // ownedPart is a part of a customer's limit that this VM owns since the given time.
 type ownedPart struct {
-	bucket thquota.Bucket
-	since  thclock.Instant
+	bucket   thquota.Bucket
+	schedule thquota.RetrySchedule
+	since    thclock.Instant
 }
 
 // Admission is the state of one request that needs a token of its customer's limit.
@@ -56,8 +66,11 @@
 	// queue holds the VMs to ask, in order.
 	queue []candidateOwner
 	asked candidateOwner
-	// empty and silent are how many VMs had no token, and how many did not answer.
-	empty, silent int
+	// askFurtherUntil is until when the request may ask more than maxEmptyOwners.
+	askFurtherUntil thclock.Instant
+	// empty, knownEmpty and silent are how many VMs had no token, how many were not asked
+	// because they had none, and how many did not answer.
+	empty, knownEmpty, silent int
 	// retryAfter is the shortest time after which an owner may have a token.
 	retryAfter time.Duration
 	// own is the last part owned by this VM that had no token.
@@ -70,6 +83,9 @@
 	position int
 	// isRepeat is set if the VM has left one question unanswered.
 	isRepeat bool
+	// isFollower is set if a VM before this one in the line has just not answered the
+	// request, and isPresent if that VM has answered the follower.
+	isFollower, isPresent bool
 }
 
 func (c candidateOwner) owner() thfleet.Owner { return c.part.Line[c.position] }
@@ -125,8 +141,7 @@
 		state.admittedUnjoined++
 		return a, Admitted{}
 	}
-	a.queue = v.ownersToAsk(now, a.customer)
-	return a, v.nextAdmissionStep(now, a)
+	return a, v.askOwners(now, a)
 }
 
 // ResumeAdmission asks for a token for a request that has waited until this VM joined the
@@ -135,6 +150,16 @@
 	if !v.IsJoined(now) {
 		return v.refuseAdmission(now, a)
 	}
+	return v.askOwners(now, a)
+}
+
+// askOwners begins to ask for a token.
+func (v *View) askOwners(now thclock.Instant, a *Admission) AdmissionStep {
+	wait := maxFurtherWait
+	if objective := time.Duration(a.route.LatencyObjectiveMillis) * time.Millisecond; objective > 0 {
+		wait = min(wait, time.Duration(furtherWaitShare*float64(objective)))
+	}
+	a.askFurtherUntil = now.Add(wait - QuestionTimeout)
 	a.queue = v.ownersToAsk(now, a.customer)
 	return v.nextAdmissionStep(now, a)
 }
@@ -181,25 +206,39 @@
 	switch {
 	case answer == nil:
 		v.handleSilentOwner(now, a)
-	case answer.Thousandths >= wholeToken:
-		return Admitted{}
-	case !answer.NotOwner:
+	case answer.NotOwner:
+		a.returnToOwner()
+	default:
+		v.recordTokens(now, a, *answer)
+		if answer.Thousandths >= wholeToken {
+			return Admitted{}
+		}
 		a.empty++
-		a.retryAfter = min(a.retryAfter, time.Duration(answer.RetryAfterMillis)*time.Millisecond)
 	}
 	return v.nextAdmissionStep(now, a)
 }
 
+// recordTokens records until when the VM that answered has no further tokens.
+func (v *View) recordTokens(now thclock.Instant, a *Admission, t thfleet.Tokens) {
+	wait := time.Duration(t.RetryAfterMillis) * time.Millisecond
+	if t.Thousandths < wholeToken {
+		a.retryAfter = min(a.retryAfter, wait)
+	}
+	if wait > 0 {
+		v.emptyParts.Record(now, a.customer, a.asked.part.Number, a.asked.owner().Key, now.Add(wait))
+	}
+}
+
 // handleSilentOwner queues the next in line for the part of a VM that did not answer. This
 // VM itself takes over only after a second question, because a datagram may be lost.
 func (v *View) handleSilentOwner(now thclock.Instant, a *Admission) {
 	a.silent++
 	silent := a.asked.owner().Key
-	next := candidateOwner{part: a.asked.part, position: a.asked.position + 1}
+	next := candidateOwner{part: a.asked.part, position: a.asked.position + 1, isFollower: true, isPresent: a.asked.isPresent}
 	isSelfNext := next.position < len(next.part.Line) && next.owner().IsSelf
 	switch {
 	case isSelfNext && !a.asked.isRepeat:
-		next = a.asked
+		next.position--
 		next.isRepeat = true
 	case isSelfNext:
 		v.Fleet.Suspect(now, silent)
@@ -211,28 +250,64 @@
 	}
 }
 
+// returnToOwner queues the VM before the one that was asked once more, if the latter did not
+// take over from it: the former is present then, and only a datagram was lost.
+func (a *Admission) returnToOwner() {
+	if a.asked.isFollower && !a.asked.isPresent && a.asked.position > 0 {
+		a.queue = append(a.queue, candidateOwner{part: a.asked.part, position: a.asked.position - 1, isFollower: true, isPresent: true})
+	}
+}
+
 func (v *View) nextAdmissionStep(now thclock.Instant, a *Admission) AdmissionStep {
 	for len(a.queue) > 0 {
 		a.asked, a.queue = a.queue[0], a.queue[1:]
 		request := thfleet.TokenRequest{Kind: thfleet.CustomerTokens, Key: a.customer, Part: a.asked.part.Number, Thousandths: wholeToken}
-		if !a.asked.owner().IsSelf {
-			if a.empty >= maxEmptyOwners || a.silent >= maxSilentOwners {
-				break
+		switch {
+		case a.asked.owner().IsSelf:
+			if v.takeOwnToken(now, a, request) {
+				return Admitted{}
 			}
+		case v.isKnownEmpty(now, a):
+		case a.mayAsk(now):
 			return AskOwner{Owner: a.asked.owner().Peer, Request: request}
 		}
-		t, _ := v.giveCustomerToken(now, request)
-		if t.Thousandths >= wholeToken {
-			return Admitted{}
-		}
-		if !t.NotOwner {
-			a.own = v.ownPart(now, request)
-			a.retryAfter = min(a.retryAfter, time.Duration(t.RetryAfterMillis)*time.Millisecond)
-		}
 	}
 	return v.refuseAdmission(now, a)
 }
 
+// isKnownEmpty reports whether the VM to ask is known to have no tokens.
+func (v *View) isKnownEmpty(now thclock.Instant, a *Admission) bool {
+	until, ok := v.emptyParts.Until(now, a.customer, a.asked.part.Number, a.asked.owner().Key)
+	if ok {
+		a.knownEmpty++
+		a.retryAfter = min(a.retryAfter, until.Sub(now))
+	}
+	return ok
+}
+
+// mayAsk reports whether the request may ask one more VM. Those that follow a silent one in
+// the line do not count as further owners: the part may have tokens that no other has.
+func (a *Admission) mayAsk(now thclock.Instant) bool {
+	if a.silent >= maxSilentOwners {
+		return false
+	}
+	return a.empty < maxEmptyOwners || a.asked.isFollower || !a.askFurtherUntil.Before(now)
+}
+
+// takeOwnToken takes a token out of a part that this VM owns.
+func (v *View) takeOwnToken(now thclock.Instant, a *Admission, r thfleet.TokenRequest) bool {
+	t, _ := v.giveCustomerToken(now, r)
+	if t.NotOwner {
+		return false
+	}
+	if t.Thousandths >= wholeToken {
+		return true
+	}
+	a.own = v.ownPart(now, r)
+	a.retryAfter = min(a.retryAfter, time.Duration(t.RetryAfterMillis)*time.Millisecond)
+	return false
+}
+
 func (v *View) refuseAdmission(now thclock.Instant, a *Admission) AdmissionStep {
 	for _, b := range a.route.Backends {
 		v.countRefusal(now, v.service(b.Service))
@@ -281,15 +356,20 @@
 		owned.bucket = thquota.NewBucket(owned.since, share)
 	}
 	owned.bucket, ok = owned.bucket.WithRequest(now, c.limit, share)
+	t := thfleet.Tokens{}
+	if ok {
+		t.Thousandths = wholeToken
+	}
+	if wait := owned.bucket.RetryAfter(c.limit, share); wait > 0 {
+		var at thclock.Instant
+		at, owned.schedule = owned.schedule.Next(now, now.Add(wait), c.limit.Interval(share), v.options.Rand.Float64())
+		t.RetryAfterMillis = uint16(min(math.MaxUint16, at.Sub(now).Milliseconds()+1))
+	}
 	if c.owned == nil {
 		c.owned = make(map[uint8]ownedPart)
 	}
 	c.owned[r.Part] = owned
-	if ok {
-		return thfleet.Tokens{Thousandths: wholeToken}, nil
-	}
-	wait := owned.bucket.RetryAfter(c.limit, share)
-	return thfleet.Tokens{RetryAfterMillis: uint16(min(math.MaxUint16, wait.Milliseconds()+1))}, nil
+	return t, nil
 }
 
 // ownsPart reports whether this VM is the first in the line for a part that is not
--- a/core/thview/fuzz_test.go
+++ b/core/thview/fuzz_test.go
@@ -25,6 +25,7 @@
 		{From: thfleet.VMKeyOf("other"), StartMillis: 1, Sequence: 2, Loads: []thfleet.Load{{Target: target, InFlight: 3}}, Results: []thfleet.AttemptResult{{Target: target, Outcome: 1}}, Refused: []thfleet.KeyCount{{Key: thfleet.KeyOf("s"), Count: 2}}},
 		{From: thfleet.VMKeyOf("other"), StartMillis: 1, Sequence: 3, TokenRequest: &thfleet.TokenRequest{Key: customer, Thousandths: 1000, Number: 1}},
 		{From: thfleet.VMKeyOf("other"), StartMillis: 1, Sequence: 4, Results: []thfleet.AttemptResult{{Target: target, Outcome: 200}}},
+		{From: thfleet.VMKeyOf("other"), StartMillis: 1, Sequence: 5, ReportedLoads: []thfleet.ReportedLoad{{Target: target, Running: 2, Waiting: 65535, Slots: 2, AgeMillis: 65535}}},
 		thfleet.Notice{From: thfleet.VMKeyOf("other"), StartMillis: 2, Sequence: 1, Leaving: true, Lost: []thfleet.Loss{{VM: thfleet.VMKeyOf("vm"), StartMillis: 1}}}.
 			WithVersions(thfleet.StoreVersions{Table: 2, Targets: thtable.Position{Era: 3, Version: 2}}),
 	}
--- a/core/thview/leaving.go
+++ b/core/thview/leaving.go
@@ -63,11 +63,14 @@
 	return c
 }
 
-// Targets returns the listed targets, with those as draining that have said that they leave.
+// Targets returns the listed targets, with those as draining that have said that they leave or
+// are in an evacuated zone.
 func (v *View) Targets() []thtable.Target {
 	ts := make([]thtable.Target, 0, len(v.targets))
 	for _, t := range v.targets {
-		ts = append(ts, t.current())
+		c := t.current()
+		c.Draining = c.Draining || t.isEvacuated
+		ts = append(ts, c)
 	}
 	return ts
 }
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -24,6 +24,9 @@
 	refused map[thfleet.Key]uint32
 	// leaving holds the targets that have said that they leave, with their start times.
 	leaving map[thfleet.Key]int64
+	// reports holds the loads that targets reported and of which others should know. They are
+	// sent with the next notice on the target, but don't cause one by themselves.
+	reports map[thfleet.Key]pendingReport
 	crashes []thfleet.Crash
 	lost    []thfleet.Loss
 }
@@ -34,6 +37,7 @@
 		loads:   make(map[thfleet.Key]uint16),
 		results: make(map[thfleet.Key][]thfleet.AttemptResult),
 		leaving: make(map[thfleet.Key]int64),
+		reports: make(map[thfleet.Key]pendingReport),
 		refused: make(map[thfleet.Key]uint32),
 	}
 }
@@ -79,12 +83,15 @@
 			continue // the target is gone, so nobody uses what is known of it
 		}
 		members, all := v.users(t)
+		if len(members) == 0 {
+			continue // no VM uses a target of an evacuated zone
+		}
 		if all {
-			o.moveTo(&forAll, key)
+			o.moveTo(now, &forAll, key)
 			continue
 		}
 		n := Outgoing{Notice: v.newNotice(), Members: members}
-		o.moveTo(&n, key)
+		o.moveTo(now, &n, key)
 		outgoing = append(outgoing, n)
 	}
 	n := forAll.Notice
@@ -99,6 +106,7 @@
 	clear(o.loads)
 	clear(o.results)
 	clear(o.leaving)
+	clear(o.reports)
 	return outgoing
 }
 
@@ -118,10 +126,11 @@
 }
 
 // moveTo adds what is to be sent of a target to a notice.
-func (o *outbox) moveTo(n *Outgoing, key thfleet.Key) {
+func (o *outbox) moveTo(now thclock.Instant, n *Outgoing, key thfleet.Key) {
 	if inFlight, ok := o.loads[key]; ok {
 		n.Notice.Loads = append(n.Notice.Loads, thfleet.Load{Target: key, InFlight: inFlight})
 	}
+	o.addReport(now, &n.Notice, key)
 	if startMillis, ok := o.leaving[key]; ok {
 		n.Notice.LeavingTargets = append(n.Notice.LeavingTargets, thfleet.LeavingTarget{Target: key, StartMillis: startMillis})
 		n.Urgent = true
@@ -230,6 +239,7 @@
 // thfleet.ProbeInterval. The VMs that were found silent go into the next notice.
 func (v *View) Probe(now thclock.Instant) (probe, lost []thfleet.Peer) {
 	v.dropLostParts(now)
+	v.refreshAllCold(now)
 	probe, lost = v.Fleet.Probe(now)
 	for _, p := range lost {
 		v.outbox.lost = append(v.outbox.lost, thfleet.LossOf(p))
--- a/core/thview/pause.go
+++ b/core/thview/pause.go
@@ -12,6 +12,10 @@
 	// time: VMs and callers that were turned away together should not return together.
 	spreadShare = 0.1
 	maxSpread   = time.Second
+	// retryAfterEvacuated is the time after which a request to a service may be sent again whose
+	// targets are all in evacuated zones. Nothing tells when a zone is released; a VM learns of it
+	// within five seconds.
+	retryAfterEvacuated = time.Second
 )
 
 // Pause keeps new requests of this VM from the target of the pick until the given time, or a
@@ -44,30 +48,42 @@
 }
 
 // RetryAfterPause returns the time after which a request to the service may be sent again
-// because all of its targets that do not drain have asked for a pause: once the first pause
-// ends, or a little later. It returns 0 if a target is not paused.
+// because all of its targets that neither drain nor are evacuated have asked for a pause or
+// are cold: once the first pause ends, the first token for a cold target is available or the first of
+// these is warm, or a little later. It returns 0 if a target may be used.
 func (v *View) RetryAfterPause(now thclock.Instant, name string) time.Duration {
+	after, _ := v.firstUsable(now, v.service(name))
+	return after
+}
+
+// firstUsable is RetryAfterPause, and also returns whether a target is cold and not paused.
+func (v *View) firstUsable(now thclock.Instant, s *service) (after time.Duration, cold bool) {
 	first := time.Duration(math.MaxInt64)
-	for _, t := range v.service(name).targets {
+	for _, t := range s.targets {
+		usableAt := v.usableAt(now, s, t)
 		switch {
-		case t.current().Draining:
-		case !now.Before(t.pausedUntil):
-			return 0
+		case t.current().Draining, t.isEvacuated:
+		case !now.Before(usableAt):
+			return 0, false
 		default:
-			first = min(first, t.pausedUntil.Sub(now))
+			first = min(first, usableAt.Sub(now))
+			cold = cold || !now.Before(t.pausedUntil)
 		}
 	}
 	if first == math.MaxInt64 {
-		return 0
+		return 0, false
 	}
-	return first + v.pauseSpread(first)
+	return first + v.pauseSpread(first), cold
 }
 
 // refuseWithoutTarget returns the refusal of a request for which no target is left.
 func (v *View) refuseWithoutTarget(now thclock.Instant, s *service) *Refusal {
-	if after := v.RetryAfterPause(now, s.name); after > 0 {
+	if s.isEvacuated() {
+		return &Refusal{Evacuated: true, RetryAfter: retryAfterEvacuated}
+	}
+	if after, cold := v.firstUsable(now, s); after > 0 {
 		v.countRefusal(now, s)
-		return &Refusal{Paused: true, RetryAfter: after}
+		return &Refusal{Paused: !cold, Cold: cold, RetryAfter: after}
 	}
 	return &Refusal{RetryAfter: retryAfterNoTarget}
 }
--- a/core/thview/status.go
+++ b/core/thview/status.go
@@ -7,12 +7,17 @@
 	ID, Service, Address, Zone       string
 	Draining                         bool
 	FailureProbability, LatencyRatio float64
-	// InFlight is the number of requests of all VMs in flight at the target.
-	InFlight int
+	// InFlight is the number of requests of all VMs that are counted as in flight at the target,
+	// and Expected the number that is expected there by what the target reported as well.
+	InFlight, Expected int
 	// PausedUntil is when this VM may use the target again, if it has asked for a pause.
 	PausedUntil thclock.Instant
 	// IsPaused is set until then.
 	IsPaused bool
+	// IsCold is set if the target is cold and its service bounds the rate of cold targets. It is
+	// warm at WarmAt.
+	IsCold bool
+	WarmAt thclock.Instant
 }
 
 // TargetStatuses returns the status of every target.
@@ -27,8 +32,8 @@
 func (v *View) targetStatus(now thclock.Instant, t *target) TargetStatus {
 	return TargetStatus{
 		ID: t.ID, Service: t.Service, Address: t.Address, Zone: t.Zone, Draining: t.current().Draining,
-		FailureProbability: t.health.FailureProbability(now), LatencyRatio: t.health.LatencyRatio(), InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key),
-		PausedUntil: t.pausedUntil, IsPaused: now.Before(t.pausedUntil),
+		FailureProbability: t.health.FailureProbability(now), LatencyRatio: t.health.LatencyRatio(), InFlight: v.countInFlight(now, t), Expected: v.expectedRequests(now, t),
+		PausedUntil: t.pausedUntil, IsPaused: now.Before(t.pausedUntil), IsCold: t.isCold, WarmAt: t.warmupUntil,
 	}
 }
 
@@ -39,6 +44,7 @@
 	StateSuspect  = "suspect"
 	StateDraining = "leaving"
 	StatePaused   = "paused"
+	StateCold     = "cold"
 )
 
 // State returns the target's state, one of the constants above.
@@ -50,6 +56,8 @@
 		return StateSuspect
 	case s.IsPaused:
 		return StatePaused
+	case s.IsCold:
+		return StateCold
 	}
 	return StateHealthy
 }
--- a/core/thview/subset.go
+++ b/core/thview/subset.go
@@ -46,21 +46,33 @@
 		if s.ringsByZone == nil {
 			s.ringsByZone = make(map[string]*rings)
 		}
-		r = newRings(s.targets, zone)
+		r = newRings(s.ringTargets(), zone)
 		s.ringsByZone[zone] = r
 	}
 	return r
 }
 
+// ringTargets returns the targets that stand on the rings: those that any VM may use. Cold ones are
+// used by the owners of their parts only.
+func (s *service) ringTargets() []*target {
+	if s.onRings == nil {
+		s.onRings = slices.DeleteFunc(slices.Clone(s.targets), func(t *target) bool { return t.isEvacuated || t.isCold })
+	}
+	return s.onRings
+}
+
 // sortTargets puts the service's targets in the order of their keys, which all VMs
 // know, and drops the rings made before.
 func (s *service) sortTargets() {
 	slices.SortFunc(s.targets, func(a, b *target) int {
 		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.ID, b.ID))
 	})
-	s.ringsByZone = nil
+	s.dropRings()
 }
 
+// dropRings drops the rings, which are made anew when they are next used.
+func (s *service) dropRings() { s.ringsByZone, s.onRings = nil, nil }
+
 // windows returns the windows of the targets that a VM uses on both rings.
 func (r *rings) windows(m thfleet.Member) (own, others thsubset.Window) {
 	own = thsubset.WindowOf(m.Rank, m.ZoneSize, thsubset.Size, len(r.own))
@@ -100,6 +112,9 @@
 	if s == nil || len(s.targets) <= thsubset.Size {
 		return live, true
 	}
+	if t.isCold {
+		return ColdOwners(live, t.key, t.Zone), false
+	}
 	for _, m := range live {
 		if s.uses(m, t) {
 			members = append(members, m)
@@ -126,6 +141,7 @@
 // fillCandidates fills v.candidates and v.candidateTargets with the targets of the
 // service that the request may be sent to.
 func (v *View) fillCandidates(now thclock.Instant, s *service, request *thmessage.Request) {
+	v.refreshCold(now, s)
 	v.candidates, v.candidateTargets = v.candidates[:0], v.candidateTargets[:0]
 	inFlight := 0
 	for _, t := range s.subset(v.Fleet.Self()) {
@@ -134,8 +150,10 @@
 		v.candidates, v.candidateTargets = append(v.candidates, c), append(v.candidateTargets, t)
 	}
 	used := len(v.candidates)
-	for range min(extraTargets, len(s.targets)-used) {
-		t := s.targets[v.options.Rand.IntN(len(s.targets))]
+	v.addOwnedCold(now, s, request.Route.IsIdempotent())
+	onRings := s.ringTargets()
+	for range min(extraTargets, len(onRings)-used) {
+		t := onRings[v.options.Rand.IntN(len(onRings))]
 		if slices.Contains(v.candidateTargets, t) {
 			continue
 		}
@@ -159,7 +177,8 @@
 func (v *View) newCandidate(now thclock.Instant, t *target, idempotent bool) thpick.Candidate {
 	c := thpick.Candidate{
 		Target: t.current(), Health: t.health, WarmupUntil: t.warmupUntil,
-		InFlight: t.ownInFlight + v.Fleet.InFlight(now, t.key), UsedAt: t.usedAt, FailedAt: t.failedAt, PausedUntil: t.pausedUntil,
+		InFlight: v.expectedRequests(now, t), UsedAt: t.usedAt, FailedAt: t.failedAt, PausedUntil: t.pausedUntil,
+		IsEvacuated: t.isEvacuated, IsThrottled: t.isCold && v.isThrottled(now, v.services[t.Service], t),
 	}
 	// Other targets that this VM knows nothing of were used before it started, or by other
 	// VMs before it began to use them.
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -12,6 +12,7 @@
 	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -34,16 +35,24 @@
 	// listedAt is when the target, or its latest process, was first listed.
 	listedAt    thclock.Instant
 	warmupUntil thclock.Instant
+	// isCold is set while the target warms up and its service has a bound for that time. Then
+	// ownsPart is set if this VM owns a part of the bound, which it gives out at the pace.
+	isCold, ownsPart bool
+	pace             thquota.Pace
 	// usedAt is when any VM last began a request at the target.
 	usedAt thclock.Instant
 	// failedAt is when a request last failed at the target.
 	failedAt thclock.Instant
 	// leaving is set if the target has said that it leaves.
 	leaving bool
+	// isEvacuated is set if the target is in an evacuated zone.
+	isEvacuated bool
 	// pausedUntil is when this VM may use the target again, which has asked for a pause.
 	pausedUntil thclock.Instant
 	// pauseIgnored is set if the target has asked for a pause that could not be read.
 	pauseIgnored bool
+	// load is what the target reported of its load.
+	load targetLoad
 	// suspect is whether the target was last reported to OnSuspectChange as
 	// suspect.
 	suspect bool
@@ -56,8 +65,15 @@
 	// targets are in the order of their keys.
 	targets     []*target
 	ringsByZone map[string]*rings
+	// onRings holds the targets that stand on the rings.
+	onRings     []*target
+	cold        coldState
 	retryBudget thpick.RetryBudget
 	floor       thpick.Floor
+	// demand divides the work of this VM's requests by their urgency.
+	demand thpick.Demand
+	// slotTime estimates the latency of the answers of all routes.
+	slotTime thpick.LatencyEstimate
 	// floorEnforced is what was last reported to OnFloorChange.
 	floorEnforced bool
 	// retries and refused are the totals of this VM's retries and refusals.
@@ -90,6 +106,9 @@
 	// OnLeaving is called when this VM learns from a target, or from another VM if reported
 	// is set, that the target leaves, as OnSuspectChange is.
 	OnLeaving func(t thtable.Target, reported bool)
+	// OnColdChange is called when a target becomes cold or warm whose service bounds the rate of
+	// cold targets, as OnSuspectChange is.
+	OnColdChange func(s TargetStatus)
 	// OnFloorChange is called when this VM begins or ceases to enforce the floor of a
 	// service, as OnSuspectChange is.
 	OnFloorChange func(s FloorStatus)
@@ -105,6 +124,8 @@
 	services      map[string]*service
 	servicesByKey map[thfleet.Key]*service
 	customers     map[thfleet.Key]*customer
+	// emptyParts holds the parts of limits whose owners have no tokens.
+	emptyParts thquota.EmptyParts
 	// estimates and backendSequences are keyed by route name.
 	estimates        map[string]thpick.LatencyEstimate
 	backendSequences map[string]*backendSequence
@@ -112,6 +133,9 @@
 	// quarantine holds the requests that coincided with crashes of targets.
 	quarantine thquarantine.Table
 	sweptAt    thclock.Instant
+	// evacuated holds the availability zones whose targets get no requests.
+	evacuated []string
+	coldShare coldShare
 	// firstListedAt is when this VM got its first list of targets.
 	firstListedAt thclock.Instant
 	// candidates holds the candidates of the latest pick, and candidateTargets their
@@ -164,9 +188,12 @@
 			if state != nil && state.ownInFlight > 0 {
 				v.outbox.loads[state.key] = 0 // other VMs count this one's requests as well
 			}
-			state = &target{key: thfleet.KeyOf(t.ID), listedAt: now, warmupUntil: now.Add(time.Duration(t.WarmupMillis) * time.Millisecond)}
+			state = &target{key: thfleet.KeyOf(t.ID), listedAt: now}
 		}
-		state.Target = t
+		if !t.HasReportOf(state.Target) {
+			state.warmupUntil = t.WarmUntil(now)
+		}
+		state.Target, state.isEvacuated = t, slices.Contains(v.evacuated, t.Zone)
 		v.targets[t.ID] = state
 		v.targetsByKey[state.key] = state
 		s := v.service(t.Service)
@@ -174,6 +201,7 @@
 	}
 	for _, s := range v.services {
 		s.sortTargets()
+		v.updateCold(now, s)
 	}
 }
 
@@ -194,11 +222,15 @@
 	customers, routes := make(map[thfleet.Key]bool), make(map[string]bool)
 	for _, c := range t.Document().Customers {
 		customers[thfleet.KeyOf(c.Name)] = true
-		v.customer(c).limit = thquota.Limit{Rate: c.Rate, Burst: c.Burst}
+		state, limit := v.customer(c), thquota.Limit{Rate: c.Rate, Burst: c.Burst}
+		if state.limit != limit {
+			state.limit, v.emptyParts = limit, thquota.EmptyParts{}
+		}
 	}
 	for _, r := range t.Document().Routes {
 		routes[r.Name] = true
 	}
+	v.setColdRates(t.Document().Services)
 	maps.DeleteFunc(v.customers, func(k thfleet.Key, _ *customer) bool { return !customers[k] })
 	maps.DeleteFunc(v.estimates, func(name string, _ thpick.LatencyEstimate) bool { return !routes[name] })
 	maps.DeleteFunc(v.backendSequences, func(name string, _ *backendSequence) bool { return !routes[name] })
@@ -224,10 +256,11 @@
 // Picked is a target that was picked for a request, with the basis of the pick.
 type Picked struct {
 	Target thtable.Target
-	// FailureProbability and InFlight are what was known of the target before the
-	// request was counted there.
+	// FailureProbability, InFlight (see thpick.Candidate) and Load are what was known of the
+	// target before the request was counted there.
 	FailureProbability float64
 	InFlight           int
+	Load               thpick.Load
 	// ExpectedLatency is the expected median latency of the answer.
 	ExpectedLatency time.Duration
 	// KeepsFloor is set if the target was picked because too few targets were in use, not
@@ -244,8 +277,12 @@
 	// OverBudget is set if the request was sent before and the retry budget has no room
 	// for one more retry.
 	OverBudget bool
-	// Paused is set if all targets of the service have asked for a pause.
-	Paused bool
+	// Paused is set if all targets of the service have asked for a pause, and Evacuated if
+	// all of them are in evacuated zones.
+	Paused, Evacuated bool
+	// Cold is set if the targets that are neither paused nor evacuated are cold, and this VM may
+	// send them no request now.
+	Cold bool
 	// RetryAfter is the time after which a retry may succeed.
 	RetryAfter time.Duration
 }
@@ -303,8 +340,8 @@
 func (v *View) newQuery(now thclock.Instant, request *thmessage.Request, s *service, tried []string, retryable bool) thpick.Query {
 	v.fillCandidates(now, s, request)
 	return thpick.Query{
-		Now: now, Zone: v.options.Self.Zone, Retryable: retryable, Bytes: len(request.Body) + typicalAnswerBytes,
-		ExpectedLatency: v.ExpectedLatency(request.Route), Objective: request.Objective, Deadline: request.Deadline,
+		Now: now, Zone: v.options.Self.Zone, Retryable: retryable, Bytes: request.Body.Len() + typicalAnswerBytes,
+		ExpectedLatency: v.ExpectedLatency(request.Route), SlotTime: s.slotTime.Median(objectiveOf(request.Route)), Arrived: request.Arrived, Objective: request.Objective, Deadline: request.Deadline,
 		Priority: priorityOf(request), Tried: tried, BudgetUsedShare: v.retryPressure(now, s),
 	}
 }
@@ -313,6 +350,7 @@
 // retry if other targets were tried before.
 func (v *View) startAttempt(now thclock.Instant, s *service, query thpick.Query, i int) Picked {
 	t := v.candidateTargets[i]
+	t.takeColdToken(now)
 	t.ownInFlight++
 	t.usedAt = now
 	v.outbox.loads[t.key] = uint16(min(t.ownInFlight, math.MaxUint16))
@@ -320,7 +358,7 @@
 		s.retryBudget = s.retryBudget.WithRetry(now, v.retryRule(now))
 		s.retries++
 	}
-	return Picked{Target: t.current(), FailureProbability: v.candidates[i].Health.FailureProbability(now), InFlight: v.candidates[i].InFlight, ExpectedLatency: query.ExpectedLatency, key: t.key, pickedAt: now}
+	return Picked{Target: t.current(), FailureProbability: v.candidates[i].Health.FailureProbability(now), InFlight: v.candidates[i].InFlight, Load: t.load.own, ExpectedLatency: query.ExpectedLatency, key: t.key, pickedAt: now}
 }
 
 const (
@@ -342,7 +380,11 @@
 
 // ExpectedLatency returns the estimated median latency of the route's answers.
 func (v *View) ExpectedLatency(r thtable.Route) time.Duration {
-	return v.estimates[r.Name].Median(time.Duration(r.LatencyObjectiveMillis) * time.Millisecond)
+	return v.estimates[r.Name].Median(objectiveOf(r))
+}
+
+func objectiveOf(r thtable.Route) time.Duration {
+	return time.Duration(r.LatencyObjectiveMillis) * time.Millisecond
 }
 
 // Finish records the outcome of an attempt, and its latency if it was answered. The
@@ -351,6 +393,8 @@
 	result := thfleet.AttemptResult{Target: p.key, Outcome: o, LatencyRatio: thfleet.UnknownLatencyRatio}
 	if o == thhealth.Answered {
 		v.estimates[request.Route.Name] = v.estimates[request.Route.Name].WithAnswer(took)
+		s := v.service(p.Target.Service)
+		s.slotTime = s.slotTime.WithAnswer(took)
 		result.LatencyRatio = encodeLatencyRatio(float64(took) / float64(max(p.ExpectedLatency, 1)))
 	}
 	v.recordCrashEvidence(now, p, request, o)
@@ -471,6 +515,9 @@
 	update := v.Fleet.Receive(now, n)
 	v.receiveCrashEvidence(now, update)
 	update.TargetsLeave = v.receiveLeaving(n.LeavingTargets)
+	if !update.Stale {
+		v.receiveLoads(now, n.ReportedLoads)
+	}
 	for _, result := range update.Results {
 		if t := v.targetsByKey[result.Target]; t != nil {
 			v.setHealth(now, t, withLatencyRatio(t.health.WithRemoteOutcome(now, result.Outcome), result))
--- a/io/thfake/target.go
+++ b/io/thfake/target.go
@@ -30,6 +30,9 @@
 	// RetryAfter is the value of Retry-After in the answers to requests that are not run;
 	// empty means that they have none.
 	RetryAfter string
+	// ColdMillis is the value of the field by which the target says in each answer how long it
+	// stays cold; empty means that it does not say it.
+	ColdMillis string
 	// DropShare is the share of requests, 0 to 1, whose connection is closed
 	// without an answer after they ran.
 	DropShare float64
@@ -139,6 +142,9 @@
 	if b.Leaving {
 		c.Response.Header.Set(headerNames.Leaving[0], "1")
 	}
+	if b.ColdMillis != "" {
+		c.Response.Header.Set(headerNames.Cold, b.ColdMillis)
+	}
 	if shed {
 		if b.RetryAfter != "" {
 			c.Response.Header.Set(fasthttp.HeaderRetryAfter, b.RetryAfter)
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,7 +30,7 @@
 	Retain(targets []thtable.Target)
 }
 
-// Options configure a Forwarder. Only Log, Ask and RecordAttempt may be nil.
+// Options configure a Forwarder. Only Log, Ask and the Record functions may be nil.
 type Options struct {
 	View   *thview.View
 	Table  func() thtable.Table
@@ -43,17 +45,29 @@
 	// RecordAttempt, if not nil, is called after each attempt, for metrics.
 	// newConnection is true if a connection was opened for the attempt.
 	RecordAttempt func(service string, end thpick.AttemptEnd, took time.Duration, newConnection bool)
+	// RecordWait, if not nil, is called for each request that has waited for a slot, for metrics.
+	RecordWait func(service string, waited time.Duration)
+	// RecordLimitQuestion, if not nil, is called for each question to an owner of a
+	// customer's limit, for metrics: the answer is token, empty, notOwner or silent.
+	RecordLimitQuestion func(answer string)
+	// RecordLimitRefusal, if not nil, is called for each refusal by a customer's limit, for
+	// metrics.
+	RecordLimitRefusal func(reason thview.AdmissionReason)
 }
 
 // Forwarder forwards requests to targets. It must be created with New and is safe
 // for concurrent use.
 type Forwarder struct {
 	options Options
-	// mu guards options.View.
+	// mu guards options.View and evacuated.
 	mu sync.Mutex
+	// evacuated holds the availability zones whose targets get no requests.
+	evacuated []string
 	// joined is closed once the VM knows the members of the fleet.
 	joined     chan struct{}
 	joinedOnce sync.Once
+	// slots is locked before mu.
+	slots slotQueue
 }
 
 var _ thingress.Forwarder = (*Forwarder)(nil)
@@ -90,11 +104,24 @@
 	f.RetainConnections()
 }
 
+// SetEvacuated replaces the availability zones whose targets get no requests, closes the
+// connections to their targets, and returns the zones that are new and those that were released.
+func (f *Forwarder) SetEvacuated(zones []string) (added, released []string) {
+	f.WithView(func(now thclock.Instant, v *thview.View) {
+		added, released = v.SetEvacuated(now, zones)
+		f.evacuated = slices.Clone(zones)
+	})
+	f.RetainConnections()
+	return added, released
+}
+
 // RetainConnections closes the connections to targets that are gone or draining, by the list
-// or by their own word.
+// or by their own word, or in an evacuated zone. Those in use are closed after the answer.
 func (f *Forwarder) RetainConnections() {
 	var ts []thtable.Target
-	f.WithView(func(_ thclock.Instant, v *thview.View) { ts = v.Targets() })
+	f.WithView(func(_ thclock.Instant, v *thview.View) {
+		ts = slices.DeleteFunc(v.Targets(), func(t thtable.Target) bool { return slices.Contains(f.evacuated, t.Zone) })
+	})
 	f.options.Sender.Retain(ts)
 }
 
@@ -112,6 +139,8 @@
 	tried []string
 	// last is the attempt that ended last.
 	last attemptResult
+	// waited is how long the request has waited for a slot.
+	waited time.Duration
 }
 
 // Forward sends the request to targets until one answers or no further attempt is
@@ -130,6 +159,9 @@
 	if !ok {
 		return nil, f.logRefusal(s, &thingress.Refusal{Err: therror.New(therror.NoTarget, "service %q is not configured", s.service)})
 	}
+	if refusal := f.awaitSlot(ctx, s); refusal != nil {
+		return nil, f.logRefusal(s, refusal)
+	}
 	if !request.Route.IsIdempotent() {
 		// Non-idempotent requests are never cancelled once sent.
 		if ctx.Err() != nil {
@@ -232,6 +264,10 @@
 			withinBudget = false
 		case s.attempts.MayHaveRun > 0:
 			refusal = &thingress.Refusal{Err: therror.New(therror.AnswerLost, "no other target is left")}
+		case pickRefusal.Evacuated:
+			refusal = &thingress.Refusal{Err: therror.New(therror.NoTarget, "all targets of the service are in evacuated zones"), RetryAfter: pickRefusal.RetryAfter}
+		case pickRefusal.Cold:
+			refusal = &thingress.Refusal{Err: therror.New(therror.QueueFull, "the targets of the service that are left are cold, and get no more requests now"), RetryAfter: pickRefusal.RetryAfter}
 		case pickRefusal.Paused:
 			refusal = &thingress.Refusal{Err: therror.New(therror.Shed, "all targets of the service have asked for a pause"), RetryAfter: pickRefusal.RetryAfter}
 		case pickRefusal.Overloaded:
@@ -337,10 +373,14 @@
 // logFields returns the log fields of the request after the given number of
 // attempts.
 func (s *requestState) logFields(attempts int) []thevent.Field {
-	return []thevent.Field{
+	fields := []thevent.Field{
 		thevent.F("request", s.request.ID), thevent.F("route", s.request.Route.Name), thevent.F("service", s.service),
 		thevent.F("customer", s.request.Customer.Name), thevent.F("sends", attempts),
 	}
+	if s.waited > 0 {
+		fields = append(fields, thevent.F("waitedMillis", s.waited.Milliseconds()))
+	}
+	return fields
 }
 
 // targetLogFields returns the log fields of a picked target.
@@ -349,6 +389,9 @@
 		thevent.F("target", p.Target.ID), thevent.F("address", p.Target.Address),
 		thevent.F("bad", roundToThousandths(p.FailureProbability)), thevent.F("inFlight", p.InFlight),
 	}
+	if r, _ := p.Load.Report(); !r.IsZero() {
+		fields = append(fields, thevent.F("reported", fmt.Sprintf("%d,%d,%d", r.Running, r.Waiting, r.Slots)))
+	}
 	if p.KeepsFloor {
 		fields = append(fields, thevent.F("keepsFloor", true))
 	}
--- a/io/thforward/hedge.go
+++ b/io/thforward/hedge.go
@@ -106,8 +106,12 @@
 	leaves, pauses := false, false
 	f.WithView(func(now thclock.Instant, v *thview.View) {
 		v.Finish(now, p, s.request, outcomeOf(p, r), r.Took)
+		v.RecordLoad(now, p, r.Load)
 		leaves = r.TargetLeaves && v.MarkLeaving(p)
 		pauses = recordPause(now, v, p, r)
+		if r.ColdUntil != (thclock.Instant{}) {
+			v.MarkCold(now, p, r.ColdUntil)
+		}
 	})
 	if pauses {
 		f.logPause(p, r)
--- a/io/thforward/tokens.go
+++ b/io/thforward/tokens.go
@@ -25,16 +25,19 @@
 			if t, ok := f.options.Ask(s.Owner, s.Request); ok {
 				answer = &t
 			}
+			f.recordQuestion(answer)
 			f.WithView(func(now thclock.Instant, v *thview.View) { step = v.ContinueAdmission(now, admission, answer) })
 		case thview.AwaitJoin:
 			f.awaitJoin(s.Until)
 			f.WithView(func(now thclock.Instant, v *thview.View) { step = v.ResumeAdmission(now, admission) })
 		case thview.OverLimit:
+			f.recordLimitRefusal(s.Basis)
 			return &thingress.Refusal{
 				Err:        therror.New(therror.OverLimit, "customer %s is over its rate", c.Name),
 				RetryAfter: s.RetryAfter, LogFields: basisLogFields(s.Basis),
 			}
 		case thview.LimitUnknown:
+			f.recordLimitRefusal(s.Basis)
 			return &thingress.Refusal{
 				Err:        therror.New(therror.LimitUnknown, "no owner of customer %s's limit answers, %d were asked", c.Name, s.Basis.SilentOwners),
 				RetryAfter: s.RetryAfter, LogFields: basisLogFields(s.Basis),
@@ -45,6 +48,30 @@
 	}
 }
 
+// recordQuestion records the answer to a question for a token of a customer's limit, nil if
+// none came, for metrics.
+func (f *Forwarder) recordQuestion(answer *thfleet.Tokens) {
+	if f.options.RecordLimitQuestion == nil {
+		return
+	}
+	switch {
+	case answer == nil:
+		f.options.RecordLimitQuestion("silent")
+	case answer.NotOwner:
+		f.options.RecordLimitQuestion("notOwner")
+	case answer.Thousandths == 0:
+		f.options.RecordLimitQuestion("empty")
+	default:
+		f.options.RecordLimitQuestion("token")
+	}
+}
+
+func (f *Forwarder) recordLimitRefusal(b thview.AdmissionBasis) {
+	if f.options.RecordLimitRefusal != nil {
+		f.options.RecordLimitRefusal(b.Reason())
+	}
+}
+
 // awaitJoin waits until the VM knows the members of the fleet, but not beyond the time
 // until.
 func (f *Forwarder) awaitJoin(until thclock.Instant) {
@@ -61,6 +88,7 @@
 func basisLogFields(b thview.AdmissionBasis) []thevent.Field {
 	fields := []thevent.Field{
 		thevent.F("rate", b.Limit.Rate), thevent.F("burst", b.Limit.Burst),
+		thevent.F("reason", b.Reason().String()), thevent.F("cachedOwners", b.CachedOwners),
 		thevent.F("emptyOwners", b.EmptyOwners), thevent.F("silentOwners", b.SilentOwners),
 		thevent.F("vmsLive", b.LiveVMs), thevent.F("vmsKnown", b.Members),
 	}
--- a/io/thgossip/question.go
+++ b/io/thgossip/question.go
@@ -10,11 +10,6 @@
 )
 
 const (
-	// questionTimeout is how long a VM waits for another one's answer to a request for
-	// tokens; a caller waits meanwhile. It covers a round trip between availability zones
-	// and, if the one that is asked has to check the presence of another, the time for
-	// that.
-	questionTimeout = 50 * time.Millisecond
 	// presenceTimeout is how long a VM that is next in line for a part of a limit waits
 	// for a sign of the VM before it, and presenceChecks how often it asks.
 	presenceTimeout = 15 * time.Millisecond
@@ -61,7 +56,7 @@
 // Ask asks a VM for tokens and returns its answer, and false if none came in time.
 // Tokens that arrive too late are lost to both VMs.
 func (x *Exchange) Ask(p thfleet.Peer, r thfleet.TokenRequest) (thfleet.Tokens, bool) {
-	return x.ask(p, r, questionTimeout)
+	return x.ask(p, r, thview.QuestionTimeout)
 }
 
 func (x *Exchange) ask(p thfleet.Peer, r thfleet.TokenRequest, wait time.Duration) (thfleet.Tokens, bool) {
--- a/io/thnode/monitor.go
+++ b/io/thnode/monitor.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -109,12 +110,28 @@
 	}
 }
 
+// recordWait records how long a request has waited for a slot.
+func (n *Node) recordWait(service string, waited time.Duration) {
+	n.monitor.set.GetOrCreateHistogram(fmt.Sprintf("slot_wait_seconds{service=%q}", service)).Update(waited.Seconds())
+}
+
+// recordLimitQuestion counts a question to an owner of a customer's limit.
+func (n *Node) recordLimitQuestion(answer string) {
+	n.monitor.set.GetOrCreateCounter(fmt.Sprintf("limit_questions_total{answer=%q}", answer)).Inc()
+}
+
+// recordLimitRefusal counts a refusal by a customer's limit.
+func (n *Node) recordLimitRefusal(reason thview.AdmissionReason) {
+	n.monitor.set.GetOrCreateCounter(fmt.Sprintf("limit_refusals_total{reason=%q}", reason)).Inc()
+}
+
 // registerGauges registers the metrics whose values are read each time they are
 // served.
 func (m *monitor) registerGauges() {
 	gauge := func(name string, f func() float64) { m.set.NewGauge(name, f) }
 	gauge("ready", func() float64 { return boolToFloat(m.node.IsReady()) })
 	gauge("in_flight", func() float64 { return float64(m.node.ingress.InFlight()) })
+	gauge("requests_waiting", func() float64 { return float64(m.node.forwarder.Waiting()) })
 	gauge("caller_connections", func() float64 { return float64(m.node.ingress.Connections()) })
 	use := func() thingress.MemoryUse { return m.node.ingress.MemoryUse() }
 	gauge("caller_memory_limit_bytes", func() float64 { return float64(use().Limit) })
@@ -127,6 +144,7 @@
 	gauge("table_version", func() float64 { return float64(m.node.source.Status().TableVersion) })
 	gauge("targets_version", func() float64 { return float64(m.node.source.Status().Targets.Version) })
 	gauge("store_era", func() float64 { return float64(m.node.source.Status().Targets.Era) })
+	gauge("evacuations_version", func() float64 { return float64(m.node.source.Status().Orders.Version) })
 	gauge("targets_known", func() float64 { return float64(m.node.source.Status().TargetCount) })
 	gauge("store_answers", func() float64 { return boolToFloat(m.node.source.Status().IsStoreReachable) })
 	gauge("store_read_age_seconds", func() float64 { return float64(m.node.source.Status().ReadAgeMillis) / 1000 })
@@ -148,7 +166,7 @@
 // this one holds.
 func (m *monitor) readAges() (ages thfleet.ReadAges) {
 	own, s := m.node.source.ReadAges(), m.node.source.Status()
-	have := thfleet.StoreVersions{Table: s.TableVersion, Targets: s.Targets}
+	have := thfleet.StoreVersions{Table: s.TableVersion, Targets: s.Targets, Orders: s.Orders}
 	m.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
 		ages = own.Reads(now).Max(v.Fleet.LastReads(have)).Ages(now)
 	})
@@ -177,20 +195,34 @@
 			writeLine(w, "store_calls_total{outcome=%q} %d\n", outcome, calls)
 		}
 	}
-	type group struct{ service, state string }
-	counts := make(map[group]int)
+	evacuated := m.node.source.Status().Evacuated
+	zones := make(map[string]bool)
+	for _, z := range evacuated {
+		zones[z] = true
+	}
+	type group struct{ service, label string }
+	counts, requests := make(map[group]int), make(map[group]int)
 	var floors []thview.FloorStatus
 	m.node.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
 		for _, s := range v.TargetStatuses(now) {
 			counts[group{s.Service, s.State()}]++
+			zones[s.Zone] = true
+			requests[group{s.Service, "counted"}] += s.InFlight
+			requests[group{s.Service, "expected"}] += s.Expected
 		}
 		floors = v.FloorStatuses(now)
 	})
 	for _, f := range floors {
 		writeLine(w, "floor_enforced{service=%q} %g\n", f.Service, boolToFloat(f.IsEnforced))
 	}
+	for zone := range zones {
+		writeLine(w, "zone_evacuated{zone=%q} %g\n", zone, boolToFloat(slices.Contains(evacuated, zone)))
+	}
 	for g, count := range counts {
-		writeLine(w, "targets{service=%q,state=%q} %d\n", g.service, g.state, count)
+		writeLine(w, "targets{service=%q,state=%q} %d\n", g.service, g.label, count)
+	}
+	for g, count := range requests {
+		writeLine(w, "target_requests{service=%q,source=%q} %d\n", g.service, g.label, count)
 	}
 }
 
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -166,11 +166,12 @@
 	view := thview.New(thview.Options{
 		Self: self, StartMillis: uint64(time.Now().UnixMilli()), StartedAt: n.clock.Now(), HasIdleConnection: n.sender.HasIdleConnection,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), OnSuspectChange: n.logSuspectChange,
-		OnFloorChange: n.logFloorChange, OnLeaving: n.logLeaving,
+		OnFloorChange: n.logFloorChange, OnLeaving: n.logLeaving, OnColdChange: n.logColdChange,
 	})
 	n.forwarder = thforward.New(thforward.Options{
 		View: view, Table: n.table, Sender: n.sender, Clock: n.clock, Log: n.options.Log,
-		NotifyPeers: n.wakeExchange, Ask: n.ask, RecordAttempt: n.recordAttempt,
+		NotifyPeers: n.wakeExchange, Ask: n.ask, RecordAttempt: n.recordAttempt, RecordWait: n.recordWait,
+		RecordLimitQuestion: n.recordLimitQuestion, RecordLimitRefusal: n.recordLimitRefusal,
 	})
 	if err := n.openExchange(); err != nil {
 		return err
@@ -178,7 +179,7 @@
 	client := thwire.NewClient(thwire.ClientOptions{Credential: settings.Peers.Credential, From: settings.VM.ID, LocalIP: settings.LocalIP()})
 	n.source = thsource.New(thsource.Options{
 		Self: self, FirstStart: settings.VM.FirstStart, Store: n.options.Store, Fleet: fleetAdapter{n}, Client: client, Log: n.options.Log,
-		ApplyTable: n.applyTable, ApplyTargets: n.forwarder.SetTargets,
+		ApplyTable: n.applyTable, ApplyTargets: n.forwarder.SetTargets, ApplyEvacuated: n.applyEvacuated,
 	})
 	n.peerServer = &thwire.Server{Credential: settings.Peers.Credential, Log: n.options.Log}
 	n.source.Register(n.peerServer)
@@ -229,7 +230,19 @@
 	n.forwarder.WithView(func(_ thclock.Instant, v *thview.View) { v.SetTable(t) })
 }
 
-// expireInterval is how often expired idle connections to targets are closed.
+// applyEvacuated replaces the evacuated zones, and logs which are new or were released.
+func (n *Node) applyEvacuated(zones []string, at thtable.Position) {
+	added, released := n.forwarder.SetEvacuated(zones)
+	for _, z := range added {
+		n.options.Log.Log(thevent.ZoneEvacuated, thevent.F("zone", z), thevent.F("version", at.Version), thevent.F("era", at.Era))
+	}
+	for _, z := range released {
+		n.options.Log.Log(thevent.ZoneReleased, thevent.F("zone", z), thevent.F("version", at.Version), thevent.F("era", at.Era))
+	}
+}
+
+// expireInterval is how often idle connections to targets are closed that have expired or lead to
+// targets that get no requests any more.
 const expireInterval = 2 * time.Second
 
 // serve starts all servers, the exchange, the source and the regular closing of
@@ -240,7 +253,10 @@
 	n.exchange.Start()
 	n.goroutines.Go(func() { n.source.Run(n.context) })
 	n.goroutines.Go(func() { n.ingress.Serve(callers) })
-	n.pool.RunEvery(expireInterval, nil, func(context.Context) { n.sender.CloseExpired() })
+	n.pool.RunEvery(expireInterval, nil, func(context.Context) {
+		n.sender.CloseExpired()
+		n.forwarder.RetainConnections() // an attempt that was picked before may have opened one since
+	})
 	n.monitor.start()
 }
 
--- a/io/thnode/operators.go
+++ b/io/thnode/operators.go
@@ -93,6 +93,7 @@
 		TableVersion: sourceStatus.TableVersion, TargetsVersion: sourceStatus.Targets.Version, StoreEra: sourceStatus.Targets.Era,
 		StoreAnswers: sourceStatus.IsStoreReachable, IsReader: sourceStatus.IsReader,
 		TableAgeMillis: ages.Table, TargetsAgeMillis: ages.Targets, InFlight: n.ingress.InFlight(),
+		Evacuated: sourceStatus.Evacuated, EvacuationsVersion: sourceStatus.Orders.Version, EvacuationsEra: sourceStatus.Orders.Era,
 	}
 	n.forwarder.WithView(func(now thclock.Instant, v *thview.View) {
 		s.LiveVMs, _ = v.Fleet.Size(now)
@@ -100,10 +101,14 @@
 			if t.State() == thview.StateHealthy {
 				continue
 			}
-			s.Targets = append(s.Targets, thoperator.TargetStatus{
+			reported := thoperator.TargetStatus{
 				Service: t.Service, Target: t.ID, Address: t.Address, State: t.State(), FailurePerMille: int(t.FailureProbability * 1000),
 				PausedMillis: max(0, t.PausedUntil.Sub(now).Milliseconds()),
-			})
+			}
+			if t.IsCold {
+				reported.ColdMillis = max(0, t.WarmAt.Sub(now).Milliseconds())
+			}
+			s.Targets = append(s.Targets, reported)
 		}
 	})
 	return s
@@ -136,6 +141,16 @@
 		thevent.F("address", t.Address), thevent.F("reported", reported))
 }
 
+// logColdChange logs that a target became cold or warm.
+func (n *Node) logColdChange(s thview.TargetStatus) {
+	id := thevent.TargetWarm
+	if s.IsCold {
+		id = thevent.TargetCold
+	}
+	n.options.Log.Log(id, thevent.F("target", s.ID), thevent.F("service", s.Service), thevent.F("address", s.Address),
+		thevent.F("coldMillis", max(0, s.WarmAt.Sub(n.clock.Now()).Milliseconds())))
+}
+
 // logFloorChange logs that this VM begins or ceases to enforce a service's floor.
 func (n *Node) logFloorChange(s thview.FloorStatus) {
 	id := thevent.FloorReleased
--- a/io/thnode/stop.go
+++ b/io/thnode/stop.go
@@ -62,6 +62,7 @@
 	schedule := NewStopSchedule(time.Now(), time.Duration(n.gracePeriod.Load()))
 	n.ingress.Drain()
 	n.ingress.RefuseFrom(schedule.RefuseAt)
+	n.forwarder.StopWaiting()
 	leaveCtx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	if err := n.source.Leave(leaveCtx); err != nil {
 		n.options.Log.Log(thevent.StoreLost, thevent.F("error", err.Error()), thevent.F("during", "leave"))
--- a/io/thoperator/operator.go
+++ b/io/thoperator/operator.go
@@ -30,12 +30,12 @@
 const partTimeout = 2 * time.Second
 
 // TargetStatus describes a target to which a VM sends no ordinary requests,
-// because it is suspect, paused or draining.
+// or few because it is suspect, paused, cold or draining.
 type TargetStatus struct {
 	Service string `json:"service"`
 	Target  string `json:"target"`
 	Address string `json:"address"`
-	// State is "suspect", "paused", or "leaving" for a draining target.
+	// State is "suspect", "paused", "cold", or "leaving" for a draining target.
 	State string `json:"state"`
 	// FailurePerMille is the VM's estimate of the probability that the next
 	// request to the target fails, in thousandths.
@@ -43,6 +43,8 @@
 	// PausedMillis is how much longer the VM sends the target nothing because it has asked
 	// for a pause.
 	PausedMillis int64 `json:"pausedMillis,omitempty"`
+	// ColdMillis is how much longer the target gets few requests because it is cold.
+	ColdMillis int64 `json:"coldMillis,omitempty"`
 }
 
 // VMStatus describes the state of one VM.
@@ -58,6 +60,12 @@
 	TargetsVersion uint64 `json:"targetsVersion"`
 	// StoreEra is the era of the store that TargetsVersion belongs to.
 	StoreEra uint64 `json:"storeEra"`
+	// Evacuated holds the availability zones that are evacuated on the VM, in their order.
+	Evacuated []string `json:"evacuated,omitempty"`
+	// EvacuationsVersion and EvacuationsEra are the position in the store of the last change of
+	// an order to evacuate a zone that the VM knows.
+	EvacuationsVersion uint64 `json:"evacuationsVersion"`
+	EvacuationsEra     uint64 `json:"evacuationsEra"`
 	// StoreAnswers is true if the VM's last call to the store was answered.
 	StoreAnswers bool `json:"storeAnswers"`
 	// IsReader is true if the VM reads the store on behalf of other VMs.
@@ -71,7 +79,7 @@
 	LiveVMs int `json:"vmsHeard"`
 	// InFlight counts the callers' requests in progress.
 	InFlight int `json:"inFlight"`
-	// Targets lists the targets that are suspect, paused or draining.
+	// Targets lists the targets that are suspect, paused, cold or draining.
 	Targets []TargetStatus `json:"targets,omitempty"`
 }
 
--- a/io/thsend/client.go
+++ b/io/thsend/client.go
@@ -50,11 +50,17 @@
 	NewConnection bool
 	// TargetLeaves is set if the target said in its answer that it leaves.
 	TargetLeaves bool
+	// Load is what the target said of its load in its answer; the zero report if it said
+	// nothing that can be read.
+	Load thpick.LoadReport
 	// PausedUntil is when the target wants the next request from this VM, if it turned this
 	// one away and said so; otherwise it is the zero Instant.
 	PausedUntil thclock.Instant
 	// PauseErr is set if the target asked for a pause that could not be read.
 	PauseErr error
+	// ColdUntil is until when the target is cold, if it said so in its answer; otherwise it is
+	// the zero Instant.
+	ColdUntil thclock.Instant
 	// Err is the cause of an attempt without an answer, for the log.
 	Err  error
 	Took time.Duration
--- a/io/thsend/exchange.go
+++ b/io/thsend/exchange.go
@@ -77,6 +77,8 @@
 	if c.isOwnAnswer(r, request) {
 		result.TargetLeaves = c.saysLeaving(r)
 		result.PausedUntil, result.PauseErr = c.readPause(r)
+		result.ColdUntil = c.readCold(r)
+		result.Load = c.readLoad(r)
 	}
 	if !keep {
 		p.discard(n)
--- a/io/thsend/pause.go
+++ b/io/thsend/pause.go
@@ -19,10 +19,11 @@
 // Instant if the answer doesn't, and an error of the kind MessageMalformed if the value can't
 // be read; dates are not taken, since the target's clock may differ.
 func (c *Client) readPause(r *fasthttp.Response) (thclock.Instant, error) {
-	text := r.Header.Peek(fasthttp.HeaderRetryAfter)
-	if r.StatusCode() != fasthttp.StatusServiceUnavailable || text == nil {
+	values := r.Header.PeekAll(fasthttp.HeaderRetryAfter) // Peek may return nil for an empty value
+	if r.StatusCode() != fasthttp.StatusServiceUnavailable || len(values) == 0 {
 		return thclock.Instant{}, nil
 	}
+	text := values[0]
 	seconds, err := strconv.ParseFloat(string(text), 64)
 	if err != nil || !(seconds >= 0) || math.IsInf(seconds, 0) {
 		return thclock.Instant{}, therror.New(therror.MessageMalformed, "Retry-After is %q, not a number of seconds", text)
--- a/io/thsource/content.go
+++ b/io/thsource/content.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,8 +25,10 @@
 	table thtable.Table
 	// targets is the list as it was read from the store, which all VMs hold alike. What this
 	// VM remembers decides which of them it uses.
-	targets       thtable.TargetSet
-	known         thtable.KnownTargets
+	targets thtable.TargetSet
+	known   thtable.KnownTargets
+	// orders is what this VM remembers of orders to evacuate zones.
+	orders        thtable.KnownOrders
 	tableChanges  thtable.ChangeLog[thtable.TableChange]
 	targetChanges thtable.ChangeLog[thtable.TargetsChange]
 	// changed is closed, and replaced, when a newer table or list is applied.
@@ -40,7 +43,7 @@
 
 // versionsLocked is versions for callers that hold c.mu.
 func (c *content) versionsLocked() thfleet.StoreVersions {
-	return thfleet.StoreVersions{Table: c.table.Version(), Targets: c.targets.List().Position}
+	return thfleet.StoreVersions{Table: c.table.Version(), Targets: c.targets.List().Position, Orders: c.table.Document().Orders.Position}
 }
 
 func (c *content) currentTable() thtable.Table {
@@ -131,6 +134,18 @@
 	return before, true
 }
 
+func (c *content) knownOrders() thtable.KnownOrders {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.orders
+}
+
+func (c *content) setOrders(k thtable.KnownOrders) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orders = k
+}
+
 func (c *content) knownTargets() thtable.KnownTargets {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -150,23 +165,34 @@
 // sourceStore names the store in log lines that say where a table came from.
 const sourceStore = "store"
 
-// applyTable applies a whole table if it is newer than the current one, and reports
-// whether it is. The origin is sourceStore or the address of a VM.
+// applyTable applies those parts of a whole table that are newer than the current ones, and
+// reports whether there are any. The origin is sourceStore or the address of a VM.
 func (s *Source) applyTable(d thtable.Document, origin string) bool {
 	s.content.applying.Lock()
 	defer s.content.applying.Unlock()
 	current := s.content.currentTable()
-	if d.Version <= current.Version() {
+	if origin == sourceStore {
+		// Another VM may know of an order whose revocation it has missed, and this one of neither.
+		// The position of the read tells which is later.
+		d.Orders = current.Document().Orders.WithRead(thtable.OrdersRead{Position: d.Orders.Position, Whole: true, Rows: d.Orders.List})
+	}
+	if !d.IsNewerThan(current.Document()) {
 		return false
 	}
+	s.publishDocument(current.Document().Merged(d), origin)
+	return true
+}
+
+// publishDocument replaces the current table by that of the document.
+func (s *Source) publishDocument(d thtable.Document, origin string) {
+	current := s.content.currentTable()
 	if c, ok := current.Diff(d); ok {
 		if t, err := current.WithChange(c); err == nil {
 			s.publishTable(t, origin, c)
-			return true
+			return
 		}
 	}
 	s.publishTable(thtable.New(d), origin)
-	return true
 }
 
 // errChangesDoNotFit means that another VM sent changes of a content that this VM does
@@ -180,7 +206,8 @@
 	s.content.applying.Lock()
 	defer s.content.applying.Unlock()
 	t := s.content.currentTable()
-	if len(changes) == 0 || changes[len(changes)-1].Version <= t.Version() {
+	current := t.Document()
+	if !slices.ContainsFunc(changes, func(c thtable.TableChange) bool { return c.IsNewerThan(current) }) {
 		return nil
 	}
 	changes, ok := thtable.Following(changes, t.Digest())
@@ -193,14 +220,26 @@
 			return err
 		}
 	}
+	if current.IsNewerThan(t.Document()) { // in the other part
+		s.publishDocument(current.Merged(t.Document()), origin)
+		return nil
+	}
 	s.publishTable(t, origin, changes...)
 	return nil
 }
 
 func (s *Source) publishTable(t thtable.Table, origin string, changes ...thtable.TableChange) {
+	d, before := t.Document(), s.content.currentTable().Version()
+	if !d.Orders.IsZero() {
+		// Orders take effect before the table is in force, so that requests that wait for the
+		// table of a VM that starts are not sent to an evacuated zone.
+		s.useOrders(s.content.knownOrders().WithOrders(thclock.System{}.Now(), d.Orders, s.options.Fleet.NoteEra(d.Orders.Era)))
+	}
 	s.content.setTable(t, changes...)
+	if d.Version == before {
+		return // only the orders have changed
+	}
 	s.options.ApplyTable(t)
-	d := t.Document()
 	s.options.Log.Log(thevent.TableApplied, thevent.F("version", d.Version), thevent.F("routes", len(d.Routes)),
 		thevent.F("customers", len(d.Customers)), thevent.F("origin", origin), thevent.F("changes", len(changes)))
 }
--- a/io/thsource/membership.go
+++ b/io/thsource/membership.go
@@ -96,6 +96,7 @@
 		return
 	}
 	s.options.Fleet.MarkJoined()
+	s.askForKeptOrders(ctx)
 	s.keepRegistered(ctx)
 }
 
@@ -162,8 +163,14 @@
 		}
 		answers++
 		if k.Table != nil {
-			newest.Table, source = k.Table, p.Address
+			source = p.Address
+			if newest.Table != nil {
+				merged := newest.Table.Merged(*k.Table)
+				k.Table = &merged
+			}
+			newest.Table = k.Table
 		}
+		newest.KeptOrders = append(newest.KeptOrders, k.KeptOrders...)
 		if k.Targets != nil {
 			newest.Targets, newest.Leaving = k.Targets, append(newest.Leaving, k.Leaving...)
 		}
@@ -180,7 +187,7 @@
 // versions returns the versions of the whole content in the response.
 func (k knownResponse) versions() (v thfleet.StoreVersions) {
 	if k.Table != nil {
-		v.Table = k.Table.Version
+		v.Table, v.Orders = k.Table.Version, k.Table.Orders.Position
 	}
 	if k.Targets != nil {
 		v.Targets = k.Targets.Position
--- a/io/thsource/peers.go
+++ b/io/thsource/peers.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
+	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thfleet"
 	"tamarackhollow/core/thtable"
@@ -27,17 +30,25 @@
 	TargetsEra    uint64         `json:"targetsEra,omitempty"`
 	TableDigest   thtable.Digest `json:"tableDigest,omitempty"`
 	TargetsDigest thtable.Digest `json:"targetsDigest,omitempty"`
+	// Orders is the position of the orders to evacuate zones. It has no meaning unless KnowsOrders
+	// is set, which VMs of older builds do not do.
+	Orders      thtable.Position `json:"orders,omitzero"`
+	KnowsOrders bool             `json:"knowsOrders,omitempty"`
 	// WaitMillis is how long the called VM may wait until it has something newer.
 	WaitMillis int64 `json:"waitMillis,omitempty"`
 }
 
 // newKnownRequest returns the request for the whole content that is newer than the versions.
 func newKnownRequest(have thfleet.StoreVersions) knownRequest {
-	return knownRequest{Table: have.Table, Targets: have.Targets.Version, TargetsEra: have.Targets.Era}
+	return knownRequest{Table: have.Table, Targets: have.Targets.Version, TargetsEra: have.Targets.Era, Orders: have.Orders, KnowsOrders: true}
 }
 
 func (r knownRequest) versions() thfleet.StoreVersions {
-	return thfleet.StoreVersions{Table: r.Table, Targets: thtable.Position{Era: r.TargetsEra, Version: r.Targets}}
+	v := thfleet.StoreVersions{Table: r.Table, Targets: thtable.Position{Era: r.TargetsEra, Version: r.Targets}, Orders: r.Orders}
+	if !r.KnowsOrders { // it would be sent the table again for orders of which it does not know
+		v.Orders = thtable.Position{Era: math.MaxUint64, Version: math.MaxUint64}
+	}
+	return v
 }
 
 // knownResponse holds the table and targets of the called VM as far as they are
@@ -48,6 +59,8 @@
 	Targets       *thtable.TargetList     `json:"targets,omitempty"`
 	TargetChanges []thtable.TargetsChange `json:"targetChanges,omitempty"`
 	VMs           []thfleet.Identity      `json:"vms,omitempty"`
+	// KeptOrders holds the orders that the called VM keeps against the store.
+	KeptOrders []thtable.KeptOrder `json:"keptOrders,omitempty"`
 	// Leaving holds the targets that have said that they leave, if Targets is set: a VM that
 	// needs the whole list has mostly just started.
 	Leaving []thfleet.LeavingTarget `json:"leaving,omitempty"`
@@ -61,8 +74,13 @@
 	// versions are those that the answer brings the caller to.
 	versions thfleet.StoreVersions
 	answer   thwire.Encoded
+	// until is when the answer is encoded anew, since it tells how old reports are.
+	until time.Time
 }
 
+// answerLifetime is how long an encoded answer is sent, which bounds the error of the ages in it.
+const answerLifetime = 100 * time.Millisecond
+
 // Register adds the handlers of the calls /known and /roster to the server for other VMs.
 func (s *Source) Register(w *thwire.Server) {
 	s.registerRoster(w)
@@ -79,9 +97,12 @@
 	if k.Targets != nil {
 		k.Leaving = s.options.Fleet.LeavingTargets()
 	}
+	if len(k.KeptOrders) > 0 {
+		return thwire.Encode(k) // the time that they are kept goes by
+	}
 	s.answers.mu.Lock()
 	defer s.answers.mu.Unlock()
-	if s.answers.request == request && s.answers.versions == versions {
+	if s.answers.request == request && s.answers.versions == versions && time.Now().Before(s.answers.until) {
 		return s.answers.answer, nil
 	}
 	encoded, err := thwire.Encode(k)
@@ -89,31 +110,46 @@
 		return encoded, err
 	}
 	s.answers.request, s.answers.versions, s.answers.answer = request, versions, encoded
+	s.answers.until = time.Now().Add(answerLifetime)
 	return encoded, nil
 }
 
+// addWarmupAges adds how old the reports of targets' warm-ups are, by what this VM knows.
+func (k *knownResponse) addWarmupAges(known thtable.KnownTargets) {
+	now := thclock.System{}.Now()
+	if k.Targets != nil {
+		k.Targets.Targets = known.WithWarmupAges(now, k.Targets.Targets)
+	}
+	k.TargetChanges = slices.Clone(k.TargetChanges)
+	for i, c := range k.TargetChanges {
+		k.TargetChanges[i].Targets.Put = known.WithWarmupAges(now, c.Targets.Put)
+	}
+}
+
 // newerThan returns what the calling VM lacks, and the versions that this VM has.
 func (s *Source) newerThan(request knownRequest) (knownResponse, thfleet.StoreVersions) {
 	c := &s.content
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d, list := c.table.Document(), c.targets.List()
-	k := knownResponse{VMs: []thfleet.Identity{s.options.Self}}
-	if d.Version > request.Table {
+	k := knownResponse{VMs: []thfleet.Identity{s.options.Self}, KeptOrders: c.orders.Kept(thclock.System{}.Now())}
+	have := request.versions()
+	if d.Version > have.Table || d.Orders.IsAfter(have.Orders) {
 		rows := len(d.Routes) + len(d.Services) + len(d.Customers)
 		var ok bool
 		if k.TableChanges, ok = c.tableChanges.Since(request.TableDigest, rows); !ok {
 			k.Table = &d
 		}
 	}
-	if list.IsAfter(request.versions().Targets) {
+	if list.IsAfter(have.Targets) {
 		var ok bool
 		if k.TargetChanges, ok = c.targetChanges.Since(request.TargetsDigest, len(list.Targets)); !ok {
 			list = c.known.WithKnowledge(list)
 			k.Targets = &list
 		}
+		k.addWarmupAges(c.known)
 	}
-	return k, thfleet.StoreVersions{Table: d.Version, Targets: list.Position}
+	return k, c.versionsLocked()
 }
 
 const (
@@ -276,6 +312,7 @@
 	} else {
 		tableErr = s.applyTableChanges(k.TableChanges, address)
 	}
+	s.learnKept(k.KeptOrders)
 	if k.Targets != nil {
 		s.applyTargets(*k.Targets)
 		s.options.Fleet.NoteLeaving(k.Leaving)
--- a/io/thsource/peers_test.go
+++ b/io/thsource/peers_test.go
@@ -125,6 +125,36 @@
 	assert.Assert(t, asked[0].TableDigest != 0)
 }
 
+// TestAgeOfWarmupIsPassedOn guards against a VM that takes a target for cold for longer than others,
+// since it got the list later, and against a list that changes although the reports are the same.
+func TestAgeOfWarmupIsPassedOn(t *testing.T) {
+	reader, follower := newFixture(t), newFixture(t)
+	cold := []thtable.Target{{ID: "a"}, {ID: "c", WarmupMillis: 20_000}, {ID: "d"}}
+	reader.store.set(func(s *fakeStore) { s.list.Version, s.list.Targets = 20, cold })
+	reader.waitForTargets(t, 3)
+	const age = 300 * time.Millisecond
+	time.Sleep(age)
+	reads := 0
+	reader.store.set(func(s *fakeStore) {
+		reads, s.list.Version, s.list.Targets = s.reads, 21, []thtable.Target{cold[0], {ID: "c", WarmupMillis: 19_500}, cold[2]}
+	})
+	for until, read := time.Now().Add(testTimeout), 0; read < reads+2; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until))
+		reader.store.set(func(s *fakeStore) { read = s.reads })
+	}
+	peer := startPeer(t, "reader", reader.source.Register)
+	follower.fleet.mu.Lock()
+	follower.fleet.reader, follower.fleet.newer, follower.fleet.announced = false, []thfleet.Identity{peer}, thfleet.StoreVersions{Targets: thtable.Position{Version: 20}}
+	follower.fleet.mu.Unlock()
+	follower.source.HandleAnnouncement(thfleet.ReadAges{})
+	follower.waitForTargets(t, 3)
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	c := follower.applied[1]
+	assert.Equal(t, c.WarmupMillis, int64(20_000))
+	assert.Assert(t, c.WarmupAgeMillis >= age.Milliseconds() && c.WarmupAgeMillis < testTimeout.Milliseconds(), "%d", c.WarmupAgeMillis)
+}
+
 // Two VMs hold different lists, since one of them keeps targets for a while after an
 // outage. After the next change they must hold the same.
 func TestDifferentListsConverge(t *testing.T) {
--- a/io/thsource/source.go
+++ b/io/thsource/source.go
@@ -7,8 +7,9 @@
 // does not. A VM that hears of no recent read of both table and targets reads the
 // store itself, and one that cannot reach the store fetches from any VM that has
 // newer versions. The table is ordered by its own version, which only rises, the list of
-// targets by its position in the store's history, since the store may come back from an
-// older copy of itself. What a VM knows of targets is not taken back by such a copy.
+// targets and the orders to evacuate zones, which are a part of the table, by their positions
+// in the store's history, since the store may come back from an older copy of itself. What a
+// VM knows of targets and orders is not taken back by such a copy.
 package thsource
 
 import (
@@ -29,7 +30,9 @@
 // MessageMalformed if the store holds a table that cannot be decoded.
 type Store interface {
 	// Table returns the routing table. If its version is not above after, the
-	// call waits for a newer one for at most wait.
+	// call waits for a newer one, or for another order to evacuate a zone, for at most wait.
+	// The orders have the position of the read, at which they are complete. With a
+	// MessageMalformed error it returns the orders, and the last table that can be decoded.
 	Table(ctx context.Context, after uint64, wait time.Duration) (thtable.Document, error)
 	// Targets returns the list of targets. Each change raises its version, which
 	// may also rise without one. If the store is silent, it returns within about a second.
@@ -100,6 +103,9 @@
 	// ApplyTable and ApplyTargets are called with each newer version.
 	ApplyTable   func(thtable.Table)
 	ApplyTargets func([]thtable.Target)
+	// ApplyEvacuated is called with the evacuated zones, in their order, when they change, and
+	// the position of the orders; nil is allowed.
+	ApplyEvacuated func(zones []string, at thtable.Position)
 }
 
 const (
@@ -171,6 +177,9 @@
 
 // New returns a source without table and targets; Run gets them.
 func New(options Options) *Source {
+	if options.ApplyEvacuated == nil {
+		options.ApplyEvacuated = func([]string, thtable.Position) {}
+	}
 	return &Source{
 		options: options, joined: make(chan struct{}, 1),
 		targetsDue: make(chan struct{}, 1), tableDue: make(chan struct{}, 1), behind: make(chan struct{}, 1), news: make(chan struct{}, 1),
@@ -197,8 +206,12 @@
 type Status struct {
 	TableVersion uint64
 	// Targets is the position of the list of targets, and TargetCount how many are in use.
-	Targets                    thtable.Position
-	TargetCount                int
+	Targets     thtable.Position
+	TargetCount int
+	// Orders is the position of the orders to evacuate zones, and Evacuated holds the zones that
+	// are evacuated on this VM, in their order.
+	Orders                     thtable.Position
+	Evacuated                  []string
 	IsReader, IsStoreReachable bool
 	// ReadAgeMillis is the time since the store last answered this VM's call of
 	// Targets or Join.
@@ -208,10 +221,11 @@
 // Status returns the source's current status.
 func (s *Source) Status() Status {
 	table, have, used := s.content.currentTable(), s.versions(), s.content.knownTargets().Targets()
+	evacuated := s.content.knownOrders().Zones()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Status{
-		TableVersion: table.Version(), Targets: have.Targets, TargetCount: len(used),
+		TableVersion: table.Version(), Targets: have.Targets, TargetCount: len(used), Orders: have.Orders, Evacuated: evacuated,
 		IsReader: s.reader, IsStoreReachable: !s.storeLost, ReadAgeMillis: time.Since(s.answeredAt).Milliseconds(),
 	}
 }
@@ -280,6 +294,7 @@
 	delay := time.Duration(0)
 	for sleep(ctx, delay, s.targetsDue) {
 		s.updateTargets()
+		s.updateOrders()
 		role := s.options.Fleet.Role()
 		s.setReader(role == thfleet.Reader)
 		switch {
@@ -316,7 +331,7 @@
 	s.mu.Unlock()
 	s.options.Fleet.AnnounceVersions(versions, ages, elsewhere)
 	if isNewer {
-		s.options.Log.Log(thevent.VersionsAnnounced, thevent.F("version", versions.Table), thevent.F("targets", versions.Targets.Version), thevent.F("era", versions.Targets.Era),
+		s.options.Log.Log(thevent.VersionsAnnounced, thevent.F("version", versions.Table), thevent.F("targets", versions.Targets.Version), thevent.F("era", versions.Targets.Era), thevent.F("orders", versions.Orders.Version),
 			thevent.F("tableAgeMillis", ages.Table), thevent.F("targetsAgeMillis", ages.Targets))
 	}
 }
@@ -405,6 +420,7 @@
 // thtable.RelistTimeout after an outage, targets that are not listed are kept.
 func (s *Source) applyStoreTargets(list thtable.TargetList) {
 	current := s.content.currentTargets().List()
+	list.Targets = s.content.knownTargets().WithKnownWarmups(thclock.System{}.Now(), list.Targets)
 	s.mu.Lock()
 	if time.Now().Before(s.keepUnlistedUntil) {
 		list = list.WithRetained(current.Targets)
@@ -450,8 +466,11 @@
 			delay = roleCheckInterval
 			continue
 		}
-		startedAt, followed := time.Now(), s.followsTable()
+		startedAt, followed, era := time.Now(), s.followsTable(), s.versions().Orders.Era
 		applied, err := s.readTable(ctx, tableWait(followed))
+		if err != nil && applied && s.isReader() {
+			s.announce(true)
+		}
 		switch {
 		case err != nil && s.isStoreLost():
 			delay = lostTableRetryDelay
@@ -471,6 +490,9 @@
 		if s.isReader() && (applied || !followed) {
 			s.announce(true)
 		}
+		if s.versions().Orders.Era > era {
+			s.askForKeptOrders(ctx) // this VM may not have heard of all orders before
+		}
 	}
 }
 
@@ -491,8 +513,8 @@
 }
 
 // readTable reads a newer table from the store and applies it. If there is none, the
-// store waits for the given time. readTable reports whether it applied one; it logs
-// errors.
+// store waits for the given time. readTable reports whether it applied one, or new orders, which
+// it does in spite of an error if only the configuration can't be decoded; it logs errors.
 func (s *Source) readTable(ctx context.Context, wait time.Duration) (applied bool, err error) {
 	startedAt := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
@@ -506,7 +528,7 @@
 			id = thevent.TableRefused
 		}
 		s.options.Log.Log(id, thevent.F("error", err.Error()), thevent.F("tookMillis", time.Since(startedAt).Milliseconds()))
-		return false, err
+		return id == thevent.TableRefused && s.applyTable(d, sourceStore), err
 	}
 	s.logOlderTable(d.Version)
 	return s.applyTable(d, sourceStore), nil
