thpick, thview, thforward: hold less urgent requests until a slot is free, and refuse at once those behind too many

Cause: less urgent requests were sent by the time of their objective at the latest, also when no slot was free, and so filled the queues of the targets. Targets also held about two requests more than the fleet counted, which single reports do not show since they ignore differences up to two.

Change: DecideSlot returns one of three decisions. A request waits until its deadline if no slot is free; it is refused when it arrives if the requests before it at its VM take longer than it may wait; requests of which most of the work is less urgent never wait; the reserve follows the spread of the urgent requests; services with short requests let none wait, since a free slot stays unused for some 100 ms; the count is corrected by the mean difference from the targets' reports.

--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -65,6 +65,8 @@
 	// SlotTime is the median time that requests of all routes take at a target of normal speed. If
 	// it is zero, ExpectedLatency stands for it.
 	SlotTime time.Duration
+	// CountError is how many more requests are likely to be at each target than are expected there.
+	CountError float64
 	// Arrived is when the caller's request arrived.
 	Arrived thclock.Instant
 	// Objective is the time up to which an answer earns its full credit.
--- a/core/thpick/load.go
+++ b/core/thpick/load.go
@@ -86,3 +86,36 @@
 	difference := math.Abs(float64(r.Requests() - l.Requests(now, counted)))
 	return !r.IsZero() && difference > loadTolerance && difference >= minSurpriseShare*float64(r.Slots)
 }
+
+const (
+	// countErrorMemory is the time constant with which a CountError forgets. Causes such as
+	// cancelled attempts and VMs that are cut off last for seconds.
+	countErrorMemory = 3 * time.Second
+	// countErrorPrior is the number of reports without an error that a CountError begins with.
+	countErrorPrior = 2
+)
+
+// CountError estimates how many more requests are at each target of a service than are expected there,
+// from the targets' reports. Load takes no notice of small differences at one target, which may be
+// requests and notices on their way; those of all targets together show whether there are more requests
+// than the fleet counts. It is immutable; the zero CountError has seen no report.
+type CountError struct {
+	updatedAt   thclock.Instant
+	sum, weight float64
+}
+
+// WithReport returns the estimate after a report of a target at which that many requests were expected.
+func (e CountError) WithReport(now thclock.Instant, r LoadReport, expected int) CountError {
+	keep := e.keepUntil(now)
+	return CountError{now, e.sum*keep + float64(r.Requests()-expected), e.weight*keep + 1}
+}
+
+// PerTarget returns the estimate; it may be negative.
+func (e CountError) PerTarget(now thclock.Instant) float64 {
+	keep := e.keepUntil(now)
+	return e.sum * keep / (e.weight*keep + countErrorPrior)
+}
+
+func (e CountError) keepUntil(now thclock.Instant) float64 {
+	return math.Exp(-max(0, now.Sub(e.updatedAt).Seconds()) / countErrorMemory.Seconds())
+}
--- a/core/thpick/urgency.go
+++ b/core/thpick/urgency.go
@@ -65,81 +65,186 @@
 	return d
 }
 
-// ShareAbove returns the share of the work, 0 to 1, that comes from requests above the urgency.
-func (d Demand) ShareAbove(u Urgency) float64 {
-	above, all := 0.0, 0.0
+// Shares returns the shares of the work, 0 to 1, that come from requests above and below the urgency.
+func (d Demand) Shares(u Urgency) (above, below float64) {
+	all := 0.0
 	for _, w := range d.work {
 		all += w.seconds
-		if w.seconds > 0 && w.urgency.IsAbove(u) {
+		switch {
+		case w.seconds == 0:
+		case w.urgency.IsAbove(u):
 			above += w.seconds
+		case u.IsAbove(w.urgency):
+			below += w.seconds
 		}
 	}
 	if all == 0 {
-		return 0
+		return 0, 0
 	}
-	return above / all
+	return above / all, below / all
 }
 
 const (
 	// maxReservedShare bounds the share of a service's slots that less urgent requests leave, so
 	// that they are not starved.
 	maxReservedShare = 0.25
+	// reservedSpread is how many standard deviations of the number of urgent requests in slots the
+	// reserve covers. A slot that ends is offered to urgent requests first, so the reserve only has to
+	// bridge the time until then.
+	reservedSpread = 2.0
+	// slotDelay is how long a slot that has become free stays unused by requests that wait: VMs hear of
+	// it some 50 ms later and then check every 20 to 60 ms.
+	slotDelay = 100 * time.Millisecond
+	// minSlotTime is the median time in a slot from which on requests wait at their VM. Below it, a
+	// service loses more by unused slots than urgent requests gain.
+	minSlotTime = 4 * slotDelay
+	// minYieldingShare is the share of the work that is less urgent than a request from which on it
+	// does not wait: even if twice the capacity is asked for, there is room for it and for all that
+	// is more urgent once the rest waits.
+	minYieldingShare = 0.5
 	// waitSuspectProbability is the failure probability from which the slots of a target do not
 	// count as room: few requests are sent there.
 	waitSuspectProbability = 0.5
 	// latencyReserveFactor is the multiple of the median latency that one in ten requests exceeds,
-	// given latencyLogStdDev. A request that waits for a slot keeps that much of the time to its
-	// objective.
+	// given latencyLogStdDev. A request that waits for a slot keeps that much of its time.
 	latencyReserveFactor = 2.8
-	// mostPatience and leastPatience are the multiples of the reserved slots that a request leaves
-	// free when it arrives, and when it may not wait any longer.
-	mostPatience  = 1.0
-	leastPatience = 0.5
 )
 
 // ReservedSlots returns how many of the given slots requests leave free for more urgent ones, whose
-// share of the work is above: as many as these occupy on average, and at least one.
+// share of the work is above: at most as many as these occupy on average, and at least one.
 func ReservedSlots(slots int, above float64) int {
 	if above <= 0 {
 		return 0
 	}
-	return int(math.Ceil(float64(slots) * min(maxReservedShare, above)))
+	occupied := above * float64(slots)
+	return int(math.Ceil(min(occupied, reservedSpread*math.Sqrt(occupied), maxReservedShare*float64(slots))))
 }
 
-// Room counts the slots of the targets that are likely to answer, and how many of them are free.
-func Room(q Query, candidates []Candidate) (slots, free int) {
+// Room counts the places of the targets that are likely to answer, and how many of them are free. A
+// target has a place for each slot, and further ones in its queue for the requests that it finishes
+// until a VM that has waited for a slot can use it.
+func Room(q Query, candidates []Candidate) (places int, free float64) {
 	for _, c := range candidates {
 		if c.IsExtra || !isEligible(q, c) || c.Health.FailureProbability(q.Now) > waitSuspectProbability {
 			continue
 		}
-		slots += max(1, c.Target.Slots)
-		free += max(0, max(1, c.Target.Slots)-c.InFlight)
+		n := placesAt(q, c)
+		places += n
+		free += max(0, float64(n-c.InFlight)-q.CountError)
 	}
-	return slots, free
-}
-
-// WaitForSlot decides whether a request waits at its VM, where more urgent requests overtake it,
-// instead of taking one of the last free slots or a place in a target's queue. It answers the load
-// in which a burst of less urgent requests fills all slots of a service: without it, urgent requests
-// queue behind them. The share of the work that comes from more urgent requests is above. A request
-// waits no longer than until the returned instant, from which on it might miss its objective; it
-// waits only if fewer slots are free than are reserved for the more urgent ones.
-func WaitForSlot(q Query, candidates []Candidate, above float64) (until thclock.Instant, wait bool) {
-	if above <= 0 || len(q.Tried) > 0 {
-		return until, false
+	return places, free
+}
+
+func placesAt(q Query, c Candidate) int {
+	slots := max(1, c.Target.Slots)
+	running := timeAt(q, c, cmp.Or(q.SlotTime, q.ExpectedLatency))
+	return slots + int(float64(slots)*float64(slotDelay)/float64(max(running, slotDelay)))
+}
+
+// SlotDecision is what DecideSlot decides: a TakeSlot, an AwaitSlot or a RefuseSlot.
+type SlotDecision interface{ isSlotDecision() }
+
+// TakeSlot lets the request be sent.
+type TakeSlot struct{}
+
+// AwaitSlot lets the request wait at its VM, where more urgent requests overtake it.
+type AwaitSlot struct {
+	// InTimeUntil is when it has to be sent at the latest to meet its objective, and Until to meet
+	// its deadline.
+	InTimeUntil, Until thclock.Instant
+}
+
+// RefuseSlot means that the requests before it at its VM take longer than it can wait.
+type RefuseSlot struct {
+	// RetryAfter is the time after which there is likely to be room.
+	RetryAfter time.Duration
+}
+
+func (TakeSlot) isSlotDecision()   {}
+func (AwaitSlot) isSlotDecision()  {}
+func (RefuseSlot) isSlotDecision() {}
+
+// SlotQueue is what a VM knows of the requests that wait for a slot of a service.
+type SlotQueue struct {
+	// Above is the share of the service's work that comes from more urgent requests, and Below that
+	// of less urgent ones.
+	Above, Below float64
+	// Ahead is how many requests that wait at this VM go before one that arrives, 0 for one that
+	// waits already.
+	Ahead int
+	// Throughput is how fast the VM's requests that may have to wait get a slot.
+	Throughput Throughput
+}
+
+// DecideSlot decides whether a request takes one of the last free slots of a service, waits, or is
+// refused. It answers the load in which a burst of less urgent requests asks for more slots than a
+// service has: sent at once, they fill the targets' queues, and urgent requests wait behind them.
+//
+// A request leaves a reserve to more urgent ones when it arrives, and less of it the longer it waits:
+// so of the requests that wait at many VMs those go first that have waited longest, and by the time
+// at which it might miss its objective it takes any free slot. It is refused when it arrives if the
+// wait behind others would cost it its objective.
+func DecideSlot(q Query, candidates []Candidate, w SlotQueue) SlotDecision {
+	if w.Above <= 0 || w.Below >= minYieldingShare || len(q.Tried) > 0 || cmp.Or(q.SlotTime, q.ExpectedLatency) < minSlotTime {
+		return TakeSlot{}
 	}
-	until = q.Objective.Min(q.Deadline).Add(-time.Duration(latencyReserveFactor * float64(q.ExpectedLatency)))
+	reserve := -time.Duration(latencyReserveFactor * float64(q.ExpectedLatency))
+	until := q.Deadline.Add(reserve)
 	if !q.Now.Before(until) {
-		return until, false
+		return TakeSlot{}
+	}
+	inTimeUntil := q.Objective.Min(q.Deadline).Add(reserve)
+	places, free := Room(q, candidates)
+	if places == 0 || free >= 1 && free > float64(ReservedSlots(places, w.Above))*patience(q, inTimeUntil) {
+		return TakeSlot{}
+	}
+	if wait := w.Throughput.TimeFor(q.Now, w.Ahead); wait > longestWait(q, until) {
+		return RefuseSlot{RetryAfter: wait - longestWait(q, until)}
 	}
-	slots, free := Room(q, candidates)
-	return until, slots > 0 && float64(free) <= float64(ReservedSlots(slots, above))*patience(q, until)
+	return AwaitSlot{InTimeUntil: inTimeUntil, Until: until}
 }
 
-// patience returns the multiple of the reserved slots that a request leaves free: the most when it
-// has just arrived and the least when it may not wait any longer, so that of the requests that wait
-// at many VMs those go first which have waited longest.
+// longestWait returns how long a request that arrives may expect to wait: until half of its like would
+// miss their objective or, if that is now, until it might miss its deadline.
+func longestWait(q Query, until thclock.Instant) time.Duration {
+	if left := q.Objective.Sub(q.Now) - q.ExpectedLatency; left > 0 {
+		return min(left, until.Sub(q.Now))
+	}
+	return until.Sub(q.Now)
+}
+
+// patience returns the multiple of the reserved slots that a request leaves free: 1 when it arrives
+// and 0 from the given instant on.
 func patience(q Query, until thclock.Instant) float64 {
-	left := float64(until.Sub(q.Now)) / float64(max(1, until.Sub(q.Arrived)))
-	return leastPatience + (mostPatience-leastPatience)*left
+	return max(0, float64(until.Sub(q.Now))/float64(max(1, until.Sub(q.Arrived))))
+}
+
+const (
+	// throughputMemory is the time constant with which a Throughput forgets. A shortage begins and
+	// ends within seconds.
+	throughputMemory = 5 * time.Second
+	// throughputPrior is the number of requests that a Throughput takes for granted, so that a VM
+	// with few requests does not refuse the second one.
+	throughputPrior = 2
+)
+
+// Throughput estimates how many requests a second get a slot of a service. It is immutable; the zero
+// Throughput has seen none.
+type Throughput struct {
+	updatedAt thclock.Instant
+	requests  float64
+}
+
+// WithRequest returns the throughput with one more request that got a slot.
+func (t Throughput) WithRequest(now thclock.Instant) Throughput {
+	return Throughput{updatedAt: now, requests: t.requestsAt(now) + 1}
+}
+
+func (t Throughput) requestsAt(now thclock.Instant) float64 {
+	return t.requests * math.Exp(-max(0, now.Sub(t.updatedAt).Seconds())/throughputMemory.Seconds())
+}
+
+// TimeFor returns how long the given number of requests take to get their slots.
+func (t Throughput) TimeFor(now thclock.Instant, requests int) time.Duration {
+	return time.Duration(float64(requests) * float64(throughputMemory) / (t.requestsAt(now) + throughputPrior))
 }
--- a/core/thview/load.go
+++ b/core/thview/load.go
@@ -35,12 +35,14 @@
 		return
 	}
 	counted := v.countInFlight(now, t)
+	s := v.service(t.Service)
+	s.countError = s.countError.WithReport(now, r, v.expectedRequests(now, t))
 	t.load.own = t.load.own.WithReport(now, r, counted)
 	_, isPending := v.outbox.reports[t.key]
 	if !isPending && !t.load.shared.IsSurprisedBy(now, r, counted) {
 		return
 	}
-	if s := v.services[t.Service]; s == nil || !s.uses(v.Fleet.Self(), t) {
+	if !s.uses(v.Fleet.Self(), t) {
 		return // this VM does not know what others have in flight there
 	}
 	t.load.shared = t.load.shared.WithReport(now, r, counted)
--- a/core/thview/slots.go
+++ b/core/thview/slots.go
@@ -17,14 +17,18 @@
 	s.demand = s.demand.WithRequest(now, UrgencyOf(request), v.ExpectedLatency(request.Route))
 }
 
-// WaitForSlot reports whether the request, which was not sent yet, waits for a slot of the named
-// service that more urgent requests do not need, and until when at most.
-func (v *View) WaitForSlot(now thclock.Instant, request *thmessage.Request, name string) (until thclock.Instant, wait bool) {
+// DecideSlot decides whether the request, which was not sent yet, takes a slot of the named service
+// that more urgent requests may need. The given number of requests that wait at this VM go before it.
+func (v *View) DecideSlot(now thclock.Instant, request *thmessage.Request, name string, ahead int) thpick.SlotDecision {
 	s := v.service(name)
-	above := s.demand.ShareAbove(UrgencyOf(request))
+	above, below := s.demand.Shares(UrgencyOf(request))
 	if above <= 0 {
-		return until, false
+		return thpick.TakeSlot{}
 	}
 	query := v.newQuery(now, request, s, nil, request.Route.IsIdempotent())
-	return thpick.WaitForSlot(query, v.candidates, above)
+	d := thpick.DecideSlot(query, v.candidates, thpick.SlotQueue{Above: above, Below: below, Ahead: ahead, Throughput: s.throughput})
+	if _, ok := d.(thpick.TakeSlot); ok {
+		s.throughput = s.throughput.WithRequest(now)
+	}
+	return d
 }
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -72,6 +72,10 @@
 	floor       thpick.Floor
 	// demand divides the work of this VM's requests by their urgency.
 	demand thpick.Demand
+	// countError is by how much the requests expected at the targets differ from their reports.
+	countError thpick.CountError
+	// throughput is how fast this VM's requests get a slot that are not the most urgent ones.
+	throughput thpick.Throughput
 	// slotTime estimates the latency of the answers of all routes.
 	slotTime thpick.LatencyEstimate
 	// floorEnforced is what was last reported to OnFloorChange.
@@ -341,7 +345,7 @@
 	v.fillCandidates(now, s, request)
 	return thpick.Query{
 		Now: now, Zone: v.options.Self.Zone, Retryable: retryable, Bytes: request.Body.Len() + typicalAnswerBytes,
-		ExpectedLatency: v.ExpectedLatency(request.Route), SlotTime: s.slotTime.Median(objectiveOf(request.Route)), Arrived: request.Arrived, Objective: request.Objective, Deadline: request.Deadline,
+		ExpectedLatency: v.ExpectedLatency(request.Route), SlotTime: s.slotTime.Median(objectiveOf(request.Route)), CountError: s.countError.PerTarget(now), Arrived: request.Arrived, Objective: request.Objective, Deadline: request.Deadline,
 		Priority: priorityOf(request), Tried: tried, BudgetUsedShare: v.retryPressure(now, s),
 	}
 }
--- a/io/thforward/slots.go
+++ b/io/thforward/slots.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thpick"
 	"tamarackhollow/core/thview"
 	"tamarackhollow/io/thingress"
@@ -26,7 +27,7 @@
 // requests do not need. The zero value is ready to use.
 type slotQueue struct {
 	mu sync.Mutex
-	// waiting is ordered by urgency, and among equal ones by the time until which they may wait.
+	// waiting is in the order of compare as of the last check.
 	waiting []*slotWaiter
 	// isChecking is set while a goroutine checks the waiting requests.
 	isChecking bool
@@ -38,13 +39,34 @@
 type slotWaiter struct {
 	state   *requestState
 	urgency thpick.Urgency
-	until   thclock.Instant
+	wait    thpick.AwaitSlot
 	// granted is closed once the request may be sent.
 	granted chan struct{}
 }
 
-func (w *slotWaiter) compare(o *slotWaiter) int {
-	return cmp.Or(w.urgency.Compare(o.urgency), cmp.Compare(w.until.Mono, o.until.Mono))
+// compare orders requests by urgency, and among equal ones by the time that they have left to meet their
+// objective. Those that may miss it anyway come last.
+func (w *slotWaiter) compare(o *slotWaiter, now thclock.Instant) int {
+	return cmp.Or(w.urgency.Compare(o.urgency), w.isLate(now)-o.isLate(now), cmp.Compare(w.wait.InTimeUntil.Mono, o.wait.InTimeUntil.Mono))
+}
+
+// isLate returns 1 if the request may miss its objective, else 0.
+func (w *slotWaiter) isLate(now thclock.Instant) int {
+	if now.Before(w.wait.InTimeUntil) {
+		return 0
+	}
+	return 1
+}
+
+// countAhead returns how many waiting requests of the same service go before one of the given urgency
+// that arrives. q.mu must be held.
+func (q *slotQueue) countAhead(w *slotWaiter) (ahead int) {
+	for _, o := range q.waiting {
+		if o.state.service == w.state.service && !w.urgency.IsAbove(o.urgency) {
+			ahead++
+		}
+	}
+	return ahead
 }
 
 // Waiting returns how many requests wait for a slot.
@@ -67,16 +89,14 @@
 }
 
 // awaitSlot lets the request wait while less room is left at its service than more urgent requests
-// need. It returns a refusal if the caller leaves meanwhile.
+// need. It returns a refusal if the wait would be too long, or if the caller leaves meanwhile.
 func (f *Forwarder) awaitSlot(ctx context.Context, s *requestState) *thingress.Refusal {
 	w := &slotWaiter{state: s, urgency: thview.UrgencyOf(s.request), granted: make(chan struct{})}
-	wait := false
-	f.WithView(func(now thclock.Instant, v *thview.View) {
-		v.RecordDemand(now, s.request, s.service)
-		w.until, wait = v.WaitForSlot(now, s.request, s.service)
-	})
-	if !wait || !f.enqueue(w) {
+	switch d := f.enqueue(w).(type) {
+	case thpick.TakeSlot:
 		return nil
+	case thpick.RefuseSlot:
+		return &thingress.Refusal{Err: therror.New(therror.QueueFull, "more urgent requests take the slots of the service"), RetryAfter: d.RetryAfter}
 	}
 	startedAt := f.options.Clock.Now()
 	select {
@@ -94,21 +114,28 @@
 	return nil
 }
 
-// enqueue adds a request to those that wait, and returns false if none may wait.
-func (f *Forwarder) enqueue(w *slotWaiter) bool {
+// enqueue adds a request that arrives to those that wait, if it has to. It returns the decision.
+func (f *Forwarder) enqueue(w *slotWaiter) (d thpick.SlotDecision) {
 	q := &f.slots
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	f.WithView(func(now thclock.Instant, v *thview.View) {
+		v.RecordDemand(now, w.state.request, w.state.service)
+		d = v.DecideSlot(now, w.state.request, w.state.service, q.countAhead(w))
+	})
+	var ok bool
+	if w.wait, ok = d.(thpick.AwaitSlot); !ok {
+		return d
+	}
 	if q.closed {
-		return false
+		return thpick.TakeSlot{}
 	}
-	i, _ := slices.BinarySearchFunc(q.waiting, w, (*slotWaiter).compare)
-	q.waiting = slices.Insert(q.waiting, i, w)
+	q.waiting = append(q.waiting, w)
 	if !q.isChecking {
 		q.isChecking = true
 		go f.checkWaiting()
 	}
-	return true
+	return d
 }
 
 func (f *Forwarder) dequeue(w *slotWaiter) {
@@ -135,19 +162,18 @@
 	q := &f.slots
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := f.options.Clock.Now()
+	slices.SortStableFunc(q.waiting, func(w, o *slotWaiter) int { return w.compare(o, now) })
 	checked := make(map[string]bool)
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *slotWaiter) bool {
 		isFirst := !checked[w.state.service]
 		checked[w.state.service] = true
-		wait := true
-		f.WithView(func(now thclock.Instant, v *thview.View) {
-			switch {
-			case !now.Before(w.until):
-				wait = false
-			case isFirst:
-				_, wait = v.WaitForSlot(now, w.state.request, w.state.service)
-			}
-		})
+		wait := now.Before(w.wait.Until)
+		if wait && isFirst {
+			f.WithView(func(now thclock.Instant, v *thview.View) {
+				_, wait = v.DecideSlot(now, w.state.request, w.state.service, 0).(thpick.AwaitSlot)
+			})
+		}
 		if !wait {
 			close(w.granted)
 		}
