thforward: take evacuated zones from the view only

Cause: Forwarder.evacuated repeated what the view knows, and RetainConnections removed the targets of these zones although View.Targets reports them as draining and thsend.Client.Retain closes the connections to draining targets.

Change: the field is gone. The sender of the tests counted draining targets as retained; it now drops them as thsend.Client does, so TestConnectionsToEvacuatedZonesAreClosed checks the same connections. No assertion changed.

Checked: with View.Targets changed to report these targets as not draining, the test fails; TestRetainClosesConnectionsToDrainingTargets covers the client.

--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -59,10 +58,8 @@
 // for concurrent use.
 type Forwarder struct {
 	options Options
-	// mu guards options.View and evacuated.
+	// mu guards options.View.
 	mu sync.Mutex
-	// evacuated holds the availability zones whose targets get no requests.
-	evacuated []string
 	// joined is closed once the VM knows the members of the fleet.
 	joined     chan struct{}
 	joinedOnce sync.Once
@@ -107,10 +104,7 @@
 // SetEvacuated replaces the availability zones whose targets get no requests, closes the
 // connections to their targets, and returns the zones that are new and those that were released.
 func (f *Forwarder) SetEvacuated(zones []string) (added, released []string) {
-	f.WithView(func(now thclock.Instant, v *thview.View) {
-		added, released = v.SetEvacuated(now, zones)
-		f.evacuated = slices.Clone(zones)
-	})
+	f.WithView(func(now thclock.Instant, v *thview.View) { added, released = v.SetEvacuated(now, zones) })
 	f.RetainConnections()
 	return added, released
 }
@@ -119,9 +113,7 @@
 // or by their own word, or in an evacuated zone. Those in use are closed after the answer.
 func (f *Forwarder) RetainConnections() {
 	var ts []thtable.Target
-	f.WithView(func(_ thclock.Instant, v *thview.View) {
-		ts = slices.DeleteFunc(v.Targets(), func(t thtable.Target) bool { return slices.Contains(f.evacuated, t.Zone) })
-	})
+	f.WithView(func(_ thclock.Instant, v *thview.View) { ts = v.Targets() })
 	f.options.Sender.Retain(ts)
 }
 
--- a/io/thforward/forwarder_test.go
+++ b/io/thforward/forwarder_test.go
@@ -47,7 +47,9 @@
 	defer s.mu.Unlock()
 	s.retained = nil
 	for _, t := range ts {
-		s.retained = append(s.retained, t.ID)
+		if !t.Draining { // thsend.Client closes the connections to draining targets
+			s.retained = append(s.retained, t.ID)
+		}
 	}
 	slices.Sort(s.retained)
 }
