thview, thfleet, thgossip: repeat evidence against targets

Change: View.TakeRepeats returns notices with negative results again after 60 and 120 ms, with their sequence number, by which receivers count results once. Relays forward a repeat that they had already (new notice field 26, which older builds ignore). The second repeat goes only to VMs that get it directly. Repeats older than a second are dropped, and none is sent while less than half of the burst of the VM's rate is left, so that they do not hold back new notices. At most 64 wait. What is sent grows with the evidence, by the VMs that use the target.

Removed one by one, each of these fails a test: forwarding of repeats, the second repeat, the expiry, the due time, the check for evidence, the check of the rate, relays in the first repeat.

--- a/core/thfleet/notice.go
+++ b/core/thfleet/notice.go
@@ -215,6 +215,16 @@
 	LiveHash uint64 `cbor:"18,keyasint,omitempty"`
 	// Relay is set if the receiver should forward the notice within its zone.
 	Relay bool `cbor:"12,keyasint,omitempty"`
+	// Repeated is set if the notice was sent before, with the same sequence number and at least
+	// the same results. VMs of older builds do not know it, and do not forward what they had.
+	Repeated bool `cbor:"26,keyasint,omitempty"`
+}
+
+// ShouldRelay reports whether the receiver of the notice should forward it within its zone, after
+// it recorded the notice with the given update. A repeated notice is forwarded by those that had
+// it, since others of the zone may have missed it.
+func (n Notice) ShouldRelay(u Update) bool {
+	return n.Relay && (!u.Duplicate || n.Repeated)
 }
 
 // WithVersions returns the notice with versions that its sender announces.
--- a/core/thfleet/rate.go
+++ b/core/thfleet/rate.go
@@ -14,6 +14,9 @@
 	// urgentBytes how many more if the notice contains evidence against a target.
 	burstBytes  = 27_000
 	urgentBytes = 27_000
+	// spareBytes is how many bytes have to be left for a notice that is sent again, so that it
+	// does not hold back new ones.
+	spareBytes = burstBytes / 2
 	// HeaderBytes is the size of a datagram's IPv4 and UDP headers.
 	HeaderBytes = 28
 )
@@ -54,3 +57,9 @@
 	r = r.refilled(now)
 	return now.Add(time.Duration(max(0, -r.bytesLeft) / bytesPerSecond * float64(time.Second)))
 }
+
+// SpareAt returns when a notice that was sent before may be sent again.
+func (r SendRate) SpareAt(now thclock.Instant) thclock.Instant {
+	r = r.refilled(now)
+	return now.Add(time.Duration(max(0, spareBytes-r.bytesLeft) / bytesPerSecond * float64(time.Second)))
+}
--- a/core/thview/outbox.go
+++ b/core/thview/outbox.go
@@ -29,6 +29,8 @@
 	reports map[thfleet.Key]pendingReport
 	crashes []thfleet.Crash
 	lost    []thfleet.Loss
+	// repeats holds the notices that are sent again, in the order in which they are due.
+	repeats []evidenceRepeat
 }
 
 func newOutbox(o Options) outbox {
@@ -67,6 +69,17 @@
 	Notice  thfleet.Notice
 	Members []thfleet.Member
 	Urgent  bool
+	// DirectOnly is set if the notice is not sent to the VMs that it reaches through relays.
+	DirectOnly bool
+}
+
+// Recipients returns the VMs that the notice is sent to directly, and the relays.
+func (o Outgoing) Recipients(f *thfleet.Fleet) (direct, relays []thfleet.Peer) {
+	direct, relays = f.SelectRecipients(o.Members, o.Notice.Sequence, o.Urgent)
+	if o.DirectOnly {
+		return direct, nil
+	}
+	return direct, relays
 }
 
 // TakeNotices returns the notices with the content of the outbox, and empties it. What
@@ -102,6 +115,9 @@
 		outgoing[0].Notice.Refused = totals(o.refused)
 		clear(o.refused)
 	}
+	for _, n := range outgoing {
+		o.scheduleRepeat(now, n.Notice)
+	}
 	o.crashes, o.lost = nil, nil
 	clear(o.loads)
 	clear(o.results)
--- a/core/thview/scale_test.go
+++ b/core/thview/scale_test.go
@@ -45,6 +45,10 @@
 	failsFrom map[string]time.Duration
 	// sentBytes and receivedBytes count by VM.
 	sentBytes, receivedBytes []int
+	// rates limit the repeats of the VMs, as the exchange of notices does.
+	rates []thfleet.SendRate
+	// repeating is set for VMs that will look for repeats.
+	repeating []bool
 	// lossPercent is the share of datagrams that are lost.
 	lossPercent             int
 	rejected, failed, total int
@@ -64,6 +68,7 @@
 	f := &largeFleet{
 		indexOf: map[thfleet.VMKey]int{}, rng: rand.New(rand.NewPCG(3, 3)), now: time.Hour, inFlight: map[string]int{},
 		sent: map[string]int{}, failsFrom: map[string]time.Duration{}, sentBytes: make([]int, vms), receivedBytes: make([]int, vms),
+		rates: make([]thfleet.SendRate, vms), repeating: make([]bool, vms),
 	}
 	var ts []thtable.Target
 	for i := range targets {
@@ -95,8 +100,8 @@
 	f.events = slices.Insert(f.events, i, e)
 }
 
-// transmit sends a datagram from one VM to others.
-func (f *largeFleet) transmit(from int, n thfleet.Notice, to []thfleet.Peer) {
+// transmit sends a datagram from one VM to others, and returns its length without headers.
+func (f *largeFleet) transmit(from int, n thfleet.Notice, to []thfleet.Peer) int {
 	data, err := cbor.Marshal(n)
 	if err != nil {
 		panic(err)
@@ -108,6 +113,7 @@
 		}
 		f.after(noticeDelay, func() { f.receive(f.indexOf[p.Key], n, len(data)) })
 	}
+	return len(data)
 }
 
 // receive handles a datagram as the exchange of notices does.
@@ -118,22 +124,51 @@
 	if n.WantsIdentity {
 		f.transmit(to, v.Introduction(false), []thfleet.Peer{{Key: n.From}})
 	}
-	if n.Relay && !u.Duplicate {
+	if n.ShouldRelay(u) {
 		members := v.Fleet.InZone(v.RelayMembers(n), n.From)
 		n.Relay = false
 		f.transmit(to, n, members)
 	}
 }
 
-// flush sends the notices that are pending at a VM.
-func (f *largeFleet) flush(vm int) {
+// flush sends the notices that are pending at a VM, and those again that have to be. It returns the
+// VMs that they concern.
+func (f *largeFleet) flush(vm int) (members []thfleet.Member) {
 	v := f.views[vm]
 	for _, o := range v.TakeNotices(f.instant()) {
-		direct, relays := v.Fleet.SelectRecipients(o.Members, o.Notice.Sequence, o.Urgent)
-		f.transmit(vm, o.Notice, direct)
-		o.Notice.Relay = true
-		f.transmit(vm, o.Notice, relays)
+		f.send(vm, o)
+		members = append(members, o.Members...)
 	}
+	f.scheduleRepeats(vm)
+	return members
+}
+
+func (f *largeFleet) scheduleRepeats(vm int) {
+	at, ok := f.views[vm].NextRepeat()
+	if !ok || f.repeating[vm] {
+		return
+	}
+	f.repeating[vm] = true
+	wait := max(at.Sub(f.instant()), f.rates[vm].SpareAt(f.instant()).Sub(f.instant()))
+	f.after(wait, func() {
+		f.repeating[vm] = false
+		if !f.instant().Before(f.rates[vm].SpareAt(f.instant())) {
+			for _, o := range f.views[vm].TakeRepeats(f.instant()) {
+				f.send(vm, o)
+			}
+		}
+		f.scheduleRepeats(vm)
+	})
+}
+
+// send sends a notice of a VM to those that it concerns, through relays.
+func (f *largeFleet) send(vm int, o thview.Outgoing) {
+	direct, relays := o.Recipients(f.views[vm].Fleet)
+	length := f.transmit(vm, o.Notice, direct)
+	o.Notice.Relay = true
+	length = max(length, f.transmit(vm, o.Notice, relays))
+	datagrams := len(direct) + len(relays) + f.views[vm].Fleet.RelayedDatagrams(o.Members, relays)
+	f.rates[vm] = f.rates[vm].WithSent(f.instant(), length, datagrams)
 }
 
 // request sends one request through a random VM. It takes the given time at a target with
--- a/io/thgossip/gossip.go
+++ b/io/thgossip/gossip.go
@@ -139,12 +139,41 @@
 		case <-x.wake:
 		case <-timer.C:
 		}
-		if delay, held := x.sendPending(); held {
+		delay, held := x.sendPending()
+		if repeatDelay, waits := x.sendRepeats(); waits && (!held || repeatDelay < delay) {
+			delay, held = repeatDelay, true
+		}
+		if held {
 			timer.Reset(max(delay, time.Millisecond))
 		}
 	}
 }
 
+// sendRepeats sends the notices that are due to be sent again, if the rate has bytes to spare. If
+// others wait, it returns true and the time after which to try again.
+func (x *Exchange) sendRepeats() (delay time.Duration, waits bool) {
+	x.sendOutgoing(func(now thclock.Instant, v *thview.View) []thview.Outgoing {
+		var outgoing []thview.Outgoing
+		spareAt := x.spareAt(now)
+		if !now.Before(spareAt) {
+			outgoing = v.TakeRepeats(now)
+		}
+		var next thclock.Instant
+		if next, waits = v.NextRepeat(); waits {
+			delay = max(next.Sub(now), spareAt.Sub(now))
+		}
+		return outgoing
+	})
+	return delay, waits
+}
+
+// spareAt returns when the rate has bytes to spare for notices that are sent again.
+func (x *Exchange) spareAt(now thclock.Instant) thclock.Instant {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.rate.SpareAt(now)
+}
+
 // sendPending sends the pending notices, if there are any and the rate allows it. If it
 // does not, sendPending returns true and the time after which to try again.
 func (x *Exchange) sendPending() (delay time.Duration, held bool) {
@@ -203,7 +232,7 @@
 		sentAt = now
 		for _, o := range take(now, v) {
 			s := sending{notice: o.Notice}
-			s.direct, s.relays = v.Fleet.SelectRecipients(o.Members, o.Notice.Sequence, o.Urgent)
+			s.direct, s.relays = o.Recipients(v.Fleet)
 			s.relayed = v.Fleet.RelayedDatagrams(o.Members, s.relays)
 			if o.Notice.IsForAll() {
 				s.direct = append(s.direct, v.Fleet.NewlyDiscovered(now)...)
@@ -383,7 +412,7 @@
 	if n.Tokens != nil {
 		x.questions.deliver(*n.Tokens)
 	}
-	if n.Relay && !update.Duplicate {
+	if n.ShouldRelay(update) {
 		x.relay(n)
 	}
 	x.handleMembership(n, update)
--- a/io/thgossip/gossip_test.go
+++ b/io/thgossip/gossip_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thevent"
 	"tamarackhollow/core/thfleet"
+	"tamarackhollow/core/thhealth"
 	"tamarackhollow/core/thmessage"
 	"tamarackhollow/core/thtable"
 	"tamarackhollow/core/thview"
@@ -55,6 +57,8 @@
 	// loads gets the number of requests in flight of each notice of the VM that a peer
 	// receives.
 	loads chan uint16
+	// repeated counts the repeated notices that peers received.
+	repeated atomic.Int32
 	// receivers are the goroutines that read the peers' datagrams.
 	receivers sync.WaitGroup
 	// sent counts the notices of the VM in another zone.
@@ -116,7 +120,13 @@
 			return
 		}
 		var n thfleet.Notice
-		if cbor.Unmarshal(buffer[:size], &n) == nil && n.From == thfleet.VMKeyOf("self") && len(n.Loads) > 0 {
+		if cbor.Unmarshal(buffer[:size], &n) != nil {
+			continue
+		}
+		if n.Repeated {
+			g.repeated.Add(1)
+		}
+		if n.From == thfleet.VMKeyOf("self") && len(n.Loads) > 0 {
 			g.loads <- n.Loads[0].InFlight
 		}
 	}
@@ -156,15 +166,47 @@
 
 // startRequest starts an attempt, as a request does.
 func (g *fixture) startRequest() {
+	g.t.Helper()
+	g.view.WithView(func(now thclock.Instant, v *thview.View) { g.pick(now, v) })
+	g.exchange.Wake()
+}
+
+func (g *fixture) pick(now thclock.Instant, v *thview.View) (thview.Picked, *thmessage.Request) {
+	g.t.Helper()
+	request := &thmessage.Request{Route: thtable.Route{Name: "r"}, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
+	p, refusal := v.Pick(now, request, "s0", nil, false)
+	assert.Assert(g.t, refusal == nil)
+	return p, request
+}
+
+// failRequest makes an attempt that fails.
+func (g *fixture) failRequest() {
 	g.t.Helper()
 	g.view.WithView(func(now thclock.Instant, v *thview.View) {
-		request := &thmessage.Request{Route: thtable.Route{Name: "r"}, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}
-		_, refusal := v.Pick(now, request, "s0", nil, false)
-		assert.Assert(g.t, refusal == nil)
+		p, request := g.pick(now, v)
+		v.Finish(now, p, request, thhealth.Failed, time.Millisecond)
 	})
 	g.exchange.Wake()
 }
 
+// Evidence that is sent once does not reach a VM whose datagram is lost. Repeats must go out though
+// nothing else makes the exchange send.
+func TestEvidenceIsSentAgain(t *testing.T) {
+	g := newFixture(t, 2)
+	g.failRequest()
+	g.waitUntil("both peers have received both repeats", func() bool { return g.repeated.Load() == 4 })
+}
+
+// A VM that has used up its rate must not send repeats, which would hold back what is new.
+func TestRepeatsWaitForRate(t *testing.T) {
+	g := newFixture(t, 12)
+	g.useUpRate()
+	g.failRequest()
+	<-g.loads // evidence itself is sent
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, g.repeated.Load(), int32(0))
+}
+
 // A VM that relays many notices of others must still send its own counts: the others
 // decide by them which targets are busy.
 func TestRelayingDoesNotHoldBackOwnCounts(t *testing.T) {
@@ -188,11 +230,17 @@
 // A VM that has used up its rate must still send its counts with its heartbeat.
 func TestHeartbeatCarriesCounts(t *testing.T) {
 	g := newFixture(t, 12)
+	g.useUpRate()
+	g.startRequest()
+	g.waitForLoad()
+}
+
+// useUpRate lets the exchange send so much that its rate has nothing left for half a minute.
+func (g *fixture) useUpRate() {
+	g.t.Helper()
 	for g.exchange.Stats().SentBytes < 1_000_000 {
 		g.exchange.AnnounceVersions(thfleet.StoreVersions{Table: 1, Targets: thtable.Position{Version: 1}}, thfleet.ReadAges{}, false)
 		g.sent++
 		g.sendFromPeer(int(g.sent)%len(g.peers), g.sent+1)
 	}
-	g.startRequest()
-	g.waitForLoad()
 }
