thmemory: one function for a holder's part, and no Ledger.Hold

Cause: Ledger.Hold had no caller in the product, and Account.isWithinPart repeated Ledger.isWithinPart with what others free.

Change: Hold and what only its tests used are gone (Ledger.Used, SetLimit, the exported type); ledger.isWithinPart serves Account.fits. The property tests of Ledger now run against Account with the same limits and bounds: TestAccountStaysWithinLimits, TestHolderIsNotCrowdedOutByAnother, TestAccountWithoutLimitRefusesNothing.

Two conditions could be removed without a failing test after the change, and no test named them before: bytes that a customer's own requests free, and that connections have no part. Both have a test now. Removing the part, the freed bytes, the room or the unlimited case fails tests as well.

go test ./core/thmemory ./io/thingress passes.

--- a/core/thmemory/account.go
+++ b/core/thmemory/account.go
@@ -80,7 +80,7 @@
 //
 // The zero Account has no limit. It is not safe for concurrent use.
 type Account struct {
-	ledger  Ledger
+	ledger  ledger
 	entries map[ID]*entry
 	lastID  ID
 	// maxConnections is 0 for no bound.
@@ -105,7 +105,7 @@
 // SetLimits sets the limit in bytes and the greatest number of connections; 0 means no limit. What
 // is held already stays held.
 func (a *Account) SetLimits(bytes int64, connections int) {
-	a.ledger.SetLimit(bytes)
+	a.ledger.limit = bytes
 	a.maxConnections = connections
 }
 
@@ -234,7 +234,7 @@
 	if bytes = min(bytes, e.bytes); bytes <= 0 {
 		return
 	}
-	a.ledger.Release(e.holder(), bytes)
+	a.ledger.release(e.holder(), bytes)
 	e.bytes -= bytes
 	if e.isConnection {
 		a.connectionBytes -= bytes
@@ -278,16 +278,10 @@
 }
 
 // fits reports whether the entry may have further bytes once others have freed some, and as many of
-// its own holder as given.
+// its own holder as given. Connections have no part of their own: their number is bounded.
 func (a *Account) fits(e *entry, bytes, freed, freedOwn int64) bool {
-	return a.ledger.hasRoom(bytes-freed, a.reservedFor(e, bytes)) && a.isWithinPart(e, bytes, freed, freedOwn)
-}
-
-// isWithinPart is like fits for the part of the entry's holder. Connections have no part: their
-// number is bounded.
-func (a *Account) isWithinPart(e *entry, bytes, freed, freedOwn int64) bool {
-	limit := a.ledger.limit
-	return e.isConnection || limit <= 0 || a.ledger.held[e.holder()]+bytes-freedOwn <= ownPart*(limit-a.ledger.used-bytes+freed)
+	return a.ledger.hasRoom(bytes-freed, a.reservedFor(e, bytes)) &&
+		(e.isConnection || a.ledger.isWithinPart(e.holder(), bytes, freed, freedOwn))
 }
 
 // makeRoom lets others give way to the entry. Nobody does if that would not be enough.
--- a/core/thmemory/account_test.go
+++ b/core/thmemory/account_test.go
@@ -48,6 +48,7 @@
 		{"the reserved part", []holder{{other, 3 * quarter, thmemory.Reading, 0}, {unknown, quarter * 3 / 4, thmemory.Running, 0}}, holder{owner: keyed, bytes: 4 << 10}, thmemory.Granted, nil},
 		{"an answer that nobody reads", []holder{{other, 3 * quarter, thmemory.Writing, time.Second}}, holder{owner: keyed, bytes: quarter}, thmemory.Wait, []int{0}},
 		{"only a customer's own beyond its part", []holder{{keyed, quarter, thmemory.Reading, time.Second}, {keyed, quarter, thmemory.Reading, 0}, {other, quarter / 2, thmemory.Reading, time.Hour}}, holder{owner: keyed, bytes: quarter}, thmemory.Wait, []int{0}},
+		{"its own stalled request that makes its part large enough", []holder{{other, 5 * quarter / 2, thmemory.Running, 0}, {keyed, quarter * 3 / 5, thmemory.Reading, time.Second}}, holder{owner: keyed, bytes: quarter}, thmemory.Wait, []int{1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var a thmemory.Account
@@ -97,6 +98,15 @@
 	assert.Equal(t, verdict, thmemory.Granted)
 }
 
+// TestConnectionsHaveNoPart guards against connections that are bounded together as one customer's
+// requests are, although their number has a bound of its own.
+func TestConnectionsHaveNoPart(t *testing.T) {
+	var a thmemory.Account
+	a.SetLimits(limit, 0)
+	_, verdict, _ := a.OpenConnection(now, limit*7/8)
+	assert.Equal(t, verdict, thmemory.Granted)
+}
+
 // TestStalledRequestsGiveWayToNewConnections guards against new callers that are shut out while all
 // connections are taken by requests that have stopped.
 func TestStalledRequestsGiveWayToNewConnections(t *testing.T) {
--- a/core/thmemory/ledger_test.go
+++ b/core/thmemory/ledger_test.go
@@ -12,40 +12,59 @@
 
 const limit = 1 << 20
 
-// TestLedgerStaysWithinLimits guards, over drawn scripts, against bytes beyond the limit, a
-// holder with more than three quarters of it, and bytes that stay counted.
-func TestLedgerStaysWithinLimits(t *testing.T) {
+// openRunning adds a request of the customer that never gives way.
+func openRunning(t *testing.T, a *thmemory.Account, customer string) thmemory.ID {
+	t.Helper()
+	id := a.OpenRequest(now, 0, thmemory.Owner{Customer: customer, HasKey: true})
+	assert.Assert(t, a.SetPhase(now, id, thmemory.Running))
+	return id
+}
+
+func isCharged(a *thmemory.Account, id thmemory.ID, bytes int64) bool {
+	verdict, _ := a.Charge(now, id, bytes)
+	return verdict == thmemory.Granted
+}
+
+// TestAccountStaysWithinLimits guards, over drawn scripts, against bytes beyond the limit, a
+// customer with more than three quarters of it, and bytes that stay counted.
+func TestAccountStaysWithinLimits(t *testing.T) {
 	for seed := range uint64(200) {
 		rng := rand.New(rand.NewPCG(seed, seed))
-		var l thmemory.Ledger
-		l.SetLimit(limit)
+		var a thmemory.Account
+		a.SetLimits(limit, 0)
+		ids := map[string]thmemory.ID{}
 		held := map[string][]int64{}
 		var total int64
 		for range 500 {
-			holder := fmt.Sprintf("h%d", rng.IntN(4))
-			if mine := held[holder]; len(mine) > 0 && rng.IntN(3) == 0 {
+			customer := fmt.Sprintf("c%d", rng.IntN(4))
+			id, ok := ids[customer]
+			if !ok {
+				id = openRunning(t, &a, customer)
+				ids[customer] = id
+			}
+			if mine := held[customer]; len(mine) > 0 && rng.IntN(3) == 0 {
 				i := rng.IntN(len(mine))
-				l.Release(holder, mine[i])
+				a.Release(id, mine[i])
 				total -= mine[i]
-				held[holder] = append(mine[:i:i], mine[i+1:]...)
-			} else if bytes := rng.Int64N(limit / 4); l.Hold(holder, bytes) {
-				held[holder] = append(held[holder], bytes)
+				held[customer] = append(mine[:i:i], mine[i+1:]...)
+			} else if bytes := rng.Int64N(limit / 4); isCharged(&a, id, bytes) {
+				held[customer] = append(held[customer], bytes)
 				total += bytes
 			}
 			own := int64(0)
-			for _, bytes := range held[holder] {
+			for _, bytes := range held[customer] {
 				own += bytes
 			}
-			assert.Equal(t, l.Used(), total, "seed %d", seed)
+			assert.Equal(t, a.Used(), total, "seed %d", seed)
 			assert.Assert(t, total <= limit, "seed %d: %d bytes", seed, total)
-			assert.Assert(t, own <= limit*3/4, "seed %d: %s has %d bytes", seed, holder, own)
+			assert.Assert(t, own <= limit*3/4, "seed %d: %s has %d bytes", seed, customer, own)
 		}
-		for holder, mine := range held {
+		for customer, mine := range held {
 			for _, bytes := range mine {
-				l.Release(holder, bytes)
+				a.Release(ids[customer], bytes)
 			}
 		}
-		assert.Equal(t, l.Used(), int64(0))
+		assert.Equal(t, a.Used(), int64(0))
 	}
 }
 
@@ -53,21 +72,23 @@
 // second one still gets a sixth of it.
 func TestHolderIsNotCrowdedOutByAnother(t *testing.T) {
 	for _, bytes := range []int64{1, 1000, limit / 10, limit / 3, limit * 3 / 4} {
-		var l thmemory.Ledger
-		l.SetLimit(limit)
-		for l.Hold("greedy", bytes) {
+		var a thmemory.Account
+		a.SetLimits(limit, 0)
+		greedy := openRunning(t, &a, "greedy")
+		for isCharged(&a, greedy, bytes) {
 			continue
 		}
-		assert.Assert(t, l.Hold("modest", limit/6), "in steps of %d", bytes)
+		assert.Assert(t, isCharged(&a, openRunning(t, &a, "modest"), limit/6), "in steps of %d", bytes)
 	}
 }
 
-// TestLedgerWithoutLimitRefusesNothing guards against a zero Ledger that refuses.
-func TestLedgerWithoutLimitRefusesNothing(t *testing.T) {
-	var l thmemory.Ledger
-	assert.Assert(t, l.Hold("h", 1<<40))
-	l.SetLimit(limit)
-	assert.Assert(t, !l.Hold("h", 1))
-	l.Release("h", 1<<40)
-	assert.Assert(t, l.Hold("h", 1))
+// TestAccountWithoutLimitRefusesNothing guards against a zero Account that refuses.
+func TestAccountWithoutLimitRefusesNothing(t *testing.T) {
+	var a thmemory.Account
+	id := openRunning(t, &a, "c")
+	assert.Assert(t, isCharged(&a, id, 1<<40))
+	a.SetLimits(limit, 0)
+	assert.Assert(t, !isCharged(&a, id, 1))
+	a.Release(id, 1<<40)
+	assert.Assert(t, isCharged(&a, id, 1))
 }
