thview, thpick: split picks into a decision and its carrying out

Change: View.decidePick decides and counts nothing; Pick carries it out. PickBackend is split alike. thpick.ExclusionOf says why a candidate is not eligible, and isEligible uses it.

Ruled out: a copy of the decision for explain; it would drift.

--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -8,7 +8,6 @@
 	"cmp"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"tamarackhollow/core/thclock"
@@ -214,7 +213,7 @@
 // isEligible reports whether the candidate may run the request: it is not
 // draining, paused, evacuated nor throttled, and the request has not been sent to it before.
 func isEligible(q Query, c Candidate) bool {
-	return !c.Target.Draining && !c.IsEvacuated && !c.IsThrottled && !c.IsPaused(q.Now) && !slices.Contains(q.Tried, c.Target.ID)
+	return ExclusionOf(q, c) == NotExcluded
 }
 
 const (
--- a/core/thview/backend.go
+++ b/core/thview/backend.go
@@ -20,16 +20,27 @@
 
 // PickBackend returns the name of the service for the route's next request.
 func (v *View) PickBackend(r thtable.Route) string {
+	name, next := v.decideBackend(r)
+	if next != nil {
+		v.backendSequences[r.Name] = next
+	}
+	return name
+}
+
+// decideBackend returns the name of the service for the route's next request, and the sequence
+// after that request, which is nil if the route has one service only.
+func (v *View) decideBackend(r thtable.Route) (name string, next *backendSequence) {
 	if len(r.Backends) == 1 {
-		return r.Backends[0].Service
+		return r.Backends[0].Service, nil
 	}
-	s := v.backendSequences[r.Name]
-	if s == nil {
-		s = &backendSequence{position: v.options.Rand.Float64()}
-		v.backendSequences[r.Name] = s
+	next = &backendSequence{}
+	if s := v.backendSequences[r.Name]; s != nil {
+		*next = *s
+	} else {
+		next.position = v.options.Rand.Float64()
 	}
-	_, s.position = math.Modf(s.position + goldenRatioStep)
-	return backendAt(r.Backends, s.position)
+	_, next.position = math.Modf(next.position + goldenRatioStep)
+	return backendAt(r.Backends, next.position), next
 }
 
 // backendAt returns the service at a position from 0 to 1 in the weights laid end
--- a/core/thview/pause.go
+++ b/core/thview/pause.go
@@ -82,7 +82,6 @@
 		return &Refusal{Evacuated: true, RetryAfter: retryAfterEvacuated}
 	}
 	if after, cold := v.firstUsable(now, s); after > 0 {
-		v.countRefusal(now, s)
 		return &Refusal{Paused: !cold, Cold: cold, RetryAfter: after}
 	}
 	return &Refusal{RetryAfter: retryAfterNoTarget}
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -295,30 +295,21 @@
 // and the retry budget has no room.
 func (v *View) Pick(now thclock.Instant, request *thmessage.Request, name string, tried []string, retryable bool) (Picked, *Refusal) {
 	s := v.service(name)
-	query := v.newQuery(now, request, s, tried, retryable)
+	d := v.decidePick(now, request, s, tried, retryable)
 	if len(tried) == 0 {
 		s.retryBudget = s.retryBudget.WithRequest(now, v.retryRule(now))
-	} else if !s.retryBudget.HasRoom(now, v.retryRule(now)) {
-		return Picked{}, &Refusal{OverBudget: true}
-	}
-	i, ok := thpick.Pick(v.options.Rand, query, v.candidates)
-	if !ok && len(v.candidates) < len(s.targets) {
-		v.fillWithAll(now, s, request)
-		i, ok = thpick.Pick(v.options.Rand, query, v.candidates)
 	}
-	if !ok {
-		return Picked{}, v.refuseWithoutTarget(now, s)
+	if d.hasTarget {
+		v.reportFloor(now, s)
 	}
-	unused, keepsFloor := thpick.PickUnused(query, v.candidates, v.options.FloorShare, v.enforcesFloor(now, s), i)
-	if keepsFloor {
-		i = unused
-	}
-	if retryAfter, shed := thpick.ShouldShed(query, v.candidates[i]); shed && len(tried) == 0 {
-		v.countRefusal(now, s)
-		return Picked{}, &Refusal{Overloaded: true, RetryAfter: retryAfter}
+	if d.refusal != nil {
+		if d.refusal.countsAsFailure() {
+			v.countRefusal(now, s)
+		}
+		return Picked{}, d.refusal
 	}
-	p := v.startAttempt(now, s, query, i)
-	p.KeepsFloor = keepsFloor
+	p := v.startAttempt(now, s, d.query, d.chosen)
+	p.KeepsFloor = d.keepsFloor
 	return p, nil
 }
 
@@ -446,18 +437,17 @@
 	}
 }
 
-// enforcesFloor reports whether this VM enforces the floor of the service, and calls
-// OnFloorChange if that has changed.
-func (v *View) enforcesFloor(now thclock.Instant, s *service) bool {
+// reportFloor calls OnFloorChange if this VM has begun or ceased to enforce the floor of the
+// service.
+func (v *View) reportFloor(now thclock.Instant, s *service) {
 	enforced := s.floor.IsEnforced(now)
 	if enforced == s.floorEnforced {
-		return enforced
+		return
 	}
 	s.floorEnforced = enforced
 	if v.options.OnFloorChange != nil {
 		v.options.OnFloorChange(v.floorStatus(now, s))
 	}
-	return enforced
 }
 
 // countRefusal counts a request to the service that this VM refused.
