--- a/core/thview/admission.go
+++ b/core/thview/admission.go
@@ -129,32 +129,82 @@
 // BeginAdmission asks for a token of the customer's limit for a request on the route.
 func (v *View) BeginAdmission(now thclock.Instant, c thtable.Customer, r thtable.Route) (*Admission, AdmissionStep) {
 	state := v.customer(c)
+	a, d := v.decideAdmission(now, state, c, r)
+	if d.isUnjoined {
+		state.admittedUnjoined++
+	}
+	return a, v.carryOut(now, a, d)
+}
+
+// decideAdmission decides what BeginAdmission does. The Admission is nil for a customer without a
+// limit.
+func (v *View) decideAdmission(now thclock.Instant, state *customer, c thtable.Customer, r thtable.Route) (*Admission, admissionDecision) {
 	if state.limit.Rate <= 0 {
-		return nil, Admitted{}
+		return nil, admissionDecision{step: Admitted{}}
 	}
 	a := &Admission{customer: thfleet.KeyOf(c.Name), route: r, retryAfter: math.MaxInt64}
-	if !v.IsJoined(now) {
-		if state.admittedUnjoined >= maxUnjoinedRequests {
-			objective := time.Duration(r.LatencyObjectiveMillis) * time.Millisecond
-			return a, AwaitJoin{Until: now.Add(min(maxJoinWait, time.Duration(joinWaitShare*float64(objective))))}
+	if v.IsJoined(now) {
+		return a, v.askOwners(now, a)
+	}
+	if state.admittedUnjoined >= maxUnjoinedRequests {
+		objective := time.Duration(r.LatencyObjectiveMillis) * time.Millisecond
+		return a, admissionDecision{step: AwaitJoin{Until: now.Add(min(maxJoinWait, time.Duration(joinWaitShare*float64(objective))))}}
+	}
+	return a, admissionDecision{step: Admitted{}, isUnjoined: true}
+}
+
+// admissionDecision is what follows for a request that needs a token, before it is carried out.
+type admissionDecision struct {
+	step AdmissionStep
+	// isUnjoined is set if the request is admitted because this VM has not joined the fleet.
+	isUnjoined bool
+	// asksSelf is set if this VM asks itself for a token. Then owned are those of the parts that
+	// it owns, as they are afterwards.
+	asksSelf bool
+	owned    []askedPart
+}
+
+// askedPart is a part of a customer's limit after this VM, its owner, was asked for a token.
+type askedPart struct {
+	number uint8
+	state  ownedPart
+}
+
+// carryOut records the decision and returns the step that follows.
+func (v *View) carryOut(now thclock.Instant, a *Admission, d admissionDecision) AdmissionStep {
+	if d.asksSelf {
+		v.dropLostParts(now)
+	}
+	for _, p := range d.owned {
+		v.customers[a.customer].setOwned(p)
+	}
+	switch d.step.(type) {
+	case OverLimit, LimitUnknown:
+		for _, b := range a.route.Backends {
+			v.countRefusal(now, v.service(b.Service))
 		}
-		state.admittedUnjoined++
-		return a, Admitted{}
 	}
-	return a, v.askOwners(now, a)
+	return d.step
+}
+
+func (c *customer) setOwned(p askedPart) {
+	if c.owned == nil {
+		c.owned = make(map[uint8]ownedPart)
+	}
+	c.owned[p.number] = p.state
 }
 
 // ResumeAdmission asks for a token for a request that has waited until this VM joined the
 // fleet, and refuses it if this VM has not.
 func (v *View) ResumeAdmission(now thclock.Instant, a *Admission) AdmissionStep {
 	if !v.IsJoined(now) {
-		return v.refuseAdmission(now, a)
+		return v.carryOut(now, a, admissionDecision{step: v.refuseAdmission(now, a)})
 	}
-	return v.askOwners(now, a)
+	return v.carryOut(now, a, v.askOwners(now, a))
 }
 
 // askOwners begins to ask for a token.
-func (v *View) askOwners(now thclock.Instant, a *Admission) AdmissionStep {
+func (v *View) askOwners(now thclock.Instant, a *Admission) admissionDecision {
 	wait := maxFurtherWait
 	if objective := time.Duration(a.route.LatencyObjectiveMillis) * time.Millisecond; objective > 0 {
 		wait = min(wait, time.Duration(furtherWaitShare*float64(objective)))
@@ -215,7 +265,7 @@
 		}
 		a.empty++
 	}
-	return v.nextAdmissionStep(now, a)
+	return v.carryOut(now, a, v.nextAdmissionStep(now, a))
 }
 
 // recordTokens records until when the VM that answered has no further tokens.
@@ -258,21 +308,30 @@
 	}
 }
 
-func (v *View) nextAdmissionStep(now thclock.Instant, a *Admission) AdmissionStep {
+// nextAdmissionStep decides which owner is asked next. It changes the admission only.
+func (v *View) nextAdmissionStep(now thclock.Instant, a *Admission) (d admissionDecision) {
 	for len(a.queue) > 0 {
 		a.asked, a.queue = a.queue[0], a.queue[1:]
 		request := thfleet.TokenRequest{Kind: thfleet.CustomerTokens, Key: a.customer, Part: a.asked.part.Number, Thousandths: wholeToken}
 		switch {
 		case a.asked.owner().IsSelf:
-			if v.takeOwnToken(now, a, request) {
-				return Admitted{}
+			d.asksSelf = true
+			part, isAdmitted := v.askSelf(now, a, request)
+			if part != nil {
+				d.owned = append(d.owned, *part)
+			}
+			if isAdmitted {
+				d.step = Admitted{}
+				return d
 			}
 		case v.isKnownEmpty(now, a):
 		case a.mayAsk(now):
-			return AskOwner{Owner: a.asked.owner().Peer, Request: request}
+			d.step = AskOwner{Owner: a.asked.owner().Peer, Request: request}
+			return d
 		}
 	}
-	return v.refuseAdmission(now, a)
+	d.step = v.refuseAdmission(now, a)
+	return d
 }
 
 // isKnownEmpty reports whether the VM to ask is known to have no tokens.
@@ -294,24 +353,23 @@
 	return a.empty < maxEmptyOwners || a.asked.isFollower || !a.askFurtherUntil.Before(now)
 }
 
-// takeOwnToken takes a token out of a part that this VM owns.
-func (v *View) takeOwnToken(now thclock.Instant, a *Admission, r thfleet.TokenRequest) bool {
-	t, _ := v.giveCustomerToken(now, r)
-	if t.NotOwner {
-		return false
+// askSelf decides whether a part that this VM owns has a token, and returns the part as it is
+// afterwards, or nil if this VM does not own it.
+func (v *View) askSelf(now thclock.Instant, a *Admission, r thfleet.TokenRequest) (part *askedPart, isAdmitted bool) {
+	t, _, part := v.decideCustomerToken(now, r)
+	if part == nil {
+		return nil, false
 	}
 	if t.Thousandths >= wholeToken {
-		return true
+		return part, true
 	}
-	a.own = v.ownPart(now, r)
+	a.own = v.ownPart(now, r, part.state)
 	a.retryAfter = min(a.retryAfter, time.Duration(t.RetryAfterMillis)*time.Millisecond)
-	return false
+	return part, false
 }
 
+// refuseAdmission returns the refusal of a request for its customer's limit.
 func (v *View) refuseAdmission(now thclock.Instant, a *Admission) AdmissionStep {
-	for _, b := range a.route.Backends {
-		v.countRefusal(now, v.service(b.Service))
-	}
 	basis := v.basisOf(now, a)
 	if a.retryAfter == math.MaxInt64 {
 		return LimitUnknown{RetryAfter: retryAfterUnknownLimit, Basis: basis}
@@ -340,14 +398,24 @@
 // owns. If a VM before it in the line must be asked first, it is returned.
 func (v *View) giveCustomerToken(now thclock.Instant, r thfleet.TokenRequest) (thfleet.Tokens, *thfleet.Peer) {
 	v.dropLostParts(now)
+	t, before, part := v.decideCustomerToken(now, r)
+	if part != nil {
+		v.customers[r.Key].setOwned(*part)
+	}
+	return t, before
+}
+
+// decideCustomerToken decides what giveCustomerToken returns, and returns the part as it is
+// afterwards, or nil if this VM does not own it.
+func (v *View) decideCustomerToken(now thclock.Instant, r thfleet.TokenRequest) (thfleet.Tokens, *thfleet.Peer, *askedPart) {
 	c := v.customers[r.Key]
 	part, parts, ok := v.Fleet.LimitPart(now, r.Key, r.Part)
 	if c == nil || !ok || !v.IsJoined(now) {
-		return thfleet.Tokens{NotOwner: true}, nil
+		return thfleet.Tokens{NotOwner: true}, nil, nil
 	}
 	owns, before := v.ownsPart(now, part)
 	if !owns {
-		return thfleet.Tokens{NotOwner: true}, before
+		return thfleet.Tokens{NotOwner: true}, before, nil
 	}
 	share := v.usablePartShare(now) / float64(parts)
 	owned, ok := c.owned[r.Part]
@@ -365,11 +433,7 @@
 		at, owned.schedule = owned.schedule.Next(now, now.Add(wait), c.limit.Interval(share), v.options.Rand.Float64())
 		t.RetryAfterMillis = uint16(min(math.MaxUint16, at.Sub(now).Milliseconds()+1))
 	}
-	if c.owned == nil {
-		c.owned = make(map[uint8]ownedPart)
-	}
-	c.owned[r.Part] = owned
-	return t, nil
+	return t, nil, &askedPart{number: r.Part, state: owned}
 }
 
 // ownsPart reports whether this VM is the first in the line for a part that is not
--- a/core/thview/basis.go
+++ b/core/thview/basis.go
@@ -88,13 +88,8 @@
 	return b
 }
 
-// ownPart describes the part of a customer's limit of which a token was asked last.
-func (v *View) ownPart(now thclock.Instant, r thfleet.TokenRequest) OwnPart {
-	c := v.customers[r.Key]
-	if c == nil {
-		return OwnPart{}
-	}
+// ownPart describes the given part of a customer's limit, of which a token was asked last.
+func (v *View) ownPart(now thclock.Instant, r thfleet.TokenRequest, p ownedPart) OwnPart {
 	_, parts, _ := v.Fleet.LimitPart(now, r.Key, r.Part)
-	p := c.owned[r.Part]
 	return OwnPart{Share: v.usablePartShare(now) / float64(max(1, parts)), Tokens: p.bucket.Tokens(), OwnedFor: now.Sub(p.since)}
 }
