--- a/io/thcommand/command.go
+++ b/io/thcommand/command.go
@@ -29,9 +29,9 @@
 // StandardStreams returns the standard output and standard error of the process.
 func StandardStreams() Streams { return Streams{Out: os.Stdout, Err: os.Stderr} }
 
-// OperatorCommands returns the subcommands check, render, status and report.
+// OperatorCommands returns the subcommands check, render, status, report and explain.
 func OperatorCommands(s Streams) []*ffcli.Command {
-	return []*ffcli.Command{Check(s), Render(s), Status(s), Report(s)}
+	return []*ffcli.Command{Check(s), Render(s), Status(s), Report(s), Explain(s)}
 }
 
 const defaultWaitMillis = 10_000
--- a/io/thcommand/exit.go
+++ b/io/thcommand/exit.go
@@ -26,8 +26,13 @@
 	ExitCredential = 8
 	// ExitPaging means that a report with --exitCode contains an alert that pages.
 	ExitPaging = 10
+	// ExitRefused means that the request that explain was asked about would be refused.
+	ExitRefused = 11
 )
 
+// errWouldRefuse is returned by the explain command for a request that would be refused.
+var errWouldRefuse = errors.New("the request would be refused")
+
 // errPageRaised is returned by the report command with --exitCode if the report
 // contains an alert that pages.
 var errPageRaised = errors.New("the error budget of a service-level objective burns fast enough to page")
@@ -66,6 +71,8 @@
 		return exitInfo{ExitUsage, "see tamarackhollow <subcommand> -h"}
 	case errors.Is(err, errPageRaised):
 		return exitInfo{ExitPaging, "look at the report's rows with alerts and at their refusals by kind"}
+	case errors.Is(err, errWouldRefuse):
+		return exitInfo{ExitRefused, ""}
 	}
 	return exitInfoForKind(therror.KindOf(err))
 }
--- /dev/null
+++ b/io/thforward/explain.go
@@ -0,0 +1,51 @@
+package thforward
+
+import (
+	"math/rand/v2"
+
+	"tamarackhollow/core/thclock"
+	"tamarackhollow/core/thmessage"
+	"tamarackhollow/core/thpick"
+	"tamarackhollow/core/thview"
+	"tamarackhollow/io/thingress"
+)
+
+// Explanation is what a VM would do with a request, and why.
+type Explanation struct {
+	thview.Explanation
+	// At is when it was explained, by the clock of the VM.
+	At thclock.Instant
+	// Refusal is what the caller would get without an attempt; nil if the request would be sent now,
+	// or if it would wait for a slot first.
+	Refusal *thingress.Refusal
+}
+
+// Explain returns what Admit and Forward would do with a request that arrives now. It sends nothing,
+// asks no other VM and changes nothing.
+func (f *Forwarder) Explain(request *thmessage.Request) (e Explanation) {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	table, mayWait := f.options.Table(), f.slots.isOpen()
+	f.WithView(func(now thclock.Instant, v *thview.View) {
+		e.At, e.Explanation = now, v.Explain(now, rng, request, isRetryable(request.Route, thpick.Attempts{}))
+	})
+	e.Waits = e.Waits && mayWait
+	_, isConfigured := table.Service(e.Service)
+	e.Refusal = limitRefusal(request.Customer, e.Admission)
+	switch {
+	case e.Refusal != nil:
+	case !isConfigured:
+		e.Refusal = unknownServiceRefusal(e.Service)
+	case e.IsQuarantined:
+		e.Refusal = &thingress.Refusal{Err: quarantineError(&requestState{request: request})}
+	case e.Explanation.Refusal != nil && !e.Waits: // a request that waits is picked a target for afterwards
+		e.Refusal = refusalWithoutTarget(e.Explanation.Refusal)
+	}
+	return e
+}
+
+// isOpen reports whether requests may wait.
+func (q *slotQueue) isOpen() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !q.closed
+}
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -157,7 +157,7 @@
 		}
 	})
 	if !ok {
-		return nil, f.logRefusal(s, &thingress.Refusal{Err: therror.New(therror.NoTarget, "service %q is not configured", s.service)})
+		return nil, f.logRefusal(s, unknownServiceRefusal(s.service))
 	}
 	if refusal := f.awaitSlot(ctx, s); refusal != nil {
 		return nil, f.logRefusal(s, refusal)
@@ -177,6 +177,10 @@
 	}
 }
 
+func unknownServiceRefusal(service string) *thingress.Refusal {
+	return &thingress.Refusal{Err: therror.New(therror.NoTarget, "service %q is not configured", service)}
+}
+
 func callerGoneRefusal() *thingress.Refusal {
 	return &thingress.Refusal{Err: therror.New(therror.CallerGone, "the caller left")}
 }
@@ -255,8 +259,7 @@
 			refusal = &thingress.Refusal{Err: quarantineError(s)}
 			return
 		}
-		retryable := s.request.Route.IsIdempotent() && s.attempts.MayHaveRun+1 < s.request.Route.MaxAttempts
-		picked, pickRefusal := v.Pick(now, s.request, s.service, s.tried, retryable)
+		picked, pickRefusal := v.Pick(now, s.request, s.service, s.tried, isRetryable(s.request.Route, s.attempts))
 		switch {
 		case pickRefusal == nil:
 			p = picked
@@ -264,21 +267,38 @@
 			withinBudget = false
 		case s.attempts.MayHaveRun > 0:
 			refusal = &thingress.Refusal{Err: therror.New(therror.AnswerLost, "no other target is left")}
-		case pickRefusal.Evacuated:
-			refusal = &thingress.Refusal{Err: therror.New(therror.NoTarget, "all targets of the service are in evacuated zones"), RetryAfter: pickRefusal.RetryAfter}
-		case pickRefusal.Cold:
-			refusal = &thingress.Refusal{Err: therror.New(therror.QueueFull, "the targets of the service that are left are cold, and get no more requests now"), RetryAfter: pickRefusal.RetryAfter}
-		case pickRefusal.Paused:
-			refusal = &thingress.Refusal{Err: therror.New(therror.Shed, "all targets of the service have asked for a pause"), RetryAfter: pickRefusal.RetryAfter}
-		case pickRefusal.Overloaded:
-			refusal = &thingress.Refusal{Err: therror.New(therror.QueueFull, "all targets of the service are busy"), RetryAfter: pickRefusal.RetryAfter}
 		default:
-			refusal = &thingress.Refusal{Err: therror.New(therror.NoTarget, "the service has no target left to try"), RetryAfter: pickRefusal.RetryAfter}
+			refusal = refusalWithoutTarget(pickRefusal)
 		}
 	})
 	return p, refusal, withinBudget
 }
 
+// isRetryable reports whether a request on the route may be retried after one more attempt.
+func isRetryable(r thtable.Route, a thpick.Attempts) bool {
+	return r.IsIdempotent() && a.MayHaveRun+1 < r.MaxAttempts
+}
+
+// refusalWithoutTarget returns the refusal of a request that has not run and for which no target
+// was picked.
+func refusalWithoutTarget(r *thview.Refusal) *thingress.Refusal {
+	refuse := func(k therror.Kind, detail string) *thingress.Refusal {
+		return &thingress.Refusal{Err: therror.New(k, "%s", detail), RetryAfter: r.RetryAfter}
+	}
+	switch {
+	case r.Evacuated:
+		return refuse(therror.NoTarget, "all targets of the service are in evacuated zones")
+	case r.Cold:
+		return refuse(therror.QueueFull, "the targets of the service that are left are cold, and get no more requests now")
+	case r.Paused:
+		return refuse(therror.Shed, "all targets of the service have asked for a pause")
+	case r.Overloaded:
+		return refuse(therror.QueueFull, "all targets of the service are busy")
+	default:
+		return refuse(therror.NoTarget, "the service has no target left to try")
+	}
+}
+
 // quarantineError returns the error for a quarantined request. Its kind tells the
 // caller whether the request may have run.
 func quarantineError(s *requestState) error {
--- a/io/thforward/tokens.go
+++ b/io/thforward/tokens.go
@@ -32,22 +32,35 @@
 			f.WithView(func(now thclock.Instant, v *thview.View) { step = v.ResumeAdmission(now, admission) })
 		case thview.OverLimit:
 			f.recordLimitRefusal(s.Basis)
-			return &thingress.Refusal{
-				Err:        therror.New(therror.OverLimit, "customer %s is over its rate", c.Name),
-				RetryAfter: s.RetryAfter, LogFields: basisLogFields(s.Basis),
-			}
+			return limitRefusal(c, s)
 		case thview.LimitUnknown:
 			f.recordLimitRefusal(s.Basis)
-			return &thingress.Refusal{
-				Err:        therror.New(therror.LimitUnknown, "no owner of customer %s's limit answers, %d were asked", c.Name, s.Basis.SilentOwners),
-				RetryAfter: s.RetryAfter, LogFields: basisLogFields(s.Basis),
-			}
+			return limitRefusal(c, s)
 		default:
 			return nil
 		}
 	}
 }
 
+// limitRefusal returns the refusal that a step of the customer's admission means, or nil if it
+// means none.
+func limitRefusal(c thtable.Customer, step thview.AdmissionStep) *thingress.Refusal {
+	switch s := step.(type) {
+	case thview.OverLimit:
+		return &thingress.Refusal{
+			Err:        therror.New(therror.OverLimit, "customer %s is over its rate", c.Name),
+			RetryAfter: s.RetryAfter, LogFields: basisLogFields(s.Basis),
+		}
+	case thview.LimitUnknown:
+		return &thingress.Refusal{
+			Err:        therror.New(therror.LimitUnknown, "no owner of customer %s's limit answers, %d were asked", c.Name, s.Basis.SilentOwners),
+			RetryAfter: s.RetryAfter, LogFields: basisLogFields(s.Basis),
+		}
+	default:
+		return nil
+	}
+}
+
 // recordQuestion records the answer to a question for a token of a customer's limit, nil if
 // none came, for metrics.
 func (f *Forwarder) recordQuestion(answer *thfleet.Tokens) {
--- a/io/thingress/message.go
+++ b/io/thingress/message.go
@@ -95,62 +95,27 @@
 		Host: string(q.Header.Host()), URI: string(q.Header.RequestURI()), Arrived: arrived,
 	}
 	table := s.options.Table()
-	if table.Version() == 0 {
-		return request, &Refusal{Err: therror.New(therror.NotReady, "the VM has no configuration yet"), RetryAfter: retryAfterStart}
+	if refusal := resolve(table, request, func() (thtable.Customer, error) { return authenticate(table, q) }); refusal != nil {
+		return request, refusal
 	}
-	if request.Method == fasthttp.MethodConnect {
-		return request, &Refusal{Err: therror.New(therror.RequestMalformed, "method CONNECT")}
-	}
-	route, ok := routeOf(table, q)
-	if !ok {
-		return request, &Refusal{Err: therror.New(therror.RouteUnknown, "no route for this host and path")}
-	}
-	request.Route = route
-	if table.RequiresKey() && !route.Open {
-		if err := s.authenticate(q, request); err != nil {
-			return request, &Refusal{Err: err}
-		}
-		if !request.Customer.MayUse(route) {
-			return request, &Refusal{Err: therror.New(therror.RouteForbidden, "route %s is not open to customer %s", route.Name, request.Customer.Name)}
-		}
-	}
-	timeout, err := s.timeout(q, route)
+	timeout, err := s.timeout(q, request.Route)
 	if err != nil {
 		return request, &Refusal{Err: err}
 	}
-	request.Objective = arrived.Add(time.Duration(route.LatencyObjectiveMillis) * time.Millisecond)
-	request.Deadline = arrived.Add(timeout)
+	setTimes(request, timeout)
 	request.Header = s.forwardedFields(q, table.RequiresKey())
 	request.Body = body
 	return request, nil
 }
 
-// authenticate sets m.Customer to the customer whose key the request carries.
-func (s *Server) authenticate(q *fasthttp.Request, request *thmessage.Request) error {
-	values := q.Header.PeekAll(fasthttp.HeaderAuthorization)
-	switch len(values) {
-	case 0:
-		return therror.New(therror.KeyMissing, "the request carries no key")
-	case 1:
-	default:
-		return therror.New(therror.RequestMalformed, "the request carries %d keys", len(values))
-	}
-	text := string(values[0])
-	if len(text) < len(bearerPrefix) || !strings.EqualFold(text[:len(bearerPrefix)], bearerPrefix) {
-		return therror.New(therror.KeyMissing, "the key must come as Authorization: Bearer <key>")
-	}
-	customer, ok := s.options.Table().Authenticate(strings.TrimSpace(text[len(bearerPrefix):]))
-	if !ok {
-		return therror.New(therror.KeyUnknown, "the key is not in force")
-	}
-	request.Customer = customer
-	return nil
-}
-
 // routeOf returns the route of the request whose head has been read.
 func routeOf(table thtable.Table, q *fasthttp.Request) (thtable.Route, bool) {
-	path, _, _ := strings.Cut(string(q.Header.RequestURI()), "?")
-	return table.Route(string(q.Header.Host()), path)
+	return routeFor(table, string(q.Header.Host()), string(q.Header.RequestURI()))
+}
+
+func routeFor(table thtable.Table, host, uri string) (thtable.Route, bool) {
+	path, _, _ := strings.Cut(uri, "?")
+	return table.Route(host, path)
 }
 
 // timeLeft returns how long the request whose head has been read may still take, or
@@ -168,10 +133,7 @@
 // waits, or the route's timeout if that is shorter.
 func (s *Server) timeout(q *fasthttp.Request, route thtable.Route) (time.Duration, error) {
 	timeout, err := s.callerTimeout(q)
-	if limit := time.Duration(route.TimeoutMillis) * time.Millisecond; limit > 0 {
-		timeout = min(timeout, limit)
-	}
-	return timeout, err
+	return boundTimeout(timeout, route), err
 }
 
 // callerTimeout returns how long the caller will wait for the answer, or
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -184,7 +184,7 @@
 	n.peerServer = &thwire.Server{Credential: settings.Peers.Credential, Log: n.options.Log}
 	n.source.Register(n.peerServer)
 	n.operatorServer = &thwire.Server{Credential: settings.Operators.Credential, Log: n.options.Log, RefusedEvent: thevent.OperatorRefused}
-	operatorAPI := thoperator.Server{Status: n.status, Report: n.report, Peers: n.livePeers, Client: client, Log: n.options.Log}
+	operatorAPI := thoperator.Server{Status: n.status, Report: n.report, Explain: n.explain, Peers: n.livePeers, Client: client, Log: n.options.Log}
 	operatorAPI.Register(n.operatorServer, n.peerServer)
 	n.monitor = newMonitor(n)
 	n.ingress = thingress.New(thingress.Options{
--- a/io/thoperator/operator.go
+++ b/io/thoperator/operator.go
@@ -1,6 +1,7 @@
 // Package thoperator serves operators' queries about the fleet: the status of its
-// VMs, and how fast error budgets burn. Any VM can answer a query; it asks the
-// other VMs for their status or report and combines the results.
+// VMs, how fast error budgets burn, and what a VM would do with a request. Any VM
+// can answer a query; it asks the other VMs for their status or report and combines
+// the results.
 package thoperator
 
 import (
@@ -17,7 +18,7 @@
 	"tamarackhollow/io/thwire"
 )
 
-// Operators call pathReport and pathStatus. The VM that answers calls
+// Operators call pathReport, pathStatus and pathExplain. The VM that answers calls
 // pathPartReport or pathPartStatus of each other VM.
 const (
 	pathReport     = "/report"
@@ -93,6 +94,8 @@
 	// Status and Report return the status and the report of this VM alone.
 	Status func() VMStatus
 	Report func() thburn.Report
+	// Explain returns what this VM would do with a request.
+	Explain func(ExplainQuery) (Explanation, error)
 	// Peers returns the other VMs to ask, and Client calls them.
 	Peers  func() []thfleet.Identity
 	Client *thwire.Client
@@ -109,6 +112,7 @@
 	thwire.Handle(peers, pathPartStatus, func(thwire.Sender, emptyRequest) (VMStatus, error) { return s.Status(), nil })
 	thwire.Handle(peers, pathPartReport, func(thwire.Sender, emptyRequest) (thburn.Report, error) { return s.Report(), nil })
 	thwire.Handle(operators, pathStatus, func(thwire.Sender, emptyRequest) (FleetStatus, error) { return s.fleetStatus(), nil })
+	thwire.Handle(operators, pathExplain, func(_ thwire.Sender, q ExplainQuery) (Explanation, error) { return s.Explain(q) })
 	thwire.Handle(operators, pathReport, func(_ thwire.Sender, q thburn.Query) (thburn.Report, error) { return s.mergedReport(q), nil })
 }
 
