--- a/io/thcommand/command_test.go
+++ b/io/thcommand/command_test.go
@@ -52,22 +52,23 @@
 			}
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			// code EXITCODE COMMAND… runs a command and checks its exit code.
-			"code": func(ts *testscript.TestScript, _ bool, args []string) {
-				err := ts.Exec(args[1], args[2:]...)
-				got := "0"
-				if err != nil {
-					got = strings.TrimPrefix(err.Error(), "exit status ")
-				}
-				if got != args[0] {
-					ts.Fatalf("exit code %s, want %s", got, args[0])
-				}
-			},
-		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"code": checkExitCode},
 	})
 }
 
+// checkExitCode implements the script command "code EXITCODE COMMAND…", which runs a command and
+// checks its exit code.
+func checkExitCode(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec(args[1], args[2:]...)
+	got := "0"
+	if err != nil {
+		got = strings.TrimPrefix(err.Error(), "exit status ")
+	}
+	if got != args[0] {
+		ts.Fatalf("exit code %s, want %s", got, args[0])
+	}
+}
+
 // vmReport returns a VM's report: "depot" has good, slow, failed and refused
 // requests, and "a<b", whose name has to be escaped in HTML, has good ones only.
 func vmReport() thburn.Report {
--- a/io/thcommand/explain.go
+++ b/io/thcommand/explain.go
@@ -113,6 +113,10 @@
 
 // outcomeText returns the line that says what would become of the request.
 func outcomeText(x thoperator.Explanation) string {
+	condition := ""
+	if x.Customer != nil {
+		condition = admissionConditions[x.Customer.Admission]
+	}
 	switch x.Outcome {
 	case thoperator.OutcomeRefused:
 		text := fmt.Sprintf("would be refused: %d %s: %s", x.Refusal.Status, x.Refusal.Error, x.Refusal.Detail)
@@ -121,9 +125,15 @@
 		}
 		return text
 	case thoperator.OutcomeWaits:
-		return fmt.Sprintf("would wait up to %v for a slot; the best target now is %s", spanOf(x.WaitMillis), orNone(x.Picked))
+		return fmt.Sprintf("would wait up to %v for a slot; the best target now is %s", spanOf(x.WaitMillis), orNone(x.Picked)) + condition
 	}
-	return "would be sent to " + orNone(x.Picked)
+	return "would be sent to " + orNone(x.Picked) + condition
+}
+
+// admissionConditions are what has to come true first for a request that is not refused.
+var admissionConditions = map[string]string{
+	thoperator.AdmissionAsksOwner:  ", if an owner of the customer's limit has a token",
+	thoperator.AdmissionAwaitsJoin: ", once the VM has joined the fleet and has a token of the customer's limit",
 }
 
 // explainedFacts returns the rows on all but the targets.
@@ -161,9 +171,9 @@
 	case thoperator.AdmissionAdmitted:
 		return limit + ", this VM admits it"
 	case thoperator.AdmissionAsksOwner:
-		return fmt.Sprintf("%s, if %s or another owner has a token", limit, c.Owner)
+		return fmt.Sprintf("%s, %s is asked for a token", limit, c.Owner)
 	case thoperator.AdmissionAwaitsJoin:
-		return limit + ", after the VM has joined the fleet"
+		return limit + ", the VM has not joined the fleet"
 	}
 	return limit
 }
