--- a/io/thcommand/explain_test.go
+++ b/io/thcommand/explain_test.go
@@ -82,8 +82,10 @@
 	t.Helper()
 	v := &explainedVM{t: t, store: &thfake.Store{}}
 	listed := []thtable.Target{
-		{ID: "t-good", Service: "orders", Zone: "a", Slots: 4}, {ID: "t-drains", Service: "orders", Zone: "a", Slots: 4, Draining: true},
-		{ID: "t-moved", Service: "orders", Zone: "b", Slots: 4}, {ID: "t-alone", Service: "moved", Zone: "b", Slots: 4},
+		{ID: "t-good", Service: "orders", Zone: "a", Slots: 4},
+		{ID: "t-drains", Service: "orders", Zone: "a", Slots: 4, Draining: true},
+		{ID: "t-moved", Service: "orders", Zone: "b", Slots: 4},
+		{ID: "t-alone", Service: "moved", Zone: "b", Slots: 4},
 		{ID: "t-cold", Service: "warming", Zone: "a", Slots: 4, WarmupMillis: 600_000},
 	}
 	for i := range listed {
@@ -135,6 +137,7 @@
 func TestExplainCommand(t *testing.T) {
 	v := startExplainedVM(t)
 	run := func(t *testing.T, dir string) {
+		t.Helper()
 		testscript.Run(t, testscript.Params{
 			Dir: "testdata/explain/" + dir,
 			Setup: func(e *testscript.Env) error {
