thview, thforward, thnode: explain the decision on a slot

Change: Explanation.Slot is that decision, with the number of requests that wait before this one. The refusal of a slot is one function that awaitSlot and Explain call. The drawn states have routes whose requests may wait, and queues.

Ruled out: nothing.

Conclusion: explain follows the queue that is in force.

--- a/core/thview/explain.go
+++ b/core/thview/explain.go
@@ -24,9 +24,8 @@
 	Admission AdmissionStep
 	// Service is the service of the route that would get the request.
 	Service string
-	// Waits is set if the request would wait for a slot, until WaitUntil at most.
-	Waits     bool
-	WaitUntil thclock.Instant
+	// Slot is whether the request would be sent at once, wait for a slot, or be refused one.
+	Slot thpick.SlotDecision
 	// IsQuarantined is set if the request, with the body that was given, is quarantined.
 	IsQuarantined bool
 	// ExpectedLatency is the expected median latency of the route's answers.
@@ -67,10 +66,11 @@
 }
 
 // Explain returns what the VM would decide on the request, which has arrived and was not sent yet:
-// BeginAdmission, PickBackend, RecordDemand, WaitForSlot and Pick, by the same decisions. It changes
+// BeginAdmission, PickBackend, RecordDemand, DecideSlot and Pick, by the same decisions. It changes
 // nothing in the view, and draws from rng only. Where a decision depends on chance, such as which of
-// two equal targets is picked, another rng may give another answer.
-func (v *View) Explain(now thclock.Instant, rng *rand.Rand, request *thmessage.Request, retryable bool) Explanation {
+// two equal targets is picked, another rng may give another answer. The function ahead returns how
+// many waiting requests of a service go before this one.
+func (v *View) Explain(now thclock.Instant, rng *rand.Rand, request *thmessage.Request, retryable bool, ahead func(service string) int) Explanation {
 	d := v.detached(now, rng)
 	e := Explanation{ExpectedLatency: d.ExpectedLatency(request.Route)}
 	if request.Customer.Name != "" {
@@ -82,7 +82,7 @@
 	s := v.services[e.Service].clone(e.Service)
 	d.services = map[string]*service{e.Service: s}
 	d.RecordDemand(now, request, e.Service)
-	e.WaitUntil, e.Waits = d.WaitForSlot(now, request, e.Service)
+	e.Slot = d.DecideSlot(now, request, e.Service, ahead(e.Service))
 	e.IsQuarantined = d.IsQuarantined(now, request)
 	pick := d.decidePick(now, request, s, nil, retryable)
 	if pick.hasTarget {
--- a/core/thview/explain_test.go
+++ b/core/thview/explain_test.go
@@ -53,7 +53,7 @@
 	}
 	backends := []thtable.Backend{{Service: "s", Weight: 3}, {Service: "other", Weight: 1}, {Service: "none", Weight: 0.2}}
 	for i, safety := range []thtable.Safety{thtable.Idempotent, thtable.AtMostOnce} {
-		f.routes = append(f.routes, thtable.Route{Name: fmt.Sprint("r", i), Safety: safety, MaxAttempts: 2, LatencyObjectiveMillis: 400, Backends: backends[:1+2*i]})
+		f.routes = append(f.routes, thtable.Route{Name: fmt.Sprint("r", i), Safety: safety, MaxAttempts: 2, LatencyObjectiveMillis: 4000, Backends: backends[:1+2*i]})
 	}
 	coldRate := rapid.SampledFrom([]float64{0, 4}).Draw(t, "coldRate")
 	table := thtable.New(thtable.Document{Version: 1, Customers: f.customers, Routes: f.routes, Services: []thtable.Service{{Name: "s", ColdRate: coldRate, ColdMillis: 5000}, {Name: "other"}}})
@@ -146,7 +146,7 @@
 func (f *explainedFleet) finish(a, b, c thhealth.Outcome, first int) {
 	for i, v := range f.views {
 		for n, p := range f.underWay[i] {
-			v.Finish(f.instant(), p.picked, p.request, []thhealth.Outcome{a, b, c}[(first+n)%3], 150*time.Millisecond)
+			v.Finish(f.instant(), p.picked, p.request, []thhealth.Outcome{a, b, c}[(first+n)%3], time.Second)
 		}
 		f.underWay[i] = nil
 	}
@@ -158,7 +158,7 @@
 	if i := rapid.IntRange(0, len(f.customers)).Draw(t, "customer"); i > 0 {
 		q.Customer = f.customers[i-1]
 	}
-	q.Objective, q.Deadline = f.instant().Add(400*time.Millisecond), f.instant().Add(2*time.Second)
+	q.Objective, q.Deadline = f.instant().Add(4*time.Second), f.instant().Add(6*time.Second)
 	return q
 }
 
@@ -166,8 +166,7 @@
 type result struct {
 	admission     thview.AdmissionStep
 	service       string
-	waits         bool
-	waitUntil     thclock.Instant
+	slot          thpick.SlotDecision
 	isQuarantined bool
 	picked        string
 	keepsFloor    bool
@@ -175,14 +174,14 @@
 }
 
 // handle lets a view handle a request, whatever the steps before say of it.
-func (f *explainedFleet) handle(i int, q *thmessage.Request, retryable bool) (r result) {
+func (f *explainedFleet) handle(i int, q *thmessage.Request, retryable bool, ahead int) (r result) {
 	v := f.views[i]
 	if q.Customer.Name != "" {
 		_, r.admission = v.BeginAdmission(f.instant(), q.Customer, q.Route)
 	}
 	r.service = v.PickBackend(q.Route)
 	v.RecordDemand(f.instant(), q, r.service)
-	r.waitUntil, r.waits = v.WaitForSlot(f.instant(), q, r.service)
+	r.slot = v.DecideSlot(f.instant(), q, r.service, ahead)
 	r.isQuarantined = v.IsQuarantined(f.instant(), q)
 	var p thview.Picked
 	p, r.refusal = v.Pick(f.instant(), q, r.service, nil, retryable)
@@ -195,10 +194,10 @@
 
 // explain returns what the first view says that it would do, given the state of its source of
 // randomness.
-func (f *explainedFleet) explain(q *thmessage.Request, retryable bool) (result, thview.Explanation) {
+func (f *explainedFleet) explain(q *thmessage.Request, retryable bool, ahead int) (result, thview.Explanation) {
 	source := *f.source[0]
-	e := f.views[0].Explain(f.instant(), rand.New(&source), q, retryable)
-	r := result{e.Admission, e.Service, e.Waits, e.WaitUntil, e.IsQuarantined, e.Picked, e.KeepsFloor, e.Refusal}
+	e := f.views[0].Explain(f.instant(), rand.New(&source), q, retryable, func(string) int { return ahead })
+	r := result{e.Admission, e.Service, e.Slot, e.IsQuarantined, e.Picked, e.KeepsFloor, e.Refusal}
 	if r.refusal != nil {
 		r.picked, r.keepsFloor = "", false
 	}
@@ -238,23 +237,24 @@
 			q := f.drawRequest(t)
 			retryable := q.Route.IsIdempotent()
 			if rapid.Bool().Draw(t, "twice") {
-				f.explain(f.drawRequest(t), retryable)
+				f.explain(f.drawRequest(t), retryable, 0)
 			}
-			explained, e := f.explain(q, retryable)
-			done, undisturbed := f.handle(0, q, retryable), f.handle(1, q, retryable)
+			ahead := rapid.SampledFrom([]int{0, 50}).Draw(t, "ahead")
+			explained, e := f.explain(q, retryable, ahead)
+			done, undisturbed := f.handle(0, q, retryable, ahead), f.handle(1, q, retryable, ahead)
 			assert.Assert(t, reflect.DeepEqual(explained, done), "explained %+v, done %+v", explained, done)
 			assert.Assert(t, reflect.DeepEqual(done, undisturbed), "done %+v, without explanation %+v", done, undisturbed)
 			assert.Equal(t, *f.source[0], *f.source[1])
 			checkReasons(t, e)
 			seen[done.kind()]++
 			seen[fmt.Sprintf("%T", done.admission)]++
-			seen[fmt.Sprint("waits ", done.waits)]++
+			seen[fmt.Sprintf("%T", done.slot)]++
 		}
 		assert.DeepEqual(t, byID(f.views[0].TargetStatuses(f.instant())), byID(f.views[1].TargetStatuses(f.instant())))
 		assert.Equal(t, len(f.views[0].TakeNotices(f.instant())), len(f.views[1].TakeNotices(f.instant())))
 	})
 	for _, kind := range []string{
-		"sent", "keepsFloor", "overloaded", "paused", "cold", "evacuated", "noTarget", "waits true", "waits false",
+		"sent", "keepsFloor", "overloaded", "paused", "cold", "evacuated", "noTarget", "thpick.TakeSlot", "thpick.AwaitSlot", "thpick.RefuseSlot",
 		"thview.Admitted", "thview.AskOwner", "thview.OverLimit", "thview.AwaitJoin", "<nil>",
 	} {
 		assert.Assert(t, seen[kind] > 0, "no drawn state leads to %s: %v", kind, seen)
--- a/io/thforward/explain.go
+++ b/io/thforward/explain.go
@@ -24,28 +24,36 @@
 // asks no other VM and changes nothing.
 func (f *Forwarder) Explain(request *thmessage.Request) (e Explanation) {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	table, mayWait := f.options.Table(), f.slots.isOpen()
+	table, q := f.options.Table(), &f.slots
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	ahead := func(service string) int {
+		return q.countAhead(&slotWaiter{state: &requestState{request: request, service: service}, urgency: thview.UrgencyOf(request)})
+	}
 	f.WithView(func(now thclock.Instant, v *thview.View) {
-		e.At, e.Explanation = now, v.Explain(now, rng, request, isRetryable(request.Route, thpick.Attempts{}))
+		e.At, e.Explanation = now, v.Explain(now, rng, request, isRetryable(request.Route, thpick.Attempts{}), ahead)
 	})
-	e.Waits = e.Waits && mayWait
+	if q.closed && e.Waits() {
+		e.Slot = thpick.TakeSlot{}
+	}
 	_, isConfigured := table.Service(e.Service)
 	e.Refusal = limitRefusal(request.Customer, e.Admission)
 	switch {
 	case e.Refusal != nil:
 	case !isConfigured:
 		e.Refusal = unknownServiceRefusal(e.Service)
+	case slotRefusal(e.Slot) != nil:
+		e.Refusal = slotRefusal(e.Slot)
 	case e.IsQuarantined:
 		e.Refusal = &thingress.Refusal{Err: quarantineError(&requestState{request: request})}
-	case e.Explanation.Refusal != nil && !e.Waits: // a request that waits is picked a target for afterwards
+	case e.Explanation.Refusal != nil && !e.Waits(): // a request that waits is picked a target for afterwards
 		e.Refusal = refusalWithoutTarget(e.Explanation.Refusal)
 	}
 	return e
 }
 
-// isOpen reports whether requests may wait.
-func (q *slotQueue) isOpen() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return !q.closed
+// Waits reports whether the request would wait for a slot.
+func (e Explanation) Waits() bool {
+	_, waits := e.Slot.(thpick.AwaitSlot)
+	return waits
 }
--- a/io/thforward/explain_test.go
+++ b/io/thforward/explain_test.go
@@ -39,12 +39,20 @@
 	q := lowRequest(thtable.AtMostOnce, time.Second)
 	q.Deadline = q.Objective
 	e := f.Explain(q)
-	assert.Assert(t, e.Waits && e.WaitUntil.Sub(e.At) > 0 && e.Refusal == nil && e.Explanation.Refusal.Overloaded, "%+v", e)
+	assert.Assert(t, e.Waits() && e.Refusal == nil && e.Explanation.Refusal.Overloaded, "%+v", e)
+
+	forwardLow(context.Background(), f, lowRequest(thtable.AtMostOnce, testTimeout))
+	waitUntil(t, func() bool { return f.Waiting() == 1 })
+	explained := f.Explain(q).Refusal
+	_, refusal := f.Forward(context.Background(), q)
+	assert.Assert(t, explained != nil && refusal != nil, "one before it waits: explained %v, done %v", explained, refusal)
+	assert.Equal(t, explained.Err.Error(), refusal.Err.Error())
+	assert.Equal(t, len(s.attempts()), slow+urgent)
+
 	f.StopWaiting()
 	e = f.Explain(q)
-	assert.Assert(t, !e.Waits)
+	assert.Assert(t, !e.Waits())
 	assert.Equal(t, therror.KindOf(e.Refusal.Err), therror.QueueFull)
-	assert.Equal(t, len(s.attempts()), slow+urgent)
 }
 
 // TestExplainedRefusalIsThatOfForward guards against refusals that only one of Explain and Forward
--- a/io/thforward/slots.go
+++ b/io/thforward/slots.go
@@ -96,7 +96,7 @@
 	case thpick.TakeSlot:
 		return nil
 	case thpick.RefuseSlot:
-		return &thingress.Refusal{Err: therror.New(therror.QueueFull, "more urgent requests take the slots of the service"), RetryAfter: d.RetryAfter}
+		return slotRefusal(d)
 	}
 	startedAt := f.options.Clock.Now()
 	select {
@@ -114,6 +114,15 @@
 	return nil
 }
 
+// slotRefusal returns the refusal that a decision on a slot means, or nil if it means none.
+func slotRefusal(d thpick.SlotDecision) *thingress.Refusal {
+	r, ok := d.(thpick.RefuseSlot)
+	if !ok {
+		return nil
+	}
+	return &thingress.Refusal{Err: therror.New(therror.QueueFull, "more urgent requests take the slots of the service"), RetryAfter: r.RetryAfter}
+}
+
 // enqueue adds a request that arrives to those that wait, if it has to. It returns the decision.
 func (f *Forwarder) enqueue(w *slotWaiter) (d thpick.SlotDecision) {
 	q := &f.slots
--- a/io/thnode/explain.go
+++ b/io/thnode/explain.go
@@ -7,6 +7,7 @@
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
 	"tamarackhollow/core/thmessage"
+	"tamarackhollow/core/thpick"
 	"tamarackhollow/core/thview"
 	"tamarackhollow/io/thforward"
 	"tamarackhollow/io/thingress"
@@ -42,13 +43,12 @@
 
 // withOutcome returns the explanation with what becomes of the request in the end.
 func withOutcome(x thoperator.Explanation, e thforward.Explanation) thoperator.Explanation {
-	switch {
-	case e.Refusal != nil:
+	if e.Refusal != nil {
 		return withRefusal(x, e.Refusal)
-	case e.Waits:
-		x.Outcome, x.WaitMillis = thoperator.OutcomeWaits, e.WaitUntil.Sub(e.At).Milliseconds()
-	default:
-		x.Outcome = thoperator.OutcomeSent
+	}
+	x.Outcome = thoperator.OutcomeSent
+	if s, ok := e.Slot.(thpick.AwaitSlot); ok {
+		x.Outcome, x.WaitMillis = thoperator.OutcomeWaits, s.Until.Sub(e.At).Milliseconds()
 	}
 	return x
 }
