thcommand: make the test of explain independent of how long it takes

Cause: under -race, the cold target of the test got its first token after 1.5 s, before the script asked, and would have been used.

Change: the target gets one request in 3,000 s; the time that it stays cold may be any number of minutes.

Conclusion: the checks are as strict as before.

--- a/io/thcommand/explain_test.go
+++ b/io/thcommand/explain_test.go
@@ -66,7 +66,7 @@
 func explainedTable() thtable.Document {
 	d := thtable.Document{
 		Version: 1, RequiresKey: true, Limits: thtable.Limits{BodyBytes: 1000},
-		Services:  []thtable.Service{{Name: "orders"}, {Name: "warming", ColdRate: 2}, {Name: "moved"}},
+		Services:  []thtable.Service{{Name: "orders"}, {Name: "warming", ColdRate: 0.001}, {Name: "moved"}},
 		Customers: []thtable.Customer{{Name: "open", Keys: []string{"open-secret"}}, {Name: "limited", Keys: []string{"limited-secret"}, Rate: 0.01, Burst: 1, Routes: []string{"orders"}}},
 	}
 	for _, s := range d.Services {
