thpick: bound the Retry-After of refusals for lack of slots

Cause: it was the expected wait without a bound; 3,021 s were seen beside a crowd whose requests filled the only target. Change: 10 s at most, since slots that look taken for an hour may be free again after seconds. Test: TestRetryAfterIsBounded.

--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -226,6 +226,9 @@
 	// lowPriority is the smallest Query.Priority for which lowPriorityWaitShare
 	// applies, so that less urgent requests are shed first.
 	lowPriority = 2
+	// maxRetryAfter bounds the time after which a refused request may be retried. The expected wait
+	// at targets that hang reaches an hour, while their slots may be free again after seconds.
+	maxRetryAfter = 10 * time.Second
 )
 
 // ShouldShed reports whether the request would wait too long at the given
@@ -241,5 +244,5 @@
 	if float64(wait) <= share*float64(left) {
 		return 0, false
 	}
-	return wait - time.Duration(share*float64(left)), true
+	return min(maxRetryAfter, wait-time.Duration(share*float64(left))), true
 }
--- a/core/thpick/pick_test.go
+++ b/core/thpick/pick_test.go
@@ -158,6 +158,15 @@
 	assert.Assert(t, retryAfter > 0)
 }
 
+// Guards against a Retry-After of an hour at a target that hangs.
+func TestRetryAfterIsBounded(t *testing.T) {
+	c := candidate("hanging")
+	c.InFlight = 1_000_000
+	retryAfter, shed := thpick.ShouldShed(query(), c)
+	assert.Assert(t, shed)
+	assert.Equal(t, retryAfter, 10*time.Second)
+}
+
 func TestDecide(t *testing.T) {
 	rules := thpick.RetryRules{MaxAttempts: 2, ExpectedLatency: 100 * time.Millisecond, Deadline: now.Add(time.Second)}
 	retryable := rules
--- a/core/thpick/urgency.go
+++ b/core/thpick/urgency.go
@@ -199,7 +199,7 @@
 		return TakeSlot{}
 	}
 	if wait := w.Throughput.TimeFor(q.Now, w.Ahead); wait > longestWait(q, until) {
-		return RefuseSlot{RetryAfter: wait - longestWait(q, until)}
+		return RefuseSlot{RetryAfter: min(maxRetryAfter, wait-longestWait(q, until))}
 	}
 	return AwaitSlot{InTimeUntil: inTimeUntil, Until: until}
 }
