thpick: fair shares of the customers of a service

Cause: while a service is short, a customer that sends several times its usual rate takes the capacity of all others of the same urgency; the queue of a VM knows urgencies only. Change: thpick.Fairness counts, with a memory of 10 s and for at most 32 customers, what each asks for, sends and gets answered, and decides by max-min fairness which requests are beyond their customer's share. The view keeps one by service; nothing is decided by it yet. Conclusion: the shares in the tests are those of max-min fairness. What callers gain is not measured yet.

--- /dev/null
+++ b/core/thpick/fairness.go
@@ -0,0 +1,178 @@
+package thpick
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"tamarackhollow/core/thclock"
+)
+
+const (
+	// fairnessMemory is the time constant with which a Fairness forgets requests. It has to cover
+	// several requests of each customer at one VM, and the time that answers lag behind requests.
+	fairnessMemory = 10 * time.Second
+	// maxFairCustomers bounds the customers of which a Fairness knows the share.
+	maxFairCustomers = 32
+	// fairnessGrace is the number of requests that a customer may send above its share. A VM sees few
+	// requests of each customer, so that their number varies by chance.
+	fairnessGrace = 2
+	// minServedRatio is the least share of a customer's requests that is within its fair share, as a
+	// multiple of the same share of all customers.
+	minServedRatio = 0.25
+	// fairnessEpsilon is the work, in seconds, below which nothing is remembered.
+	fairnessEpsilon = 1e-6
+)
+
+// Fairness decides which requests of equal urgency are beyond their customer's fair share of a
+// service. It answers the load in which a customer sends several times its usual rate to a service
+// that has no room for that: without it, all customers are served late or refused alike.
+//
+// The capacity is what was answered lately. It is divided by max-min fairness: no customer gets more
+// than it asks for, and what it leaves goes to the others in equal parts. A customer of which
+// nothing is known is within its share.
+//
+// Those who ask for the least are displaced once more than maxFairCustomers ask.
+//
+// It is immutable; the zero Fairness has seen no request.
+type Fairness struct {
+	updatedAt thclock.Instant
+	// knowsFrom is when requests have been seen for fairnessMemory.
+	knowsFrom thclock.Instant
+	customers [maxFairCustomers]customerWork
+}
+
+// customerWork holds fading sums of the time in slots, in seconds, of one customer's requests of one
+// urgency.
+type customerWork struct {
+	name    string
+	urgency Urgency
+	// asked, sent and answered are the sums of the requests that arrived, were sent to a target at
+	// least once, and were answered by one.
+	asked, sent, answered float64
+	// request is the time in a slot of the latest request.
+	request float64
+}
+
+// WithRequest returns the fairness after the arrival of a request, which is expected to take the
+// given time in a slot.
+func (f Fairness) WithRequest(now thclock.Instant, customer string, u Urgency, expected time.Duration) Fairness {
+	f = f.at(now)
+	if !slices.ContainsFunc(f.customers[:], func(c customerWork) bool { return c.asked > fairnessEpsilon }) {
+		f.knowsFrom = now.Add(fairnessMemory)
+	}
+	i := f.index(customer, u)
+	if i < 0 {
+		i = f.indexOfLeast()
+		f.customers[i] = customerWork{name: customer, urgency: u}
+	}
+	f.customers[i].asked += expected.Seconds()
+	f.customers[i].request = expected.Seconds()
+	return f
+}
+
+// WithSent returns the fairness after a request was sent to a target for the first time.
+func (f Fairness) WithSent(now thclock.Instant, customer string, u Urgency, expected time.Duration) Fairness {
+	f = f.at(now)
+	if i := f.index(customer, u); i >= 0 {
+		f.customers[i].sent += expected.Seconds()
+	}
+	return f
+}
+
+// WithAnswer returns the fairness after a target has answered a request.
+func (f Fairness) WithAnswer(now thclock.Instant, customer string, u Urgency, expected time.Duration) Fairness {
+	f = f.at(now)
+	if i := f.index(customer, u); i >= 0 {
+		f.customers[i].answered += expected.Seconds()
+	}
+	return f
+}
+
+// at returns the fairness with all sums faded to the given time.
+func (f Fairness) at(now thclock.Instant) Fairness {
+	keep := math.Exp(-max(0, now.Sub(f.updatedAt).Seconds()) / fairnessMemory.Seconds())
+	f.updatedAt = now
+	for i := range f.customers {
+		c := &f.customers[i]
+		c.asked, c.sent, c.answered = c.asked*keep, c.sent*keep, c.answered*keep
+	}
+	return f
+}
+
+// index returns the index of the customer's requests of the urgency, or -1 if they are not known.
+func (f *Fairness) index(customer string, u Urgency) int {
+	return slices.IndexFunc(f.customers[:], func(c customerWork) bool {
+		return c.name == customer && c.urgency == u && c.asked > fairnessEpsilon
+	})
+}
+
+// indexOfLeast returns the index of those who ask for the least.
+func (f *Fairness) indexOfLeast() int {
+	least := 0
+	for i := range f.customers {
+		if f.customers[i].asked < f.customers[least].asked {
+			least = i
+		}
+	}
+	return least
+}
+
+// IsBeyondShare reports whether a request that was counted by WithRequest is beyond its customer's
+// share of what requests of its urgency get. It is false for all as long as less is known than
+// fairnessMemory covers.
+func (f Fairness) IsBeyondShare(now thclock.Instant, customer string, u Urgency) bool {
+	i := f.index(customer, u)
+	if i < 0 || now.Before(f.knowsFrom) {
+		return false
+	}
+	c := f.customers[i]
+	// All sums fade alike, so they compare without being faded to now.
+	return c.sent+c.request > f.share(u, c.asked)+fairnessGrace*c.request
+}
+
+// share returns the work that one who asks for the given work may send among requests of the urgency.
+func (f *Fairness) share(u Urgency, asked float64) float64 {
+	var asks [maxFairCustomers]float64
+	n, all, answered := 0, 0.0, 0.0
+	for _, c := range f.customers {
+		if c.urgency == u && c.asked > fairnessEpsilon {
+			asks[n] = c.asked
+			n++
+			all += c.asked
+			answered += c.answered
+		}
+	}
+	if all <= answered {
+		return asked
+	}
+	least := minServedRatio * answered / all
+	return max(min(asked, fairLevel(asks[:n], answered, least)), least*asked)
+}
+
+// fairLevel returns the most that those get who get more than the given share of what they ask for, if
+// the capacity is divided by max-min fairness and nobody gets less than that share. It sorts asks.
+func fairLevel(asks []float64, capacity, least float64) float64 {
+	slices.Sort(asks)
+	for n := len(asks) - 1; n > 0; n-- {
+		level := maxMinLevel(asks[:n+1], capacity)
+		if least*asks[n] <= level {
+			return level
+		}
+		capacity -= least * asks[n]
+	}
+	return capacity
+}
+
+// maxMinLevel returns the most that anyone gets if the capacity is divided by max-min fairness among
+// those who ask for the given amounts, in rising order. It is infinite if there is enough for all.
+func maxMinLevel(asks []float64, capacity float64) float64 {
+	for i, asked := range asks {
+		level := capacity / float64(len(asks)-i)
+		if asked > level {
+			return level
+		}
+		capacity -= asked
+	}
+	return math.Inf(1)
+}
--- a/core/thview/slots.go
+++ b/core/thview/slots.go
@@ -14,7 +14,9 @@
 // RecordDemand counts a request for the named service, so that less urgent ones leave it room.
 func (v *View) RecordDemand(now thclock.Instant, request *thmessage.Request, name string) {
 	s := v.service(name)
-	s.demand = s.demand.WithRequest(now, UrgencyOf(request), v.ExpectedLatency(request.Route))
+	expected := v.ExpectedLatency(request.Route)
+	s.demand = s.demand.WithRequest(now, UrgencyOf(request), expected)
+	s.fairness = s.fairness.WithRequest(now, request.Customer.Name, UrgencyOf(request), expected)
 }
 
 // DecideSlot decides whether the request, which was not sent yet, takes a slot of the named service
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -76,6 +76,8 @@
 	countError thpick.CountError
 	// throughput is how fast this VM's requests get a slot that are not the most urgent ones.
 	throughput thpick.Throughput
+	// fairness divides what is answered among the customers of this VM's requests.
+	fairness thpick.Fairness
 	// slotTime estimates the latency of the answers of all routes.
 	slotTime thpick.LatencyEstimate
 	// floorEnforced is what was last reported to OnFloorChange.
@@ -312,6 +314,9 @@
 		}
 		return Picked{}, d.refusal
 	}
+	if len(tried) == 0 {
+		s.fairness = s.fairness.WithSent(now, request.Customer.Name, UrgencyOf(request), d.query.ExpectedLatency)
+	}
 	p := v.startAttempt(now, s, d.query, d.chosen)
 	p.KeepsFloor = d.keepsFloor
 	return p, nil
@@ -390,6 +395,7 @@
 		v.estimates[request.Route.Name] = v.estimates[request.Route.Name].WithAnswer(took)
 		s := v.service(p.Target.Service)
 		s.slotTime = s.slotTime.WithAnswer(took)
+		s.fairness = s.fairness.WithAnswer(now, request.Customer.Name, UrgencyOf(request), p.ExpectedLatency)
 		result.LatencyRatio = encodeLatencyRatio(float64(took) / float64(max(p.ExpectedLatency, 1)))
 	}
 	v.recordCrashEvidence(now, p, request, o)
