thpick: test that a customer's requests of two urgencies count apart

Cause: the tests passed with a Fairness that looks requests up by the customer alone. Change: a customer of the test asks by requests of both urgencies.

--- a/core/thpick/fairness_test.go
+++ b/core/thpick/fairness_test.go
@@ -33,7 +33,7 @@
 			{"a", low, 9, 9}, {"b", low, 9, 9}, {"c", low, 9, 9}, {"d", low, 9, 9}, {"e", low, 9, 9}, {"f", low, 9, 9}, {"g", low, 9, 9}, {"h", low, 9, 9}, {"i", low, 9, 9}, {"j", low, 180, 9},
 		}, map[string]float64{"a": (90 - 180*0.25*90/261) / 81, "j": 0.25 * 90 / 261}},
 		{"room for all", []fairCustomer{{"a", low, 5, 5}, {"b", low, 60, 60}}, map[string]float64{"a": 1, "b": 1}},
-		{"urgency goes first", []fairCustomer{{"a", urgent, 5, 5}, {"b", urgent, 25, 15}, {"c", low, 5, 5}, {"d", low, 30, 10}}, map[string]float64{"a": 1, "b": 1, "c": 1, "d": 1.0 / 3}},
+		{"urgency goes first", []fairCustomer{{"a", urgent, 5, 5}, {"b", urgent, 25, 15}, {"d", urgent, 5, 5}, {"c", low, 5, 5}, {"d", low, 30, 10}}, map[string]float64{"a": 1, "b": 1, "c": 1, "d": 1.0 / 3}},
 		{"unknown customer", nil, map[string]float64{"a": 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
