thforward, thview, thpick: requests beyond their customer's fair share wait for a slot or are refused

Cause: thpick.Fairness was not used yet. Change: DecideSlot lets a request beyond its customer's share wait while no slot is free, and refuses it if there is none until it has to be sent. Among equal urgency, the queue sends requests within their share first and counts them as before those beyond it.

--- a/core/thpick/urgency.go
+++ b/core/thpick/urgency.go
@@ -169,6 +169,8 @@
 	// Above is the share of the service's work that comes from more urgent requests, and Below that
 	// of less urgent ones.
 	Above, Below float64
+	// BeyondShare is set if the request is beyond its customer's fair share; see Fairness.
+	BeyondShare bool
 	// Ahead is how many requests that wait at this VM go before one that arrives, 0 for one that
 	// waits already.
 	Ahead int
@@ -184,13 +186,16 @@
 // so of the requests that wait at many VMs those go first that have waited longest, and by the time
 // at which it might miss its objective it takes any free slot. It is refused when it arrives if the
 // wait behind others would cost it its objective.
+//
+// A request beyond its customer's fair share waits in the same way while no slot is free, so that those
+// of other customers are sent before it. It is refused if there is none until it has to be sent.
 func DecideSlot(q Query, candidates []Candidate, w SlotQueue) SlotDecision {
-	if w.Above <= 0 || w.Below >= minYieldingShare || len(q.Tried) > 0 || cmp.Or(q.SlotTime, q.ExpectedLatency) < minSlotTime {
+	if w.Above <= 0 && !w.BeyondShare || w.Below >= minYieldingShare || len(q.Tried) > 0 || cmp.Or(q.SlotTime, q.ExpectedLatency) < minSlotTime {
 		return TakeSlot{}
 	}
 	reserve := -time.Duration(latencyReserveFactor * float64(q.ExpectedLatency))
 	until := q.Deadline.Add(reserve)
-	if !q.Now.Before(until) {
+	if !q.Now.Before(until) && !w.BeyondShare {
 		return TakeSlot{}
 	}
 	inTimeUntil := q.Objective.Min(q.Deadline).Add(reserve)
@@ -198,6 +203,9 @@
 	if places == 0 || free >= 1 && free > float64(ReservedSlots(places, w.Above))*patience(q, inTimeUntil) {
 		return TakeSlot{}
 	}
+	if !q.Now.Before(until) {
+		return RefuseSlot{RetryAfter: w.Throughput.TimeFor(q.Now, w.Ahead+1)}
+	}
 	if wait := w.Throughput.TimeFor(q.Now, w.Ahead); wait > longestWait(q, until) {
 		return RefuseSlot{RetryAfter: wait - longestWait(q, until)}
 	}
--- a/core/thview/fairness.go
+++ b/core/thview/fairness.go
@@ -10,3 +10,9 @@
 func (v *View) IsBeyondShare(now thclock.Instant, request *thmessage.Request, name string) bool {
 	return v.service(name).fairness.IsBeyondShare(now, request.Customer.Name, UrgencyOf(request))
 }
+
+// FairShare returns the share, 0 to 1, of the work for which the request's customer asks at the named
+// service by requests of this urgency that is within its fair share.
+func (v *View) FairShare(now thclock.Instant, request *thmessage.Request, name string) float64 {
+	return v.service(name).fairness.Share(now, request.Customer.Name, UrgencyOf(request))
+}
--- a/core/thview/slots.go
+++ b/core/thview/slots.go
@@ -20,15 +20,17 @@
 }
 
 // DecideSlot decides whether the request, which was not sent yet, takes a slot of the named service
-// that more urgent requests may need. The given number of requests that wait at this VM go before it.
+// that more urgent requests, or those of other customers, may need. The given number of requests that wait at this VM go before it.
 func (v *View) DecideSlot(now thclock.Instant, request *thmessage.Request, name string, ahead int) thpick.SlotDecision {
 	s := v.service(name)
 	above, below := s.demand.Shares(UrgencyOf(request))
-	if above <= 0 {
+	if above <= 0 && v.FairShare(now, request, name) >= 1 {
 		return thpick.TakeSlot{}
 	}
 	query := v.newQuery(now, request, s, nil, request.Route.IsIdempotent())
-	d := thpick.DecideSlot(query, v.candidates, thpick.SlotQueue{Above: above, Below: below, Ahead: ahead, Throughput: s.throughput})
+	d := thpick.DecideSlot(query, v.candidates, thpick.SlotQueue{
+		Above: above, Below: below, BeyondShare: v.IsBeyondShare(now, request, name), Ahead: ahead, Throughput: s.throughput,
+	})
 	if _, ok := d.(thpick.TakeSlot); ok {
 		s.throughput = s.throughput.WithRequest(now)
 	}
--- a/io/thforward/forwarder.go
+++ b/io/thforward/forwarder.go
@@ -46,6 +46,9 @@
 	RecordAttempt func(service string, end thpick.AttemptEnd, took time.Duration, newConnection bool)
 	// RecordWait, if not nil, is called for each request that has waited for a slot, for metrics.
 	RecordWait func(service string, waited time.Duration)
+	// RecordBeyondShare, if not nil, is called for each request beyond its customer's fair share that
+	// is sent or refused, for metrics.
+	RecordBeyondShare func(service string, refused bool)
 	// RecordLimitQuestion, if not nil, is called for each question to an owner of a
 	// customer's limit, for metrics: the answer is token, empty, notOwner or silent.
 	RecordLimitQuestion func(answer string)
@@ -133,6 +136,11 @@
 	last attemptResult
 	// waited is how long the request has waited for a slot.
 	waited time.Duration
+	// beyondShare is whether the request was beyond its customer's fair share when it arrived.
+	beyondShare bool
+	// fairShare is the share, 0 to 1, of what the customer asked for then that was within its fair
+	// share.
+	fairShare float64
 }
 
 // Forward sends the request to targets until one answers or no further attempt is
@@ -389,6 +397,9 @@
 		thevent.F("request", s.request.ID), thevent.F("route", s.request.Route.Name), thevent.F("service", s.service),
 		thevent.F("customer", s.request.Customer.Name), thevent.F("sends", attempts),
 	}
+	if s.beyondShare {
+		fields = append(fields, thevent.F("fairShare", roundToThousandths(s.fairShare)))
+	}
 	if s.waited > 0 {
 		fields = append(fields, thevent.F("waitedMillis", s.waited.Milliseconds()))
 	}
--- a/io/thforward/slots.go
+++ b/io/thforward/slots.go
@@ -24,7 +24,7 @@
 )
 
 // slotQueue holds the requests that wait at this VM until a service has a slot that more urgent
-// requests do not need. The zero value is ready to use.
+// requests, or those of other customers, do not need. The zero value is ready to use.
 type slotQueue struct {
 	mu sync.Mutex
 	// waiting is in the order of compare as of the last check.
@@ -40,29 +40,42 @@
 	state   *requestState
 	urgency thpick.Urgency
 	wait    thpick.AwaitSlot
+	// decision is what ended the wait. It may be read once granted is closed.
+	decision thpick.SlotDecision
 	// granted is closed once the request may be sent.
 	granted chan struct{}
 }
 
-// compare orders requests by urgency, and among equal ones by the time that they have left to meet their
-// objective. Those that may miss it anyway come last.
+// compare orders requests by urgency, among equal ones those within their customer's fair share first,
+// and then by the time that they have left to meet their objective. Those that may miss it anyway come
+// last.
 func (w *slotWaiter) compare(o *slotWaiter, now thclock.Instant) int {
-	return cmp.Or(w.urgency.Compare(o.urgency), w.isLate(now)-o.isLate(now), cmp.Compare(w.wait.InTimeUntil.Mono, o.wait.InTimeUntil.Mono))
+	return cmp.Or(w.compareRank(o), w.isLate(now)-o.isLate(now), cmp.Compare(w.wait.InTimeUntil.Mono, o.wait.InTimeUntil.Mono))
+}
+
+// compareRank returns -1, 0 or +1 if the request goes before the other one, with or after it, whatever
+// time they have left.
+func (w *slotWaiter) compareRank(o *slotWaiter) int {
+	return cmp.Or(w.urgency.Compare(o.urgency), boolToInt(w.state.beyondShare)-boolToInt(o.state.beyondShare))
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // isLate returns 1 if the request may miss its objective, else 0.
 func (w *slotWaiter) isLate(now thclock.Instant) int {
-	if now.Before(w.wait.InTimeUntil) {
-		return 0
-	}
-	return 1
+	return boolToInt(!now.Before(w.wait.InTimeUntil))
 }
 
-// countAhead returns how many waiting requests of the same service go before one of the given urgency
-// that arrives. q.mu must be held.
+// countAhead returns how many waiting requests of the same service go before the given one, which
+// arrives. q.mu must be held.
 func (q *slotQueue) countAhead(w *slotWaiter) (ahead int) {
 	for _, o := range q.waiting {
-		if o.state.service == w.state.service && !w.urgency.IsAbove(o.urgency) {
+		if o.state.service == w.state.service && o.compareRank(w) <= 0 {
 			ahead++
 		}
 	}
@@ -92,15 +105,39 @@
 // need. It returns a refusal if the wait would be too long, or if the caller leaves meanwhile.
 func (f *Forwarder) awaitSlot(ctx context.Context, s *requestState) *thingress.Refusal {
 	w := &slotWaiter{state: s, urgency: thview.UrgencyOf(s.request), granted: make(chan struct{})}
-	switch d := f.enqueue(w).(type) {
-	case thpick.TakeSlot:
+	d := f.enqueue(w)
+	if _, ok := d.(thpick.AwaitSlot); ok {
+		d = f.await(ctx, w)
+		if ctx.Err() != nil {
+			return callerGoneRefusal()
+		}
+	}
+	r, refused := d.(thpick.RefuseSlot)
+	if s.beyondShare && f.options.RecordBeyondShare != nil {
+		f.options.RecordBeyondShare(s.service, refused)
+	}
+	if !refused {
 		return nil
-	case thpick.RefuseSlot:
-		return &thingress.Refusal{Err: therror.New(therror.QueueFull, "more urgent requests take the slots of the service"), RetryAfter: d.RetryAfter}
 	}
+	return &thingress.Refusal{Err: therror.New(therror.QueueFull, "%s", s.slotRefusalDetail()), RetryAfter: r.RetryAfter}
+}
+
+// slotRefusalDetail returns the detail of the refusal of a request that gets no slot.
+func (s *requestState) slotRefusalDetail() string {
+	if s.beyondShare {
+		return "the customer asks for more than its fair share of the service, which is short"
+	}
+	return "more urgent requests take the slots of the service"
+}
+
+// await waits until the request may be sent or is refused, and returns which, or nil if the caller
+// leaves meanwhile.
+func (f *Forwarder) await(ctx context.Context, w *slotWaiter) (d thpick.SlotDecision) {
+	s := w.state
 	startedAt := f.options.Clock.Now()
 	select {
 	case <-w.granted:
+		d = w.decision
 	case <-ctx.Done():
 		f.dequeue(w)
 	}
@@ -108,10 +145,7 @@
 	if f.options.RecordWait != nil {
 		f.options.RecordWait(s.service, s.waited)
 	}
-	if ctx.Err() != nil {
-		return callerGoneRefusal()
-	}
-	return nil
+	return d
 }
 
 // enqueue adds a request that arrives to those that wait, if it has to. It returns the decision.
@@ -121,6 +155,8 @@
 	defer q.mu.Unlock()
 	f.WithView(func(now thclock.Instant, v *thview.View) {
 		v.RecordDemand(now, w.state.request, w.state.service)
+		w.state.beyondShare = v.IsBeyondShare(now, w.state.request, w.state.service)
+		w.state.fairShare = v.FairShare(now, w.state.request, w.state.service)
 		d = v.DecideSlot(now, w.state.request, w.state.service, q.countAhead(w))
 	})
 	var ok bool
@@ -155,8 +191,23 @@
 	}
 }
 
-// grantSlots lets those requests go on that need not wait any more, and of each service at most one
-// that takes a slot: the requests are counted at their targets only after that. It returns false,
+// decideWaiting decides what follows for a request that waits.
+func (f *Forwarder) decideWaiting(w *slotWaiter, now thclock.Instant) (d thpick.SlotDecision) {
+	isOver := !now.Before(w.wait.Until)
+	if isOver && !w.state.beyondShare {
+		return thpick.TakeSlot{}
+	}
+	f.WithView(func(now thclock.Instant, v *thview.View) {
+		d = v.DecideSlot(now, w.state.request, w.state.service, 0)
+	})
+	if _, wait := d.(thpick.AwaitSlot); wait && isOver {
+		return thpick.TakeSlot{}
+	}
+	return d
+}
+
+// grantSlots ends the wait of those requests that may not wait any longer, and of each service at most
+// one that takes a slot: the requests are counted at their targets only after that. It returns false,
 // and ends the checks, if no request waits.
 func (f *Forwarder) grantSlots() bool {
 	q := &f.slots
@@ -168,16 +219,15 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *slotWaiter) bool {
 		isFirst := !checked[w.state.service]
 		checked[w.state.service] = true
-		wait := now.Before(w.wait.Until)
-		if wait && isFirst {
-			f.WithView(func(now thclock.Instant, v *thview.View) {
-				_, wait = v.DecideSlot(now, w.state.request, w.state.service, 0).(thpick.AwaitSlot)
-			})
+		if isFirst || !now.Before(w.wait.Until) {
+			w.decision = f.decideWaiting(w, now)
 		}
-		if !wait {
-			close(w.granted)
+		switch w.decision.(type) {
+		case nil, thpick.AwaitSlot:
+			return false
 		}
-		return !wait
+		close(w.granted)
+		return true
 	})
 	q.isChecking = len(q.waiting) > 0
 	return q.isChecking
--- a/io/thnode/monitor.go
+++ b/io/thnode/monitor.go
@@ -115,6 +115,15 @@
 	n.monitor.set.GetOrCreateHistogram(fmt.Sprintf("slot_wait_seconds{service=%q}", service)).Update(waited.Seconds())
 }
 
+// recordBeyondShare counts a request beyond its customer's fair share.
+func (n *Node) recordBeyondShare(service string, refused bool) {
+	result := "sent"
+	if refused {
+		result = "refused"
+	}
+	n.monitor.set.GetOrCreateCounter(fmt.Sprintf("requests_beyond_share_total{service=%q,result=%q}", service, result)).Inc()
+}
+
 // recordLimitQuestion counts a question to an owner of a customer's limit.
 func (n *Node) recordLimitQuestion(answer string) {
 	n.monitor.set.GetOrCreateCounter(fmt.Sprintf("limit_questions_total{answer=%q}", answer)).Inc()
--- a/io/thnode/node.go
+++ b/io/thnode/node.go
@@ -170,7 +170,7 @@
 	})
 	n.forwarder = thforward.New(thforward.Options{
 		View: view, Table: n.table, Sender: n.sender, Clock: n.clock, Log: n.options.Log,
-		NotifyPeers: n.wakeExchange, Ask: n.ask, RecordAttempt: n.recordAttempt, RecordWait: n.recordWait,
+		NotifyPeers: n.wakeExchange, Ask: n.ask, RecordAttempt: n.recordAttempt, RecordWait: n.recordWait, RecordBeyondShare: n.recordBeyondShare,
 		RecordLimitQuestion: n.recordLimitQuestion, RecordLimitRefusal: n.recordLimitRefusal,
 	})
 	if err := n.openExchange(); err != nil {
