--- a/core/thview/urgency_test.go
+++ b/core/thview/urgency_test.go
@@ -1,6 +1,7 @@
 package thview_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -22,7 +23,7 @@
 	*largeFleet
 	// queues holds, by target, what is running and waiting there.
 	queues map[string]*targetQueue
-	// waits is whether VMs let less urgent requests wait, and waiting how many do at each VM.
+	// waits is whether VMs let requests wait or refuse them, and waiting how many wait at each VM.
 	waits   bool
 	waiting map[int]int
 	results map[string]*kindResult
@@ -33,7 +34,7 @@
 	waiting []func()
 }
 
-// requestKind describes the requests of one route.
+// requestKind describes the requests of one route and customer.
 type requestKind struct {
 	name      string
 	priority  int
@@ -41,10 +42,14 @@
 	objective time.Duration
 	// perSecond are the requests a second over all VMs.
 	perSecond int
+	customer  string
+	// firstVM and vms are the VMs that get the requests; if vms is 0, all do.
+	firstVM, vms int
+	result       *kindResult
 }
 
-// kindResult counts what callers of one kind got.
-type kindResult struct{ asked, inTime, late int }
+// kindResult counts what callers of one kind got. Those held were not sent when they arrived.
+type kindResult struct{ asked, inTime, late, held int }
 
 func (r kindResult) shareInTime() float64 { return float64(r.inTime) / float64(r.asked) }
 
@@ -70,14 +75,15 @@
 }
 
 func (s *crowdedService) send(k requestKind) {
-	vm := s.rng.IntN(len(s.views))
+	vm := k.firstVM + s.rng.IntN(cmp.Or(k.vms, len(s.views)))
 	q := &thmessage.Request{
+		Customer: thtable.Customer{Name: k.customer},
 		Route: thtable.Route{
 			Name: k.name, Safety: thtable.AtMostOnce, Priority: k.priority, LatencyObjectiveMillis: k.objective.Milliseconds(),
 		},
 		Arrived: s.instant(), Objective: s.instant().Add(k.objective), Deadline: s.instant().Add(3 * k.objective),
 	}
-	s.results[k.name].asked++
+	k.result.asked++
 	s.views[vm].RecordDemand(s.instant(), q, "s")
 	if !s.waits {
 		s.sendNow(vm, k, q)
@@ -86,7 +92,10 @@
 	switch d := s.views[vm].DecideSlot(s.instant(), q, "s", s.waiting[vm]).(type) {
 	case thpick.TakeSlot:
 		s.sendNow(vm, k, q)
+	case thpick.RefuseSlot:
+		k.result.held++
 	case thpick.AwaitSlot:
+		k.result.held++
 		s.waiting[vm]++
 		s.checkLater(vm, k, q, d.Until)
 	}
@@ -95,12 +104,15 @@
 // checkLater checks a little later whether the waiting request may be sent.
 func (s *crowdedService) checkLater(vm int, k requestKind, q *thmessage.Request, until thclock.Instant) {
 	s.after(20*time.Millisecond+time.Duration(s.rng.Int64N(int64(40*time.Millisecond))), func() {
-		if _, wait := s.views[vm].DecideSlot(s.instant(), q, "s", 0).(thpick.AwaitSlot); wait && s.instant().Before(until) {
+		d := s.views[vm].DecideSlot(s.instant(), q, "s", 0)
+		if _, wait := d.(thpick.AwaitSlot); wait && s.instant().Before(until) {
 			s.checkLater(vm, k, q, until)
 			return
 		}
 		s.waiting[vm]--
-		s.sendNow(vm, k, q)
+		if _, refused := d.(thpick.RefuseSlot); !refused {
+			s.sendNow(vm, k, q)
+		}
 	})
 }
 
@@ -116,9 +128,9 @@
 	s.run(p.Target.ID, time.Duration(float64(k.median)*math.Exp(latencySpread*s.rng.NormFloat64())), func() {
 		switch {
 		case s.instant().Before(q.Objective):
-			s.results[k.name].inTime++
+			k.result.inTime++
 		case s.instant().Before(q.Deadline):
-			s.results[k.name].late++
+			k.result.late++
 		}
 		v.Finish(s.instant(), p, q, thhealth.Answered, s.now-sentAt)
 		s.flush(vm)
@@ -151,12 +163,22 @@
 	t.waiting = append(t.waiting, start)
 }
 
-// play lets the time pass with requests of all kinds, and returns what their callers got.
+// play lets the time pass with requests of all kinds, and returns what their callers got, by customer
+// or, without one, by kind.
 func (s *crowdedService) play(span time.Duration, kinds ...requestKind) map[string]*kindResult {
+	s.arrive(span, kinds)
+	s.passTime(15 * time.Second) // what was sent last ends
+	return s.results
+}
+
+// arrive lets the time pass with requests of all kinds, whose results it counts afresh.
+func (s *crowdedService) arrive(span time.Duration, kinds []requestKind) {
 	all := 0
-	for _, k := range kinds {
+	for i := range kinds {
+		k := &kinds[i]
 		all += k.perSecond
-		s.results[k.name] = &kindResult{}
+		k.result = &kindResult{}
+		s.results[cmp.Or(k.customer, k.name)] = k.result
 	}
 	for until := s.now + span; s.now < until; {
 		s.passTime(time.Duration(s.rng.ExpFloat64() / float64(all) * float64(time.Second)))
@@ -168,8 +190,6 @@
 			}
 		}
 	}
-	s.passTime(15 * time.Second) // what was sent last ends
-	return s.results
 }
 
 // TestCrowdOfLowUrgencyLeavesSlotsToUrgentRequests guards against urgent requests that queue behind a
@@ -191,11 +211,13 @@
 func testCrowd(t *testing.T, perSecond int, wantUrgent float64) {
 	t.Helper()
 	const targets = 26 // 156 slots
-	commit := requestKind{"commit", 0, 276 * time.Millisecond, time.Second, 17}
-	status := requestKind{"status", 2, 870 * time.Millisecond, 6 * time.Second, perSecond}
+	commit := requestKind{name: "commit", median: 276 * time.Millisecond, objective: time.Second, perSecond: 17}
+	status := requestKind{name: "status", priority: 2, median: 870 * time.Millisecond, objective: 6 * time.Second, perSecond: perSecond}
+	few := status
+	few.perSecond = 50
 	play := func(waits bool) (urgent, crowd kindResult) {
 		s := newCrowdedService(t, 40, targets, waits)
-		s.play(3*time.Second, commit, requestKind{"status", 2, status.median, status.objective, 50})
+		s.play(3*time.Second, commit, few)
 		results := s.play(12*time.Second, commit, status)
 		return *results["commit"], *results["status"]
 	}
