--- a/core/thpick/urgency.go
+++ b/core/thpick/urgency.go
@@ -190,7 +190,10 @@
 // A request beyond its customer's fair share waits in the same way while no slot is free, so that those
 // of other customers are sent before it. It is refused if there is none until it has to be sent.
 func DecideSlot(q Query, candidates []Candidate, w SlotQueue) SlotDecision {
-	if w.Above <= 0 && !w.BeyondShare || w.Below >= minYieldingShare || len(q.Tried) > 0 || cmp.Or(q.SlotTime, q.ExpectedLatency) < minSlotTime {
+	if w.Below >= minYieldingShare || len(q.Tried) > 0 {
+		return TakeSlot{}
+	}
+	if !w.BeyondShare && (w.Above <= 0 || cmp.Or(q.SlotTime, q.ExpectedLatency) < minSlotTime) {
 		return TakeSlot{}
 	}
 	reserve := -time.Duration(latencyReserveFactor * float64(q.ExpectedLatency))
--- a/core/thview/fairness_test.go
+++ b/core/thview/fairness_test.go
@@ -67,6 +67,11 @@
 			}
 		}},
 		{name: "more of all", times: 1, change: func(_ int, k *requestKind) { k.perSecond = 16 }},
+		{name: "short requests", times: 6, change: func(_ int, k *requestKind) {
+			k.median, k.objective, k.perSecond = 100*time.Millisecond, 400*time.Millisecond, 78
+		}},
+		{name: "long deadline", times: 6, change: func(_ int, k *requestKind) { k.objective = 8 * time.Second }},
+		{name: "room for all 95%", times: 1, change: func(_ int, k *requestKind) { k.perSecond = 10 }},
 		{name: "room for all", times: 3, change: func(_ int, k *requestKind) { k.perSecond = 6 }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
