--- a/core/thpick/fairness.go
+++ b/core/thpick/fairness.go
@@ -127,9 +127,37 @@
 // precedence. It is 1 for all as long as less is known than fairnessMemory covers.
 func (f Fairness) Share(now thclock.Instant, customer string, u Urgency) float64 {
 	i := f.index(customer, u)
-	if i < 0 || now.Before(f.knowsFrom) {
+	if i < 0 {
 		return 1
 	}
+	return f.limit(now, u).share(f.customers[i].asked)
+}
+
+// LimitedThroughput returns how fast requests of the urgency get a slot whose customers ask for more than
+// their shares. Those beyond the shares wait behind each other for these slots.
+func (f Fairness) LimitedThroughput(now thclock.Instant, u Urgency, expected time.Duration) Throughput {
+	limit, sent := f.limit(now, u), 0.0
+	for _, c := range f.customers {
+		if c.urgency == u && c.asked > fairnessEpsilon && limit.share(c.asked) < 1 {
+			sent += c.sent
+		}
+	}
+	perSecond := sent / fairnessMemory.Seconds() / expected.Seconds()
+	return Throughput{updatedAt: f.updatedAt, requests: perSecond * throughputMemory.Seconds()}
+}
+
+// fairLimit bounds what each customer may send: level is the most work by max-min fairness, in seconds, and
+// least the least share of what a customer asks for.
+type fairLimit struct{ level, least float64 }
+
+// share returns the share of the given work that a customer may send.
+func (l fairLimit) share(asked float64) float64 { return min(1, max(l.least, l.level/asked)) }
+
+// limit returns the limit of all customers for requests of the urgency.
+func (f *Fairness) limit(now thclock.Instant, u Urgency) fairLimit {
+	if now.Before(f.knowsFrom) {
+		return fairLimit{level: math.Inf(1)}
+	}
 	var asks [maxFairCustomers]float64
 	n, all, answered := 0, 0.0, 0.0
 	for _, c := range f.customers {
@@ -142,8 +170,11 @@
 			answered += c.answered
 		}
 	}
+	if n < 2 { // there is nobody to share with
+		return fairLimit{level: math.Inf(1)}
+	}
 	least := minServedRatio * answered / all
-	return min(1, max(least, fairLevel(asks[:n], answered, least)/f.customers[i].asked))
+	return fairLimit{level: fairLevel(asks[:n], answered, least), least: least}
 }
 
 // fairLevel returns the most that those get who get more than the given share of what they ask for, if
--- a/core/thview/slots.go
+++ b/core/thview/slots.go
@@ -28,9 +28,12 @@
 		return thpick.TakeSlot{}
 	}
 	query := v.newQuery(now, request, s, nil, request.Route.IsIdempotent())
-	d := thpick.DecideSlot(query, v.candidates, thpick.SlotQueue{
-		Above: above, Below: below, BeyondShare: v.IsBeyondShare(now, request, name), Ahead: ahead, Throughput: s.throughput,
-	})
+	queue := thpick.SlotQueue{Above: above, Below: below, Ahead: ahead, Throughput: s.throughput}
+	queue.BeyondShare = v.IsBeyondShare(now, request, name)
+	if queue.BeyondShare && above <= 0 {
+		queue.Throughput = s.fairness.LimitedThroughput(now, UrgencyOf(request), query.ExpectedLatency)
+	}
+	d := thpick.DecideSlot(query, v.candidates, queue)
 	if _, ok := d.(thpick.TakeSlot); ok {
 		s.throughput = s.throughput.WithRequest(now)
 	}
--- a/core/thview/urgency_test.go
+++ b/core/thview/urgency_test.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
+	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/thhealth"
 	"tamarackhollow/core/thmessage"
 	"tamarackhollow/core/thpick"
@@ -23,9 +23,9 @@
 	*largeFleet
 	// queues holds, by target, what is running and waiting there.
 	queues map[string]*targetQueue
-	// waits is whether VMs let requests wait or refuse them, and waiting those that wait at each VM.
+	// waits is whether VMs let requests wait or refuse them, and waiting how many wait at each VM.
 	waits   bool
-	waiting map[int][]*waitingRequest
+	waiting map[int]int
 	results map[string]*kindResult
 }
 
@@ -62,7 +62,7 @@
 
 func newCrowdedService(tb testing.TB, vms, targets int, waits bool) *crowdedService {
 	tb.Helper()
-	s := &crowdedService{largeFleet: newLargeFleet(tb, vms, 3, targets), queues: map[string]*targetQueue{}, waits: waits, waiting: map[int][]*waitingRequest{}, results: map[string]*kindResult{}}
+	s := &crowdedService{largeFleet: newLargeFleet(tb, vms, 3, targets), queues: map[string]*targetQueue{}, waits: waits, waiting: map[int]int{}, results: map[string]*kindResult{}}
 	s.rng = rand.New(rand.NewPCG(5, 5))
 	var ts []thtable.Target
 	for i := range targets {
@@ -89,86 +89,30 @@
 		s.sendNow(vm, k, q)
 		return
 	}
-	w := &waitingRequest{kind: k, request: q, beyondShare: s.views[vm].IsBeyondShare(s.instant(), q, "s")}
-	ahead := 0
-	for _, o := range s.waiting[vm] {
-		if o.compareRank(w) <= 0 {
-			ahead++
-		}
-	}
-	switch d := s.views[vm].DecideSlot(s.instant(), q, "s", ahead).(type) {
+	switch d := s.views[vm].DecideSlot(s.instant(), q, "s", s.waiting[vm]).(type) {
 	case thpick.TakeSlot:
 		s.sendNow(vm, k, q)
 	case thpick.RefuseSlot:
 		k.result.held++
 	case thpick.AwaitSlot:
 		k.result.held++
-		w.wait = d
-		s.waiting[vm] = append(s.waiting[vm], w)
-		if len(s.waiting[vm]) == 1 {
-			s.checkLater(vm)
-		}
+		s.waiting[vm]++
+		s.checkLater(vm, k, q, d.Until)
 	}
 }
 
-// waitingRequest is a request that waits at a VM. It is ordered as in thforward.
-type waitingRequest struct {
-	kind        requestKind
-	request     *thmessage.Request
-	beyondShare bool
-	wait        thpick.AwaitSlot
-}
-
-func (w *waitingRequest) compareRank(o *waitingRequest) int {
-	return cmp.Or(cmp.Compare(w.kind.priority, o.kind.priority), compareBool(w.beyondShare, o.beyondShare))
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
-// checkLater checks a little later whether requests that wait at the VM may be sent.
-func (s *crowdedService) checkLater(vm int) {
+// checkLater checks a little later whether the waiting request may be sent.
+func (s *crowdedService) checkLater(vm int, k requestKind, q *thmessage.Request, until thclock.Instant) {
 	s.after(20*time.Millisecond+time.Duration(s.rng.Int64N(int64(40*time.Millisecond))), func() {
-		s.endWaits(vm)
-		if len(s.waiting[vm]) > 0 {
-			s.checkLater(vm)
-		}
-	})
-}
-
-// endWaits ends the wait of the requests that may not wait any longer and, if there is a slot, of the first
-// one.
-func (s *crowdedService) endWaits(vm int) {
-	now := s.instant()
-	slices.SortStableFunc(s.waiting[vm], func(w, o *waitingRequest) int {
-		isLate := compareBool(!now.Before(w.wait.InTimeUntil), !now.Before(o.wait.InTimeUntil))
-		return cmp.Or(w.compareRank(o), isLate, cmp.Compare(w.wait.InTimeUntil.Mono, o.wait.InTimeUntil.Mono))
-	})
-	first := s.waiting[vm][0]
-	s.waiting[vm] = slices.DeleteFunc(s.waiting[vm], func(w *waitingRequest) bool {
-		isOver := !now.Before(w.wait.Until)
-		if w != first && !isOver {
-			return false
-		}
-		var d thpick.SlotDecision = thpick.TakeSlot{}
-		if !isOver || w.beyondShare {
-			d = s.views[vm].DecideSlot(now, w.request, "s", 0)
-		}
-		if _, wait := d.(thpick.AwaitSlot); wait && !isOver {
-			return false
+		d := s.views[vm].DecideSlot(s.instant(), q, "s", 0)
+		if _, wait := d.(thpick.AwaitSlot); wait && s.instant().Before(until) {
+			s.checkLater(vm, k, q, until)
+			return
 		}
+		s.waiting[vm]--
 		if _, refused := d.(thpick.RefuseSlot); !refused {
-			s.sendNow(vm, w.kind, w.request)
+			s.sendNow(vm, k, q)
 		}
-		return true
 	})
 }
 
