--- a/core/thpick/fairness.go
+++ b/core/thpick/fairness.go
@@ -170,7 +170,7 @@
 			answered += c.answered
 		}
 	}
-	if n < 2 { // there is nobody to share with
+	if n == 0 {
 		return fairLimit{level: math.Inf(1)}
 	}
 	least := minServedRatio * answered / all
