--- a/core/thpick/fairness.go
+++ b/core/thpick/fairness.go
@@ -27,7 +27,8 @@
 //
 // The capacity is what was answered lately of this urgency and of lower ones. It is divided by max-min
 // fairness: no customer gets more than it asks for, and what it leaves goes to the others in equal
-// parts. A customer of which nothing is known is within its share.
+// parts. A customer of which nothing is known is within its share, and so are requests without a
+// customer, whose name is empty: the callers of an open route are not one party.
 //
 // Those who ask for the least are displaced once more than maxFairCustomers ask.
 //
@@ -52,6 +53,9 @@
 // WithRequest returns the fairness after the arrival of a request, which is expected to take the
 // given time in a slot.
 func (f Fairness) WithRequest(now thclock.Instant, customer string, u Urgency, expected time.Duration) Fairness {
+	if customer == "" {
+		return f
+	}
 	f = f.at(now)
 	if !slices.ContainsFunc(f.customers[:], func(c customerWork) bool { return c.asked > fairnessEpsilon }) {
 		f.knowsFrom = now.Add(fairnessMemory)
--- a/core/thpick/fairness_test.go
+++ b/core/thpick/fairness_test.go
@@ -35,6 +35,7 @@
 		{"room for all", []fairCustomer{{"a", low, 5, 5}, {"b", low, 60, 60}}, map[string]float64{"a": 1, "b": 1}},
 		{"urgency goes first", []fairCustomer{{"a", urgent, 5, 5}, {"b", urgent, 25, 15}, {"d", urgent, 5, 5}, {"c", low, 5, 5}, {"d", low, 30, 10}}, map[string]float64{"a": 1, "b": 1, "c": 1, "d": 1.0 / 3}},
 		{"unknown customer", nil, map[string]float64{"a": 1}},
+		{"open route", []fairCustomer{{"", low, 50, 5}, {"a", low, 9, 8}}, map[string]float64{"": 1, "a": 8.0 / 9}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			start := thclock.At(time.Hour)
--- a/core/thview/urgency_test.go
+++ b/core/thview/urgency_test.go
@@ -56,6 +56,8 @@
 // credit is the mean credit of an answer: 1 within its objective and 0.3 within its deadline.
 func (r kindResult) credit() float64 { return r.shareInTime() + 0.3*float64(r.late)/float64(r.asked) }
 
+func (r kindResult) shareHeld() float64 { return float64(r.held) / float64(r.asked) }
+
 func (r kindResult) shareServed() float64 { return float64(r.inTime+r.late) / float64(r.asked) }
 
 const crowdSlots = 6
