thforward: tests of requests beyond their customer's share

Cause: the queue's order by fair shares and the refusal at the deadline had no test. Change: three tests with a forwarder whose slots one customer has taken.

--- a/io/thforward/forwarder_test.go
+++ b/io/thforward/forwarder_test.go
@@ -30,8 +30,8 @@
 // fakeSender ends each attempt with the result of a function.
 type fakeSender struct {
 	mu sync.Mutex
-	// sent holds the IDs of the attempts' targets.
-	sent []string
+	// sent holds the IDs of the attempts' targets, and customers the names of the customers.
+	sent, customers []string
 	// retained holds the IDs of the targets whose connections are kept, ordered.
 	retained []string
 	// cancelled counts the attempts whose context ended.
@@ -71,10 +71,11 @@
 	assert.DeepEqual(t, s.retained, []string{"1", "2"})
 }
 
-func (s *fakeSender) Send(ctx context.Context, t thtable.Target, _ *thmessage.Request, o thsend.ConnectionOptions) thsend.Result {
+func (s *fakeSender) Send(ctx context.Context, t thtable.Target, request *thmessage.Request, o thsend.ConnectionOptions) thsend.Result {
 	s.mu.Lock()
 	s.options = o
 	s.sent = append(s.sent, t.ID)
+	s.customers = append(s.customers, request.Customer.Name)
 	number := len(s.sent)
 	s.mu.Unlock()
 	r := s.attempt(ctx, number)
@@ -86,6 +87,13 @@
 	return r
 }
 
+// lastCustomers returns the names of the customers of the last attempts, in their order.
+func (s *fakeSender) lastCustomers(n int) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.customers[len(s.customers)-n:]...)
+}
+
 // attempts returns the target IDs of the attempts in their order.
 func (s *fakeSender) attempts() []string {
 	s.mu.Lock()
--- a/io/thforward/slots_test.go
+++ b/io/thforward/slots_test.go
@@ -7,6 +7,7 @@
 
 	"tamarackhollow/core/thclock"
 	"tamarackhollow/core/therror"
+	"tamarackhollow/core/thhealth"
 	"tamarackhollow/core/thmessage"
 	"tamarackhollow/core/thpick"
 	"tamarackhollow/core/thtable"
@@ -21,6 +22,12 @@
 // busyForwarder returns a forwarder all of whose twelve slots are taken by urgent requests until
 // release is closed.
 func busyForwarder(t *testing.T) (f *thforward.Forwarder, s *fakeSender, release chan struct{}) {
+	t.Helper()
+	return busyForwarderFor(t, "")
+}
+
+// busyForwarderFor is the same for requests of the named customer, of which the forwarder has known for long.
+func busyForwarderFor(t *testing.T, customer string) (f *thforward.Forwarder, s *fakeSender, release chan struct{}) {
 	t.Helper()
 	release = make(chan struct{})
 	f, s = newForwarder(func(_ context.Context, number int) thsend.Result {
@@ -29,13 +36,23 @@
 		}
 		return answered
 	})
+	f.WithView(func(now thclock.Instant, v *thview.View) {
+		v.RecordDemand(now.Add(-time.Minute), customerRequest(customer), "s")
+	})
 	for range 12 {
-		go func() { f.Forward(context.Background(), newRequest(thtable.AtMostOnce, testTimeout)) }()
+		go func() { f.Forward(context.Background(), customerRequest(customer)) }()
 	}
 	waitUntil(t, func() bool { return len(s.attempts()) == 12 })
 	return f, s, release
 }
 
+// customerRequest returns an urgent request of the named customer.
+func customerRequest(name string) *thmessage.Request {
+	r := newRequest(thtable.AtMostOnce, testTimeout)
+	r.Customer.Name, r.Arrived = name, thclock.System{}.Now()
+	return r
+}
+
 // lowRequest returns a request that others overtake.
 func lowRequest(safety thtable.Safety, objective time.Duration) *thmessage.Request {
 	r := newRequest(safety, objective)
@@ -137,3 +154,54 @@
 	f.WithView(func(now thclock.Instant, v *thview.View) { d = v.DecideSlot(now, r, "s", 100) })
 	assert.Equal(t, d, thpick.SlotDecision(thpick.TakeSlot{}))
 }
+
+// A request beyond its customer's share must wait while requests of other customers are sent, and go on as
+// soon as a slot is free.
+func TestRequestBeyondShareWaitsForSlot(t *testing.T) {
+	f, s, release := busyForwarderFor(t, "large")
+	beyond := forwardLow(context.Background(), f, customerRequest("large"))
+	waitUntil(t, func() bool { return f.Waiting() == 1 })
+	assert.Assert(t, <-forwardLow(context.Background(), f, customerRequest("small")) == nil)
+	assert.Equal(t, len(s.attempts()), 13)
+	assert.Equal(t, f.Waiting(), 1)
+	close(release)
+	assert.Assert(t, <-beyond == nil)
+}
+
+// A request beyond its customer's share must be refused, not sent, if there is no slot until it has to be
+// sent: it would take one from other customers.
+func TestRequestBeyondShareIsRefusedAtItsDeadline(t *testing.T) {
+	f, s, release := busyForwarderFor(t, "large")
+	defer close(release)
+	r := customerRequest("large")
+	r.Deadline = r.Arrived.Add(7500 * time.Millisecond) // a median of 2.5 s is expected
+	refusal := <-forwardLow(context.Background(), f, r)
+	assert.Equal(t, therror.KindOf(refusal.Err), therror.QueueFull)
+	assert.Assert(t, refusal.RetryAfter > 0)
+	assert.Equal(t, len(s.attempts()), 12)
+}
+
+// Among requests of equal urgency that wait for more urgent ones, one within its customer's share must be
+// sent before one beyond it that came earlier.
+func TestRequestWithinShareGoesFirst(t *testing.T) {
+	f, s, release := busyForwarderFor(t, "large")
+	low := func(name string) *thmessage.Request {
+		r := lowRequest(thtable.AtMostOnce, testTimeout)
+		r.Customer.Name = name
+		return r
+	}
+	f.WithView(func(now thclock.Instant, v *thview.View) {
+		v.RecordDemand(now, low("large"), "s")
+		p, refusal := v.Pick(now, low("large"), "s", nil, false)
+		assert.Assert(t, refusal == nil)
+		v.Finish(now, p, low("large"), thhealth.Inconclusive, 0)
+	})
+	beyond := forwardLow(context.Background(), f, low("large"))
+	waitUntil(t, func() bool { return f.Waiting() == 1 })
+	within := forwardLow(context.Background(), f, low("small"))
+	waitUntil(t, func() bool { return f.Waiting() == 2 })
+	close(release)
+	assert.Assert(t, <-within == nil)
+	assert.Assert(t, <-beyond == nil)
+	assert.DeepEqual(t, s.lastCustomers(2), []string{"small", "large"})
+}
