thforward, thpick: tests of the refusal behind a patient request and of the limited throughput

Cause: two comparisons could be removed without a failing test. Change: a request at its deadline is refused in the test while another one goes first; a test of LimitedThroughput.

--- a/core/thpick/fairness_test.go
+++ b/core/thpick/fairness_test.go
@@ -97,6 +97,25 @@
 	}
 }
 
+// Guards against requests beyond their share that wait too long, since they are expected to get the slots of
+// customers that are not limited.
+func TestLimitedThroughputCountsLimitedCustomers(t *testing.T) {
+	start := thclock.At(time.Hour)
+	now := start.Add(time.Minute)
+	f := thpick.Fairness{}.WithRequest(start, "before", low, time.Second)
+	for i := range 30 {
+		f = f.WithRequest(now, "large", low, time.Second)
+		if i < 10 {
+			f = f.WithSent(now, "large", low, time.Second).WithAnswer(now, "large", low, time.Second)
+		}
+		if i < 8 {
+			f = f.WithRequest(now, "small", low, time.Second).WithSent(now, "small", low, time.Second).WithAnswer(now, "small", low, time.Second)
+		}
+	}
+	// One a second, and the two in 5 s that a Throughput takes for granted.
+	assert.Equal(t, f.LimitedThroughput(now, low, time.Second).TimeFor(now, 7).Round(time.Millisecond), 5*time.Second)
+}
+
 // Guards against a customer that is limited because its requests were sent late, not because it asks for
 // too much.
 func TestLateRequestsAreNotBeyondShare(t *testing.T) {
--- a/io/thforward/slots.go
+++ b/io/thforward/slots.go
@@ -193,16 +193,12 @@
 
 // decideWaiting decides what follows for a request that waits.
 func (f *Forwarder) decideWaiting(w *slotWaiter, now thclock.Instant) (d thpick.SlotDecision) {
-	isOver := !now.Before(w.wait.Until)
-	if isOver && !w.state.beyondShare {
+	if !now.Before(w.wait.Until) && !w.state.beyondShare {
 		return thpick.TakeSlot{}
 	}
 	f.WithView(func(now thclock.Instant, v *thview.View) {
 		d = v.DecideSlot(now, w.state.request, w.state.service, 0)
 	})
-	if _, wait := d.(thpick.AwaitSlot); wait && isOver {
-		return thpick.TakeSlot{}
-	}
 	return d
 }
 
--- a/io/thforward/slots_test.go
+++ b/io/thforward/slots_test.go
@@ -169,13 +169,20 @@
 }
 
 // A request beyond its customer's share must be refused, not sent, if there is no slot until it has to be
-// sent: it would take one from other customers.
+// sent: it would take one from other customers. That must not depend on whether another one goes first.
 func TestRequestBeyondShareIsRefusedAtItsDeadline(t *testing.T) {
 	f, s, release := busyForwarderFor(t, "large")
 	defer close(release)
 	r := customerRequest("large")
 	r.Deadline = r.Arrived.Add(7500 * time.Millisecond) // a median of 2.5 s is expected
-	refusal := <-forwardLow(context.Background(), f, r)
+	done := forwardLow(context.Background(), f, r)
+	waitUntil(t, func() bool { return f.Waiting() == 1 })
+	patient := customerRequest("large")
+	patient.Objective, patient.Deadline = r.Arrived.Add(time.Minute), r.Arrived.Add(time.Minute)
+	forwardLow(context.Background(), f, patient)
+	waitUntil(t, func() bool { return f.Waiting() == 2 })
+	waitUntil(t, func() bool { return f.Waiting() == 1 })
+	refusal := <-done
 	assert.Equal(t, therror.KindOf(refusal.Err), therror.QueueFull)
 	assert.Assert(t, refusal.RetryAfter > 0)
 	assert.Equal(t, len(s.attempts()), 12)
