--- a/io/thforward/slots.go
+++ b/io/thforward/slots.go
@@ -40,9 +40,10 @@
 	state   *requestState
 	urgency thpick.Urgency
 	wait    thpick.AwaitSlot
-	// decision is what ended the wait. It may be read once granted is closed.
+	// decision is that of the latest check, nil before the first one. Once granted is closed it is what
+	// ended the wait, and may be read without the lock; if it is not a RefuseSlot, the request is sent.
 	decision thpick.SlotDecision
-	// granted is closed once the request may be sent.
+	// granted is closed once the wait is over.
 	granted chan struct{}
 }
 
@@ -102,7 +103,7 @@
 }
 
 // awaitSlot lets the request wait while less room is left at its service than more urgent requests
-// need. It returns a refusal if the wait would be too long, or if the caller leaves meanwhile.
+// need, or than its customer's fair share allows. It returns a refusal if the wait would be too long, or if the caller leaves meanwhile.
 func (f *Forwarder) awaitSlot(ctx context.Context, s *requestState) *thingress.Refusal {
 	w := &slotWaiter{state: s, urgency: thview.UrgencyOf(s.request), granted: make(chan struct{})}
 	d := f.enqueue(w)
