--- a/core/thpick/urgency.go
+++ b/core/thpick/urgency.go
@@ -105,6 +105,11 @@
 	// waitSuspectProbability is the failure probability from which the slots of a target do not
 	// count as room: few requests are sent there.
 	waitSuspectProbability = 0.5
+	// beyondShareWait is the share of its longest wait that a request may expect to wait which only its
+	// customer's share holds back: requests within their shares take most slots before it. In the play
+	// of docs/design/fair-shares.md with six times as much of one, all customers earn 0.583 with 0.5
+	// and 0.606 with 0.25.
+	beyondShareWait = 0.25
 	// latencyReserveFactor is the multiple of the median latency that one in ten requests exceeds,
 	// given latencyLogStdDev. A request that waits for a slot keeps that much of its time.
 	latencyReserveFactor = 2.8
@@ -169,11 +174,14 @@
 	// Above is the share of the service's work that comes from more urgent requests, and Below that
 	// of less urgent ones.
 	Above, Below float64
+	// BeyondShare is set if the request is beyond its customer's fair share; see Fairness.
+	BeyondShare bool
 	// Ahead is how many requests that wait at this VM go before one that arrives, 0 for one that
 	// waits already.
 	Ahead int
-	// Throughput is how fast the VM's requests that may have to wait get a slot.
-	Throughput Throughput
+	// Throughput is how fast the VM's requests get a slot that may have to wait for more urgent ones,
+	// and EqualThroughput those of the same urgency.
+	Throughput, EqualThroughput Throughput
 }
 
 // DecideSlot decides whether a request takes one of the last free slots of a service, waits, or is
@@ -184,13 +192,20 @@
 // so of the requests that wait at many VMs those go first that have waited longest, and by the time
 // at which it might miss its objective it takes any free slot. It is refused when it arrives if the
 // wait behind others would cost it its objective.
+//
+// A request beyond its customer's fair share waits in the same way while no slot is free, so that those
+// of other customers are sent before it. It is refused if there is none until it has to be sent. That
+// holds for short requests as well: those within the shares are not held back, and use the slots.
 func DecideSlot(q Query, candidates []Candidate, w SlotQueue) SlotDecision {
-	if w.Above <= 0 || w.Below >= minYieldingShare || len(q.Tried) > 0 || cmp.Or(q.SlotTime, q.ExpectedLatency) < minSlotTime {
+	if cmp.Or(q.SlotTime, q.ExpectedLatency) < minSlotTime {
+		w.Above = 0
+	}
+	if w.Above <= 0 && !w.BeyondShare || w.Below >= minYieldingShare || len(q.Tried) > 0 {
 		return TakeSlot{}
 	}
 	reserve := -time.Duration(latencyReserveFactor * float64(q.ExpectedLatency))
 	until := q.Deadline.Add(reserve)
-	if !q.Now.Before(until) {
+	if !q.Now.Before(until) && !w.BeyondShare {
 		return TakeSlot{}
 	}
 	inTimeUntil := q.Objective.Min(q.Deadline).Add(reserve)
@@ -198,8 +213,15 @@
 	if places == 0 || free >= 1 && free > float64(ReservedSlots(places, w.Above))*patience(q, inTimeUntil) {
 		return TakeSlot{}
 	}
-	if wait := w.Throughput.TimeFor(q.Now, w.Ahead); wait > longestWait(q, until) {
-		return RefuseSlot{RetryAfter: min(maxRetryAfter, wait-longestWait(q, until))}
+	throughput, longest := w.Throughput, longestWait(q, until)
+	if w.Above <= 0 {
+		throughput, longest = w.EqualThroughput, time.Duration(beyondShareWait*float64(longest))
+	}
+	if !q.Now.Before(until) {
+		return RefuseSlot{RetryAfter: min(maxRetryAfter, throughput.TimeFor(q.Now, w.Ahead+1))}
+	}
+	if wait := throughput.TimeFor(q.Now, w.Ahead); wait > longest {
+		return RefuseSlot{RetryAfter: min(maxRetryAfter, wait-longest)}
 	}
 	return AwaitSlot{InTimeUntil: inTimeUntil, Until: until}
 }
--- a/core/thview/explain.go
+++ b/core/thview/explain.go
@@ -24,6 +24,8 @@
 	Admission AdmissionStep
 	// Service is the service of the route that would get the request.
 	Service string
+	// IsBeyondShare is set if the request is beyond its customer's fair share of the service.
+	IsBeyondShare bool
 	// Slot is whether the request would be sent at once, wait for a slot, or be refused one.
 	Slot thpick.SlotDecision
 	// IsQuarantined is set if the request, with the body that was given, is quarantined.
@@ -70,7 +72,7 @@
 // nothing in the view, and draws from rng only. Where a decision depends on chance, such as which of
 // two equal targets is picked, another rng may give another answer. The function ahead returns how
 // many waiting requests of a service go before this one.
-func (v *View) Explain(now thclock.Instant, rng *rand.Rand, request *thmessage.Request, retryable bool, ahead func(service string) int) Explanation {
+func (v *View) Explain(now thclock.Instant, rng *rand.Rand, request *thmessage.Request, retryable bool, ahead func(service string, isBeyondShare bool) int) Explanation {
 	d := v.detached(now, rng)
 	e := Explanation{ExpectedLatency: d.ExpectedLatency(request.Route)}
 	if request.Customer.Name != "" {
@@ -82,7 +84,8 @@
 	s := v.services[e.Service].clone(e.Service)
 	d.services = map[string]*service{e.Service: s}
 	d.RecordDemand(now, request, e.Service)
-	e.Slot = d.DecideSlot(now, request, e.Service, ahead(e.Service))
+	e.IsBeyondShare = d.IsBeyondShare(now, request, e.Service)
+	e.Slot = d.DecideSlot(now, request, e.Service, ahead(e.Service, e.IsBeyondShare))
 	e.IsQuarantined = d.IsQuarantined(now, request)
 	pick := d.decidePick(now, request, s, nil, retryable)
 	if pick.hasTarget {
--- a/core/thview/explain_test.go
+++ b/core/thview/explain_test.go
@@ -196,7 +196,7 @@
 // randomness.
 func (f *explainedFleet) explain(q *thmessage.Request, retryable bool, ahead int) (result, thview.Explanation) {
 	source := *f.source[0]
-	e := f.views[0].Explain(f.instant(), rand.New(&source), q, retryable, func(string) int { return ahead })
+	e := f.views[0].Explain(f.instant(), rand.New(&source), q, retryable, func(string, bool) int { return ahead })
 	r := result{e.Admission, e.Service, e.Slot, e.IsQuarantined, e.Picked, e.KeepsFloor, e.Refusal}
 	if r.refusal != nil {
 		r.picked, r.keepsFloor = "", false
--- a/core/thview/slots.go
+++ b/core/thview/slots.go
@@ -14,20 +14,27 @@
 // RecordDemand counts a request for the named service, so that less urgent ones leave it room.
 func (v *View) RecordDemand(now thclock.Instant, request *thmessage.Request, name string) {
 	s := v.service(name)
-	s.demand = s.demand.WithRequest(now, UrgencyOf(request), v.ExpectedLatency(request.Route))
+	expected := v.ExpectedLatency(request.Route)
+	s.demand = s.demand.WithRequest(now, UrgencyOf(request), expected)
+	s.fairness = s.fairness.WithRequest(now, request.Customer.Name, UrgencyOf(request), expected)
 }
 
-// DecideSlot decides whether the request, which was not sent yet, takes a slot of the named service
-// that more urgent requests may need. The given number of requests that wait at this VM go before it.
+// DecideSlot decides whether the request, which was not sent yet, takes a slot of the named service that
+// more urgent requests may need, or those of customers that ask for less. The given number of requests
+// that wait at this VM go before it.
 func (v *View) DecideSlot(now thclock.Instant, request *thmessage.Request, name string, ahead int) thpick.SlotDecision {
-	s := v.service(name)
-	above, below := s.demand.Shares(UrgencyOf(request))
-	if above <= 0 {
+	s, urgency := v.service(name), UrgencyOf(request)
+	above, below := s.demand.Shares(urgency)
+	beyondShare := v.IsBeyondShare(now, request, name)
+	if above <= 0 && !beyondShare {
 		return thpick.TakeSlot{}
 	}
 	query := v.newQuery(now, request, s, nil, request.Route.IsIdempotent())
-	d := thpick.DecideSlot(query, v.candidates, thpick.SlotQueue{Above: above, Below: below, Ahead: ahead, Throughput: s.throughput})
-	if _, ok := d.(thpick.TakeSlot); ok {
+	d := thpick.DecideSlot(query, v.candidates, thpick.SlotQueue{
+		Above: above, Below: below, BeyondShare: beyondShare, Ahead: ahead, Throughput: s.throughput,
+		EqualThroughput: s.fairness.Throughput(urgency, query.ExpectedLatency),
+	})
+	if _, ok := d.(thpick.TakeSlot); ok && above > 0 {
 		s.throughput = s.throughput.WithRequest(now)
 	}
 	return d
--- a/io/thforward/explain.go
+++ b/io/thforward/explain.go
@@ -27,8 +27,10 @@
 	table, q := f.options.Table(), &f.slots
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	ahead := func(service string) int {
-		return q.countAhead(&slotWaiter{state: &requestState{request: request, service: service}, urgency: thview.UrgencyOf(request)})
+	s := &requestState{request: request}
+	ahead := func(service string, isBeyondShare bool) int {
+		s.service, s.beyondShare = service, isBeyondShare
+		return q.countAhead(&slotWaiter{state: s, urgency: thview.UrgencyOf(request)})
 	}
 	f.WithView(func(now thclock.Instant, v *thview.View) {
 		e.At, e.Explanation = now, v.Explain(now, rng, request, isRetryable(request.Route, thpick.Attempts{}), ahead)
@@ -42,10 +44,10 @@
 	case e.Refusal != nil:
 	case !isConfigured:
 		e.Refusal = unknownServiceRefusal(e.Service)
-	case slotRefusal(e.Slot) != nil:
-		e.Refusal = slotRefusal(e.Slot)
+	case s.slotRefusal(e.Slot) != nil:
+		e.Refusal = s.slotRefusal(e.Slot)
 	case e.IsQuarantined:
-		e.Refusal = &thingress.Refusal{Err: quarantineError(&requestState{request: request})}
+		e.Refusal = &thingress.Refusal{Err: quarantineError(s)}
 	case e.Explanation.Refusal != nil && !e.Waits(): // a request that waits is picked a target for afterwards
 		e.Refusal = refusalWithoutTarget(e.Explanation.Refusal)
 	}
--- a/io/thforward/slots.go
+++ b/io/thforward/slots.go
@@ -24,7 +24,7 @@
 )
 
 // slotQueue holds the requests that wait at this VM until a service has a slot that more urgent
-// requests do not need. The zero value is ready to use.
+// requests, or those of other customers, do not need. The zero value is ready to use.
 type slotQueue struct {
 	mu sync.Mutex
 	// waiting is in the order of compare as of the last check.
@@ -40,29 +40,43 @@
 	state   *requestState
 	urgency thpick.Urgency
 	wait    thpick.AwaitSlot
-	// granted is closed once the request may be sent.
+	// decision is that of the latest check, nil before the first one. Once granted is closed it is what
+	// ended the wait, and may be read without the lock; if it is not a RefuseSlot, the request is sent.
+	decision thpick.SlotDecision
+	// granted is closed once the wait is over.
 	granted chan struct{}
 }
 
-// compare orders requests by urgency, and among equal ones by the time that they have left to meet their
-// objective. Those that may miss it anyway come last.
+// compare orders requests by urgency, among equal ones those within their customer's fair share first,
+// and then by the time that they have left to meet their objective. Those that may miss it anyway come
+// last.
 func (w *slotWaiter) compare(o *slotWaiter, now thclock.Instant) int {
-	return cmp.Or(w.urgency.Compare(o.urgency), w.isLate(now)-o.isLate(now), cmp.Compare(w.wait.InTimeUntil.Mono, o.wait.InTimeUntil.Mono))
+	return cmp.Or(w.compareRank(o), w.isLate(now)-o.isLate(now), cmp.Compare(w.wait.InTimeUntil.Mono, o.wait.InTimeUntil.Mono))
+}
+
+// compareRank returns -1, 0 or +1 if the request goes before the other one, with or after it, whatever
+// time they have left.
+func (w *slotWaiter) compareRank(o *slotWaiter) int {
+	return cmp.Or(w.urgency.Compare(o.urgency), boolToInt(w.state.beyondShare)-boolToInt(o.state.beyondShare))
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // isLate returns 1 if the request may miss its objective, else 0.
 func (w *slotWaiter) isLate(now thclock.Instant) int {
-	if now.Before(w.wait.InTimeUntil) {
-		return 0
-	}
-	return 1
+	return boolToInt(!now.Before(w.wait.InTimeUntil))
 }
 
-// countAhead returns how many waiting requests of the same service go before one of the given urgency
-// that arrives. q.mu must be held.
+// countAhead returns how many waiting requests of the same service go before the given one, which
+// arrives. q.mu must be held.
 func (q *slotQueue) countAhead(w *slotWaiter) (ahead int) {
 	for _, o := range q.waiting {
-		if o.state.service == w.state.service && !w.urgency.IsAbove(o.urgency) {
+		if o.state.service == w.state.service && o.compareRank(w) <= 0 {
 			ahead++
 		}
 	}
@@ -89,18 +103,49 @@
 }
 
 // awaitSlot lets the request wait while less room is left at its service than more urgent requests
-// need. It returns a refusal if the wait would be too long, or if the caller leaves meanwhile.
+// need, or while it is beyond its customer's fair share and no slot is free. It returns a refusal if
+// the wait would be too long, or if the caller leaves meanwhile.
 func (f *Forwarder) awaitSlot(ctx context.Context, s *requestState) *thingress.Refusal {
 	w := &slotWaiter{state: s, urgency: thview.UrgencyOf(s.request), granted: make(chan struct{})}
-	switch d := f.enqueue(w).(type) {
-	case thpick.TakeSlot:
+	d := f.enqueue(w)
+	if _, ok := d.(thpick.AwaitSlot); ok {
+		d = f.await(ctx, w)
+		if ctx.Err() != nil {
+			return callerGoneRefusal()
+		}
+	}
+	refusal := s.slotRefusal(d)
+	if s.beyondShare && f.options.RecordBeyondShare != nil {
+		f.options.RecordBeyondShare(s.service, refusal != nil)
+	}
+	return refusal
+}
+
+// slotRefusal returns the refusal that a decision on a slot means, or nil if it means none.
+func (s *requestState) slotRefusal(d thpick.SlotDecision) *thingress.Refusal {
+	r, ok := d.(thpick.RefuseSlot)
+	if !ok {
 		return nil
-	case thpick.RefuseSlot:
-		return slotRefusal(d)
 	}
+	return &thingress.Refusal{Err: therror.New(therror.QueueFull, "%s", s.slotRefusalDetail()), RetryAfter: r.RetryAfter}
+}
+
+// slotRefusalDetail returns the detail of the refusal of a request that gets no slot.
+func (s *requestState) slotRefusalDetail() string {
+	if s.beyondShare {
+		return "the customer asks for more than its fair share of the service, which is short"
+	}
+	return "more urgent requests take the slots of the service"
+}
+
+// await waits until the request may be sent or is refused, and returns which, or nil if the caller
+// leaves meanwhile.
+func (f *Forwarder) await(ctx context.Context, w *slotWaiter) (d thpick.SlotDecision) {
+	s := w.state
 	startedAt := f.options.Clock.Now()
 	select {
 	case <-w.granted:
+		d = w.decision
 	case <-ctx.Done():
 		f.dequeue(w)
 	}
@@ -108,19 +153,7 @@
 	if f.options.RecordWait != nil {
 		f.options.RecordWait(s.service, s.waited)
 	}
-	if ctx.Err() != nil {
-		return callerGoneRefusal()
-	}
-	return nil
-}
-
-// slotRefusal returns the refusal that a decision on a slot means, or nil if it means none.
-func slotRefusal(d thpick.SlotDecision) *thingress.Refusal {
-	r, ok := d.(thpick.RefuseSlot)
-	if !ok {
-		return nil
-	}
-	return &thingress.Refusal{Err: therror.New(therror.QueueFull, "more urgent requests take the slots of the service"), RetryAfter: r.RetryAfter}
+	return d
 }
 
 // enqueue adds a request that arrives to those that wait, if it has to. It returns the decision.
@@ -130,6 +163,8 @@
 	defer q.mu.Unlock()
 	f.WithView(func(now thclock.Instant, v *thview.View) {
 		v.RecordDemand(now, w.state.request, w.state.service)
+		w.state.beyondShare = v.IsBeyondShare(now, w.state.request, w.state.service)
+		w.state.fairShare = v.FairShare(now, w.state.request, w.state.service)
 		d = v.DecideSlot(now, w.state.request, w.state.service, q.countAhead(w))
 	})
 	var ok bool
@@ -164,8 +199,19 @@
 	}
 }
 
-// grantSlots lets those requests go on that need not wait any more, and of each service at most one
-// that takes a slot: the requests are counted at their targets only after that. It returns false,
+// decideWaiting decides what follows for a request that waits.
+func (f *Forwarder) decideWaiting(w *slotWaiter, now thclock.Instant) (d thpick.SlotDecision) {
+	if !now.Before(w.wait.Until) && !w.state.beyondShare {
+		return thpick.TakeSlot{}
+	}
+	f.WithView(func(now thclock.Instant, v *thview.View) {
+		d = v.DecideSlot(now, w.state.request, w.state.service, 0)
+	})
+	return d
+}
+
+// grantSlots ends the wait of those requests that may not wait any longer, and of each service at most
+// one that takes a slot: the requests are counted at their targets only after that. It returns false,
 // and ends the checks, if no request waits.
 func (f *Forwarder) grantSlots() bool {
 	q := &f.slots
@@ -177,16 +223,15 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(w *slotWaiter) bool {
 		isFirst := !checked[w.state.service]
 		checked[w.state.service] = true
-		wait := now.Before(w.wait.Until)
-		if wait && isFirst {
-			f.WithView(func(now thclock.Instant, v *thview.View) {
-				_, wait = v.DecideSlot(now, w.state.request, w.state.service, 0).(thpick.AwaitSlot)
-			})
+		if isFirst || !now.Before(w.wait.Until) {
+			w.decision = f.decideWaiting(w, now)
 		}
-		if !wait {
-			close(w.granted)
+		switch w.decision.(type) {
+		case nil, thpick.AwaitSlot:
+			return false
 		}
-		return !wait
+		close(w.granted)
+		return true
 	})
 	q.isChecking = len(q.waiting) > 0
 	return q.isChecking
