--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -62,8 +62,6 @@
 	// ExpectedLatency is the median time that the request takes at a target of
 	// normal speed.
 	ExpectedLatency time.Duration
-	// Spread is the spread of that time, as far as it was learned.
-	Spread Spread
 	// SlotTime is the median time that requests of all routes take at a target of normal speed. If
 	// it is zero, ExpectedLatency stands for it.
 	SlotTime time.Duration
@@ -91,9 +89,7 @@
 	// cost of a failure that cannot be retried.
 	retryCost = 0.3
 	// latencyLogStdDev is the standard deviation of the natural logarithm of a
-	// request's latency, according to the platform's specification. Picks, waits and
-	// refusals assume it for all routes: with a smaller one, targets that have a short
-	// queue cost no more than idle ones, and loads become uneven.
+	// request's latency, according to the platform's specification.
 	latencyLogStdDev = 0.8
 	// crossZoneCostPerByte is the price of a byte sent between availability
 	// zones.
@@ -155,7 +151,7 @@
 	if c.IsExtra && c.Health == (thhealth.Health{}) {
 		failing = unknownExtraFailure
 	}
-	took := ExpectedAt(q, c)
+	took := serviceTime(q, c) + ExpectedWait(q, c)
 	late, missed := exceedProbability(took, q.Objective.Sub(q.Now)), exceedProbability(took, q.Deadline.Sub(q.Now))
 	cost := (1 - failing) * (late*lateCost + missed*(1-lateCost))
 	if q.Retryable {
@@ -189,22 +185,12 @@
 // to a healthy target exceeds, given latencyLogStdDev.
 const overdueFactor = 5.2
 
-// OverdueAfter returns the time after which an attempt of the request at the candidate is overdue.
-// One in fifty attempts takes longer at a healthy target of normal speed, by the spread of the
-// route.
-//
-// Queues and slow targets extend the time, but not beyond that of a request whose spread is
-// latencyLogStdDev: targets that become slow or hang are found no later than without a learned spread.
-func OverdueAfter(q Query, c Candidate) time.Duration {
-	factor := q.Spread.factor(overdueFactor)
-	normal, bound := factor*float64(q.ExpectedLatency), overdueFactor*float64(q.ExpectedLatency)
-	here := factor * float64(ExpectedAt(q, c))
-	return max(minOverdueAfter, time.Duration(max(normal, min(here, bound))))
+// OverdueAfter returns the time after which an attempt with the given expected
+// latency is overdue.
+func OverdueAfter(expected time.Duration) time.Duration {
+	return max(minOverdueAfter, time.Duration(overdueFactor*float64(expected)))
 }
 
-// ExpectedAt returns the median time after which the candidate is expected to answer the request.
-func ExpectedAt(q Query, c Candidate) time.Duration { return serviceTime(q, c) + ExpectedWait(q, c) }
-
 // minOverdueAfter is the least time after which an attempt is overdue. It has to
 // exceed a round trip with a lost packet, which takes about 200 ms to resend.
 const minOverdueAfter = 400 * time.Millisecond
--- a/core/thpick/pick_test.go
+++ b/core/thpick/pick_test.go
@@ -245,7 +245,7 @@
 	var e thpick.LatencyEstimate
 	assert.Equal(t, e.Median(800*time.Millisecond).Round(time.Millisecond), 200*time.Millisecond)
 	for range 60 {
-		e = e.WithAnswer(500*time.Millisecond, 0)
+		e = e.WithAnswer(500 * time.Millisecond)
 	}
 	assert.Assert(t, e.Median(800*time.Millisecond) > 400*time.Millisecond)
 }
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -267,15 +267,11 @@
 	Load               thpick.Load
 	// ExpectedLatency is the expected median latency of the answer.
 	ExpectedLatency time.Duration
-	// OverdueAt is when the attempt is overdue.
-	OverdueAt thclock.Instant
 	// KeepsFloor is set if the target was picked because too few targets were in use, not
 	// because its expected cost was the lowest.
 	KeepsFloor bool
 	key        thfleet.Key
 	pickedAt   thclock.Instant
-	// expectedHere is the median time that the answer was expected to take at the target.
-	expectedHere time.Duration
 }
 
 // Refusal says why no target was picked.
@@ -349,9 +345,7 @@
 	v.fillCandidates(now, s, request)
 	return thpick.Query{
 		Now: now, Zone: v.options.Self.Zone, Retryable: retryable, Bytes: request.Body.Len() + typicalAnswerBytes,
-		ExpectedLatency: v.ExpectedLatency(request.Route), Spread: v.estimates[request.Route.Name].Spread(),
-		SlotTime: s.slotTime.Median(objectiveOf(request.Route)), CountError: s.countError.PerTarget(now),
-		Arrived: request.Arrived, Objective: request.Objective, Deadline: request.Deadline,
+		ExpectedLatency: v.ExpectedLatency(request.Route), SlotTime: s.slotTime.Median(objectiveOf(request.Route)), CountError: s.countError.PerTarget(now), Arrived: request.Arrived, Objective: request.Objective, Deadline: request.Deadline,
 		Priority: priorityOf(request), Tried: tried, BudgetUsedShare: v.retryPressure(now, s),
 	}
 }
@@ -368,12 +362,7 @@
 		s.retryBudget = s.retryBudget.WithRetry(now, v.retryRule(now))
 		s.retries++
 	}
-	c := v.candidates[i]
-	return Picked{
-		Target: t.current(), FailureProbability: c.Health.FailureProbability(now), InFlight: c.InFlight, Load: t.load.own,
-		ExpectedLatency: query.ExpectedLatency, OverdueAt: now.Add(thpick.OverdueAfter(query, c)), key: t.key, pickedAt: now,
-		expectedHere: thpick.ExpectedAt(query, c),
-	}
+	return Picked{Target: t.current(), FailureProbability: v.candidates[i].Health.FailureProbability(now), InFlight: v.candidates[i].InFlight, Load: t.load.own, ExpectedLatency: query.ExpectedLatency, key: t.key, pickedAt: now}
 }
 
 const (
@@ -407,9 +396,9 @@
 func (v *View) Finish(now thclock.Instant, p Picked, request *thmessage.Request, o thhealth.Outcome, took time.Duration) {
 	result := thfleet.AttemptResult{Target: p.key, Outcome: o, LatencyRatio: thfleet.UnknownLatencyRatio}
 	if o == thhealth.Answered {
-		v.estimates[request.Route.Name] = v.estimates[request.Route.Name].WithAnswer(took, p.expectedHere)
+		v.estimates[request.Route.Name] = v.estimates[request.Route.Name].WithAnswer(took)
 		s := v.service(p.Target.Service)
-		s.slotTime = s.slotTime.WithAnswer(took, 0)
+		s.slotTime = s.slotTime.WithAnswer(took)
 		result.LatencyRatio = encodeLatencyRatio(float64(took) / float64(max(p.ExpectedLatency, 1)))
 	}
 	v.recordCrashEvidence(now, p, request, o)
--- a/core/thview/view_test.go
+++ b/core/thview/view_test.go
@@ -372,6 +372,7 @@
 		type attempt struct {
 			vm int
 			p  thview.Picked
+			at time.Duration
 		}
 		var hung []attempt
 		hanging, n := "", 0
@@ -389,12 +390,12 @@
 			}
 			if p.Target.ID == hanging {
 				n++
-				hung = append(hung, attempt{vm, p})
+				hung = append(hung, attempt{vm, p, f.now})
 			} else {
 				f.views[vm].Finish(f.instant(), p, q, thhealth.Answered, 100*time.Millisecond)
 				f.broadcast(vm)
 			}
-			for len(hung) > 0 && markOverdue && hung[0].p.OverdueAt.Before(f.instant()) {
+			for len(hung) > 0 && markOverdue && f.now-hung[0].at > thpick.OverdueAfter(100*time.Millisecond) {
 				f.views[hung[0].vm].MarkOverdue(f.instant(), hung[0].p)
 				f.broadcast(hung[0].vm)
 				hung = hung[1:]
--- a/io/thforward/hedge.go
+++ b/io/thforward/hedge.go
@@ -92,7 +92,7 @@
 func (f *Forwarder) sendAttempt(ctx context.Context, s *requestState, p thview.Picked, o thsend.ConnectionOptions, number int, onOverdue func()) attemptResult {
 	f.options.NotifyPeers()
 	var overdue atomic.Bool
-	timer := time.AfterFunc(p.OverdueAt.Sub(f.options.Clock.Now()), func() {
+	timer := time.AfterFunc(thpick.OverdueAfter(p.ExpectedLatency), func() {
 		overdue.Store(true)
 		f.WithView(func(now thclock.Instant, v *thview.View) { v.MarkOverdue(now, p) })
 		f.options.NotifyPeers()
