--- a/core/thview/load.go
+++ b/core/thview/load.go
@@ -36,7 +36,8 @@
 	}
 	counted := v.countInFlight(now, t)
 	s := v.service(t.Service)
-	s.countError = s.countError.WithReport(now, r, v.expectedRequests(now, t))
+	expected := v.expectedRequests(now, t)
+	s.countError, s.unseen = s.countError.WithReport(now, r, expected), s.unseen.WithReport(now, r, expected)
 	t.load.own = t.load.own.WithReport(now, r, counted)
 	_, isPending := v.outbox.reports[t.key]
 	if !isPending && !t.load.shared.IsSurprisedBy(now, r, counted) {
