--- a/core/thpick/cost.go
+++ b/core/thpick/cost.go
@@ -66,8 +66,6 @@
 	SlotTime time.Duration
 	// CountError is how many more requests are likely to be at each target than are expected there.
 	CountError float64
-	// UnseenRequests is how many requests on average reach a target before the fleet's count has them.
-	UnseenRequests float64
 	// Arrived is when the caller's request arrived.
 	Arrived thclock.Instant
 	// Objective is the time up to which an answer earns its full credit.
@@ -197,12 +195,8 @@
 const minOverdueAfter = 400 * time.Millisecond
 
 // Pick returns the index of the cheapest eligible candidate, and false if there
-// is none. A small random cost breaks ties. While the counts of requests are old, it is the
-// cheapest of some candidates that are drawn at random.
+// is none. A small random cost breaks ties.
 func Pick(rng *rand.Rand, q Query, candidates []Candidate) (int, bool) {
-	if n := choices(q, len(candidates)); n < len(candidates) {
-		return pickAmong(rng, q, candidates, n)
-	}
 	best, lowest := -1, math.Inf(1)
 	for i, c := range candidates {
 		if !isEligible(q, c) {
--- a/core/thview/load.go
+++ b/core/thview/load.go
@@ -36,8 +36,7 @@
 	}
 	counted := v.countInFlight(now, t)
 	s := v.service(t.Service)
-	expected := v.expectedRequests(now, t)
-	s.countError, s.unseen = s.countError.WithReport(now, r, expected), s.unseen.WithReport(now, r, expected)
+	s.countError = s.countError.WithReport(now, r, v.expectedRequests(now, t))
 	t.load.own = t.load.own.WithReport(now, r, counted)
 	_, isPending := v.outbox.reports[t.key]
 	if !isPending && !t.load.shared.IsSurprisedBy(now, r, counted) {
--- a/core/thview/view.go
+++ b/core/thview/view.go
@@ -74,8 +74,6 @@
 	demand thpick.Demand
 	// countError is by how much the requests expected at the targets differ from their reports.
 	countError thpick.CountError
-	// unseen is how many requests reach the targets before this VM counts them.
-	unseen thpick.UnseenRequests
 	// throughput is how fast this VM's requests get a slot that are not the most urgent ones.
 	throughput thpick.Throughput
 	// fairness divides what is answered among the customers of this VM's requests.
@@ -343,7 +341,7 @@
 	v.fillCandidates(now, s, request)
 	return thpick.Query{
 		Now: now, Zone: v.options.Self.Zone, Retryable: retryable, Bytes: request.Body.Len() + typicalAnswerBytes,
-		ExpectedLatency: v.ExpectedLatency(request.Route), SlotTime: s.slotTime.Median(objectiveOf(request.Route)), CountError: s.countError.PerTarget(now), UnseenRequests: s.unseen.PerTarget(now), Arrived: request.Arrived, Objective: request.Objective, Deadline: request.Deadline,
+		ExpectedLatency: v.ExpectedLatency(request.Route), SlotTime: s.slotTime.Median(objectiveOf(request.Route)), CountError: s.countError.PerTarget(now), Arrived: request.Arrived, Objective: request.Objective, Deadline: request.Deadline,
 		Priority: priorityOf(request), Tried: tried, BudgetUsedShare: v.retryPressure(now, s),
 	}
 }
