--- a/io/thingress/server_test.go
+++ b/io/thingress/server_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -168,8 +169,8 @@
 func (c *caller) expectClosed() {
 	c.t.Helper()
 	_, err := c.br.ReadByte()
-	var n net.Error
-	assert.Assert(c.t, err != nil && !(errors.As(err, &n) && n.Timeout()), "the connection is still open: %v", err)
+	isOpen := err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+	assert.Assert(c.t, !isOpen, "the connection is still open: %v", err)
 }
 
 // expect waits for a value from the channel and compares it.
